--- /dev/null
+++ b/packages/core/src/config/config_error.ts
@@ -0,0 +1,24 @@
+/** One mistake in a settings file or configuration bundle. */
+export interface ConfigIssue {
+  readonly file: string;
+  /** Path of the key, for example `accounts.0.weight`. */
+  readonly key: string;
+  readonly found: string;
+  readonly allowed: string;
+}
+
+/** A settings file or bundle was rejected; `issues` lists every mistake. */
+export class ConfigError extends Error {
+  override readonly name = "ConfigError";
+  readonly issues: readonly ConfigIssue[];
+
+  constructor(issues: readonly ConfigIssue[]) {
+    super(issues.map(formatConfigIssue).join("\n"));
+    this.issues = issues;
+  }
+}
+
+/** Formats an issue as one line for a terminal or an API answer. */
+export function formatConfigIssue(issue: ConfigIssue): string {
+  return `${issue.file}: ${issue.key}: found ${issue.found}; ${issue.allowed}`;
+}
--- /dev/null
+++ b/packages/core/src/config/config_sections.ts
@@ -0,0 +1,99 @@
+import { type Bundle, BundleSchema } from "./bundle_schema.js";
+
+/**
+ * Number of sections that the accounts are spread over. A change to one of
+ * 9,700 accounts then moves about 150 accounts instead of all of them.
+ */
+export const ACCOUNT_SECTION_COUNT = 64;
+
+/** Computes the digest that names a section, in hexadecimal digits. */
+export type DigestFunction = (content: string) => string;
+
+/** Section name to digest of its content. */
+export type Manifest = Readonly<Record<string, string>>;
+
+export interface SectionedBundle {
+  readonly manifest: Manifest;
+  /** Content by digest. */
+  readonly sections: Readonly<Record<string, string>>;
+}
+
+/** Splits a bundle into immutable sections addressed by their digest. */
+export function splitBundle(
+  bundle: Bundle,
+  digest: DigestFunction,
+): SectionedBundle {
+  const contents = new Map<string, unknown[]>();
+  const add = (section: string, item: unknown) => {
+    const items = contents.get(section) ?? [];
+    items.push(item);
+    contents.set(section, items);
+  };
+  for (const account of sortByName(bundle.accounts)) {
+    add(accountSectionName(account.name), account);
+  }
+  contents.set("pools", sortByName(bundle.pools));
+  contents.set("services", sortByName(bundle.services));
+  contents.set("objectives", sortByName(bundle.objectives));
+  const manifest: Record<string, string> = {};
+  const sections: Record<string, string> = {};
+  for (const [name, items] of [...contents].sort()) {
+    const content = JSON.stringify(items);
+    const hash = digest(content);
+    manifest[name] = hash;
+    sections[hash] = content;
+  }
+  return { manifest, sections };
+}
+
+/**
+ * Puts a bundle together again. Returns undefined while a section is missing.
+ *
+ * Throws when a section does not match its digest or the schema.
+ */
+export function joinBundle(
+  manifest: Manifest,
+  sections: Readonly<Record<string, string>>,
+  digest: DigestFunction,
+): Bundle | undefined {
+  const parts: Record<string, unknown[]> = {
+    accounts: [],
+    pools: [],
+    services: [],
+    objectives: [],
+  };
+  for (const [name, hash] of Object.entries(manifest)) {
+    const content = sections[hash];
+    if (content === undefined) {
+      return undefined;
+    }
+    if (digest(content) !== hash) {
+      throw new RangeError(`Section ${name} does not match its digest`);
+    }
+    const kind = name.split("/")[0];
+    parts[kind]?.push(...JSON.parse(content) as unknown[]);
+  }
+  return BundleSchema.parse(parts);
+}
+
+/** Digest of a whole bundle: the digest of its manifest. */
+export function manifestDigest(
+  manifest: Manifest,
+  digest: DigestFunction,
+): string {
+  return digest(JSON.stringify(Object.entries(manifest).sort()));
+}
+
+function accountSectionName(accountName: string): string {
+  // FNV-1a; the spread over sections needs no cryptographic strength.
+  let hash = 0x811c9dc5;
+  for (let i = 0; i < accountName.length; i++) {
+    hash = Math.imul(hash ^ accountName.charCodeAt(i), 0x01000193);
+  }
+  const section = (hash >>> 0) % ACCOUNT_SECTION_COUNT;
+  return `accounts/${String(section).padStart(2, "0")}`;
+}
+
+function sortByName<T extends { readonly name: string }>(items: T[]): T[] {
+  return [...items].sort((a, b) => a.name < b.name ? -1 : 1);
+}
--- /dev/null
+++ b/packages/core/src/config/index.ts
@@ -0,0 +1,5 @@
+export * from "./bundle_check.js";
+export * from "./bundle_schema.js";
+export * from "./config_error.js";
+export * from "./config_sections.js";
+export * from "./settings_schema.js";
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,4 @@
+export * from "./clock.js";
+export * from "./config/index.js";
+export * from "./store/index.js";
+export * from "./wire/index.js";
--- /dev/null
+++ b/packages/core/src/store/index.ts
@@ -0,0 +1,2 @@
+export * from "./object_store.js";
+export * from "./store_error.js";
--- /dev/null
+++ b/packages/core/src/store/store_error.ts
@@ -0,0 +1,26 @@
+import type { StoredObject } from "./object_store.js";
+
+/** Base class of the errors of the object store. */
+export abstract class StoreError extends Error {}
+
+/** The call was not applied: the store refused it or was not reached. */
+export class StoreUnavailableError extends StoreError {
+  override readonly name = "StoreUnavailableError";
+}
+
+/** The answer to a write was lost; the write may have been applied. */
+export class StoreUnknownOutcomeError extends StoreError {
+  override readonly name = "StoreUnknownOutcomeError";
+}
+
+/** The condition of a write did not hold; nothing was changed. */
+export class StoreConflictError extends StoreError {
+  override readonly name = "StoreConflictError";
+  /** The object that the store holds, or undefined when the key is absent. */
+  readonly current: StoredObject | undefined;
+
+  constructor(key: string, current: StoredObject | undefined) {
+    super(`Object ${key} has another version`);
+    this.current = current;
+  }
+}
--- /dev/null
+++ b/packages/core/src/wire/frame_codec.ts
@@ -0,0 +1,104 @@
+import { Decoder, Encoder } from "cbor-x";
+import { type Message, MessageSchema } from "./messages.js";
+import { WireError } from "./wire_error.js";
+
+const LENGTH_BYTES = 4;
+
+/** Upper limit of one frame in bytes, length prefix not counted. */
+export const MAX_FRAME_BYTES = 12 * 1024 * 1024;
+
+const encoder = new Encoder({ tagUint8Array: false, useRecords: false });
+const decoder = new Decoder({ tagUint8Array: false, useRecords: false });
+
+/** Encodes a message as a frame: 4 bytes of length, then a CBOR map. */
+export function encodeFrame(message: Message): Uint8Array {
+  const body = encoder.encode(message);
+  const frame = new Uint8Array(LENGTH_BYTES + body.length);
+  new DataView(frame.buffer).setUint32(0, body.length);
+  frame.set(body, LENGTH_BYTES);
+  return frame;
+}
+
+/** Cuts a byte stream into messages and checks each against its schema. */
+export class FrameDecoder {
+  #pending: Uint8Array[] = [];
+  #pendingBytes = 0;
+  /** Bytes that must be pending before another frame can be complete. */
+  #neededBytes = LENGTH_BYTES;
+  readonly #maxFrameBytes: number;
+
+  constructor(maxFrameBytes = MAX_FRAME_BYTES) {
+    this.#maxFrameBytes = maxFrameBytes;
+  }
+
+  /**
+   * Adds received bytes and returns the messages that are complete, each with
+   * the bytes it took on the wire.
+   *
+   * Throws {@link WireError} for an oversized frame, invalid CBOR or a message
+   * that does not match its schema. The decoder must not be used afterwards.
+   */
+  push(data: Uint8Array): { message: Message; frameBytes: number }[] {
+    this.#pending.push(data);
+    this.#pendingBytes += data.length;
+    const messages: { message: Message; frameBytes: number }[] = [];
+    while (this.#pendingBytes >= this.#neededBytes) {
+      const joined = this.#join();
+      const view = new DataView(
+        joined.buffer,
+        joined.byteOffset,
+        joined.byteLength,
+      );
+      const bodyBytes = view.getUint32(0);
+      if (bodyBytes > this.#maxFrameBytes) {
+        throw new WireError(`Frame of ${bodyBytes} bytes exceeds the limit`);
+      }
+      const frameBytes = LENGTH_BYTES + bodyBytes;
+      if (joined.length < frameBytes) {
+        this.#neededBytes = frameBytes;
+        break;
+      }
+      this.#neededBytes = LENGTH_BYTES;
+      messages.push({
+        message: decodeBody(joined.subarray(LENGTH_BYTES, frameBytes)),
+        frameBytes,
+      });
+      this.#pending = [joined.subarray(frameBytes)];
+      this.#pendingBytes = joined.length - frameBytes;
+    }
+    return messages;
+  }
+
+  #join(): Uint8Array {
+    if (this.#pending.length === 1) {
+      return this.#pending[0];
+    }
+    const joined = new Uint8Array(this.#pendingBytes);
+    let offset = 0;
+    for (const part of this.#pending) {
+      joined.set(part, offset);
+      offset += part.length;
+    }
+    this.#pending = [joined];
+    return joined;
+  }
+}
+
+function decodeBody(body: Uint8Array): Message {
+  let value: unknown;
+  try {
+    value = decoder.decode(body);
+  } catch (cause) {
+    throw new WireError("Frame body is not valid CBOR", { cause });
+  }
+  const parsed = MessageSchema.safeParse(value);
+  if (!parsed.success) {
+    const issue = parsed.error.issues[0];
+    throw new WireError(
+      `Message does not match its schema: ${
+        issue.path.join(".")
+      }: ${issue.message}`,
+    );
+  }
+  return parsed.data;
+}
--- /dev/null
+++ b/packages/core/src/wire/frame_codec_test.ts
@@ -0,0 +1,50 @@
+import { describe, expect, it } from "vitest";
+import { encodeFrame, FrameDecoder } from "./frame_codec.js";
+import type { Message } from "./messages.js";
+import { WireError } from "./wire_error.js";
+
+const chunk: Message = {
+  type: "chunk",
+  attemptId: "a1",
+  seq: 3,
+  data: new Uint8Array([1, 2, 3]),
+};
+
+describe("FrameDecoder", () => {
+  describe("with valid frames", () => {
+    it("joins a frame that arrives one byte at a time", () => {
+      const decoder = new FrameDecoder();
+      const frame = encodeFrame(chunk);
+      const received = [...frame].flatMap((byte) =>
+        decoder.push(new Uint8Array([byte]))
+      );
+      expect(received.map((item) => item.message)).toEqual([chunk]);
+    });
+
+    it("separates frames that arrive in one piece", () => {
+      const decoder = new FrameDecoder();
+      const frame = encodeFrame(chunk);
+      const twice = new Uint8Array([...frame, ...frame]);
+      expect(decoder.push(twice)).toHaveLength(2);
+    });
+  });
+
+  describe("with invalid frames", () => {
+    it("rejects a frame above the size limit before its body arrives", () => {
+      const decoder = new FrameDecoder(16);
+      expect(() => decoder.push(new Uint8Array([0, 0, 1, 0]))).toThrow(
+        WireError,
+      );
+    });
+
+    it("rejects a message that does not match its schema", () => {
+      const frame = encodeFrame({ ...chunk, seq: -1 } as Message);
+      expect(() => new FrameDecoder().push(frame)).toThrow(/seq/);
+    });
+
+    it("rejects bytes that are not CBOR", () => {
+      const junk = new Uint8Array([0, 0, 0, 2, 0xff, 0xff]);
+      expect(() => new FrameDecoder().push(junk)).toThrow(WireError);
+    });
+  });
+});
--- /dev/null
+++ b/packages/core/src/wire/index.ts
@@ -0,0 +1,3 @@
+export * from "./frame_codec.js";
+export * from "./messages.js";
+export * from "./wire_error.js";
--- /dev/null
+++ b/packages/core/src/wire/messages.ts
@@ -0,0 +1,304 @@
+import { z } from "zod";
+
+/** Version of the protocol between anvildeal processes. */
+export const PROTOCOL_VERSION = 1;
+
+const id = z.string().min(1).max(128);
+const tokens = z.number().nonnegative();
+const bytes = z.instanceof(Uint8Array);
+const seq = z.int().nonnegative();
+
+/** State in which a sidecar reports its endpoint. */
+export const EndpointStateSchema = z.enum([
+  "starting",
+  "active",
+  "draining",
+  "down",
+]);
+export type EndpointState = z.infer<typeof EndpointStateSchema>;
+
+/** What a sidecar says about its endpoint on every answer. */
+export const FactsSchema = z.object({
+  endpointId: id,
+  incarnation: z.number(),
+  state: EndpointStateSchema,
+  loadTokens: tokens,
+  queueWaitMs: z.number().nonnegative(),
+  poolMeanTokens: tokens,
+  prefillTokensPerS: z.number().positive(),
+  configVersion: z.int().nonnegative(),
+});
+export type Facts = z.infer<typeof FactsSchema>;
+
+/** Whether the work behind an answer may have run. */
+export const OutcomeSchema = z.enum(["not-run", "unknown"]);
+export type Outcome = z.infer<typeof OutcomeSchema>;
+
+export const RefusalReasonSchema = z.enum([
+  "over_bound",
+  "queue_full",
+  "deadline",
+  "draining",
+  "down",
+  "stale_config",
+  "duplicate_running",
+  "duplicate_finished",
+  "duplicate_unknown",
+  "fingerprint_mismatch",
+  "store_unavailable",
+  "unknown_attempt",
+  "cancelled",
+  "start_window_passed",
+  "engine_unreachable",
+]);
+export type RefusalReason = z.infer<typeof RefusalReasonSchema>;
+
+/** One row of the load table that the sidecars of a pool exchange. */
+export const DigestEntrySchema = z.object({
+  endpointId: id,
+  incarnation: z.number(),
+  loadTokens: tokens,
+  state: EndpointStateSchema,
+  address: z.string().max(64),
+  ageMs: z.number().nonnegative(),
+});
+export type DigestEntry = z.infer<typeof DigestEntrySchema>;
+
+/** Answer of a finished call, kept for repeats with the same key. */
+export const StoredAnswerSchema = z.object({
+  status: z.int(),
+  headers: z.record(z.string(), z.string()),
+  body: bytes.optional(),
+});
+export type StoredAnswer = z.infer<typeof StoredAnswerSchema>;
+
+const HelloSchema = z.object({
+  type: z.literal("hello"),
+  protocolVersion: z.int(),
+  role: z.enum(["router", "sidecar"]),
+  nodeId: id,
+  incarnation: z.number(),
+  failureDomain: z.string().max(128),
+  configVersion: z.int().nonnegative(),
+  nonce: bytes,
+});
+
+/** Proves knowledge of the fleet key over both nonces. */
+const ProofSchema = z.object({ type: z.literal("proof"), proof: bytes });
+
+const ProbeSchema = z.object({
+  type: z.literal("probe"),
+  probeId: id,
+  prefixHashes: bytes,
+  configVersion: z.int().nonnegative(),
+});
+
+const ProbeReplySchema = z.object({
+  type: z.literal("probe_reply"),
+  probeId: id,
+  facts: FactsSchema,
+  /** Index of the longest cached prefix hash, or -1. */
+  cachedIndex: z.int(),
+});
+
+const SubmitSchema = z.object({
+  type: z.literal("submit"),
+  requestId: id,
+  attemptId: id,
+  kind: z.enum(["chat", "service"]),
+  account: id,
+  weight: z.number().positive(),
+  priority: z.int(),
+  deadlineInMs: z.number().optional(),
+  startWithinMs: z.number(),
+  idempotent: z.boolean(),
+  idempotencyKey: z.string().max(256).optional(),
+  fingerprint: z.string().max(64).optional(),
+  promptTokens: tokens,
+  outputTokens: tokens,
+  method: z.string().max(16),
+  path: z.string().max(8192),
+  headers: z.record(z.string(), z.string()),
+  body: bytes,
+  configVersion: z.int().nonnegative(),
+  prefixHashes: bytes,
+  /** Text already delivered to the caller by an earlier attempt. */
+  resumeText: z.string().optional(),
+  /** The load bound is not enforced; set by baselines of the bench only. */
+  ignoreBound: z.boolean().optional(),
+});
+export type Submit = z.infer<typeof SubmitSchema>;
+
+const AcceptedSchema = z.object({
+  type: z.literal("accepted"),
+  attemptId: id,
+  facts: FactsSchema,
+});
+
+const RefusedSchema = z.object({
+  type: z.literal("refused"),
+  attemptId: id,
+  reason: RefusalReasonSchema,
+  outcome: OutcomeSchema,
+  retryAfterMs: z.number().nonnegative(),
+  alternatives: z.array(id).max(8),
+  facts: FactsSchema,
+  answer: StoredAnswerSchema.optional(),
+});
+export type Refused = z.infer<typeof RefusedSchema>;
+
+const HeadSchema = z.object({
+  type: z.literal("head"),
+  attemptId: id,
+  seq,
+  status: z.int(),
+  headers: z.record(z.string(), z.string()),
+});
+
+const ChunkSchema = z.object({
+  type: z.literal("chunk"),
+  attemptId: id,
+  seq,
+  data: bytes,
+});
+
+const UsageSchema = z.object({
+  promptTokens: tokens,
+  cachedTokens: tokens,
+  outputTokens: tokens,
+});
+export type Usage = z.infer<typeof UsageSchema>;
+
+const EndSchema = z.object({
+  type: z.literal("end"),
+  attemptId: id,
+  seq,
+  facts: FactsSchema,
+  usage: UsageSchema.optional(),
+});
+
+const FailedSchema = z.object({
+  type: z.literal("failed"),
+  attemptId: id,
+  seq,
+  outcome: OutcomeSchema,
+  reason: z.string().max(512),
+  facts: FactsSchema,
+});
+
+const CancelSchema = z.object({ type: z.literal("cancel"), attemptId: id });
+
+/** Asks for the frames of an attempt from `fromSeq` on. */
+const ResumeSchema = z.object({
+  type: z.literal("resume"),
+  attemptId: id,
+  fromSeq: seq,
+});
+
+/** Frames below `nextSeq` have reached the caller and may be released. */
+const AckSchema = z.object({
+  type: z.literal("ack"),
+  attemptId: id,
+  nextSeq: seq,
+});
+
+const PingSchema = z.object({ type: z.literal("ping") });
+const PongSchema = z.object({ type: z.literal("pong") });
+
+const DrainingSchema = z.object({
+  type: z.literal("draining"),
+  facts: FactsSchema,
+});
+
+const DigestSchema = z.object({
+  type: z.literal("digest"),
+  reply: z.boolean(),
+  entries: z.array(DigestEntrySchema).max(64),
+  configVersion: z.int().nonnegative(),
+});
+
+/** Names the version a process holds; the peer answers when it has newer. */
+const ConfigQuerySchema = z.object({
+  type: z.literal("config_query"),
+  configVersion: z.int().nonnegative(),
+  /** Digests of sections that the sender holds already. */
+  haveSections: z.array(z.string().max(64)).max(1024),
+  wantContent: z.boolean(),
+});
+
+const ConfigStateSchema = z.object({
+  type: z.literal("config_state"),
+  configVersion: z.int().nonnegative(),
+  manifest: z.record(z.string(), z.string()).optional(),
+  sections: z.record(z.string(), z.string()).optional(),
+});
+
+/** Rows of the instance list that a router relays to its peers. */
+const InstancesSchema = z.object({
+  type: z.literal("instances"),
+  listVersion: z.number(),
+  instances: z.array(z.object({
+    instanceId: id,
+    role: z.enum(["router", "endpoint"]),
+    pool: z.string().max(128),
+    address: z.string().max(64),
+    failureDomain: z.string().max(128),
+    state: z.enum(["live", "leaving"]),
+  })).max(8192),
+});
+
+const OrderSchema = z.object({
+  type: z.literal("order"),
+  orderId: id,
+  fencingNumber: z.int().nonnegative(),
+  kind: z.enum(["load_model", "load_adapter", "change_role", "drain"]),
+  parameters: z.record(z.string(), z.string()),
+});
+export type Order = z.infer<typeof OrderSchema>;
+
+const OrderReplySchema = z.object({
+  type: z.literal("order_reply"),
+  orderId: id,
+  accepted: z.boolean(),
+  reason: z.string().max(512),
+  highestFencingNumber: z.int().nonnegative(),
+});
+
+/** Every message between two anvildeal processes. */
+export const MessageSchema = z.discriminatedUnion("type", [
+  HelloSchema,
+  ProofSchema,
+  ProbeSchema,
+  ProbeReplySchema,
+  SubmitSchema,
+  AcceptedSchema,
+  RefusedSchema,
+  HeadSchema,
+  ChunkSchema,
+  EndSchema,
+  FailedSchema,
+  CancelSchema,
+  ResumeSchema,
+  AckSchema,
+  PingSchema,
+  PongSchema,
+  DrainingSchema,
+  DigestSchema,
+  ConfigQuerySchema,
+  ConfigStateSchema,
+  InstancesSchema,
+  OrderSchema,
+  OrderReplySchema,
+]);
+export type Message = z.infer<typeof MessageSchema>;
+export type MessageType = Message["type"];
+export type MessageOf<T extends MessageType> = Extract<Message, { type: T }>;
+
+/** Messages that carry requests and answers; all others are control traffic. */
+export const DATA_MESSAGE_TYPES: ReadonlySet<MessageType> = new Set([
+  "submit",
+  "head",
+  "chunk",
+  "end",
+  "failed",
+]);
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,11 @@
+import { defineConfig } from "vitest/config";
+
+export default defineConfig({
+  test: {
+    include: ["packages/*/src/**/*_test.ts"],
+    testTimeout: 60_000,
+    hookTimeout: 60_000,
+    // Integration tests start real processes; more workers starve them.
+    maxWorkers: 4,
+  },
+});
