--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from "./percentile.js";
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from "./exit_code.js";
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from "./system_clock.js";
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from "./listen.js";
