--- /dev/null
+++ b/packages/core/src/membership/index.ts
@@ -0,0 +1,5 @@
+export * from "./membership_event.js";
+export * from "./membership_queries.js";
+export * from "./membership_state.js";
+export * from "./reduce_membership.js";
+export * from "./rendezvous.js";
--- /dev/null
+++ b/packages/core/src/membership/membership_event.ts
@@ -0,0 +1,86 @@
+import type { Millis } from "../clock.js";
+import type { EndpointState, MessageOf } from "../wire/messages.js";
+import type { InstanceRow } from "./membership_state.js";
+
+/** What happened, with the monotonic time at which the host saw it. */
+export type MembershipEvent =
+  /** A poll of the instance list returned a list. */
+  | {
+    readonly type: "list_received";
+    readonly nowMs: Millis;
+    readonly listVersion: number;
+    readonly instances: readonly InstanceRow[];
+  }
+  /** A poll of the instance list returned 304. */
+  | { readonly type: "list_not_modified"; readonly nowMs: Millis }
+  | { readonly type: "list_failed"; readonly nowMs: Millis }
+  /** A peer relayed the list, or asked with the version that it holds. */
+  | {
+    readonly type: "message_received";
+    readonly nowMs: Millis;
+    readonly peerId: string;
+    readonly message: MessageOf<"instances"> | MessageOf<"config_query">;
+  }
+  /** An instance sent any frame, for example a hello, facts or draining. */
+  | {
+    readonly type: "answered";
+    readonly nowMs: Millis;
+    readonly instanceId: string;
+    /** Absent for frames that tell nothing but that the instance is alive. */
+    readonly facts?: {
+      readonly incarnation: number;
+      /** Absent in the hello and for routers. */
+      readonly state?: EndpointState | undefined;
+    } | undefined;
+    /** Given when the list may not name the instance yet. */
+    readonly row?: InstanceRow | undefined;
+  }
+  /** A connection could not be opened, or was reset. */
+  | {
+    readonly type: "connect_failed";
+    readonly nowMs: Millis;
+    readonly instanceId: string;
+  }
+  /** An open connection delivered no frame for the silence limit. */
+  | {
+    readonly type: "connection_silent";
+    readonly nowMs: Millis;
+    readonly instanceId: string;
+  }
+  /** At least every 500 ms. */
+  | { readonly type: "tick"; readonly nowMs: Millis };
+
+export type MembershipEffect =
+  /** `GET /instances`, answered by one of the three list events. */
+  | { readonly type: "poll_list" }
+  | {
+    readonly type: "send";
+    readonly peerId: string;
+    readonly message: MessageOf<"instances">;
+  }
+  /**
+   * Connect to the instance or send it a probe without a request; the result
+   * comes back as `answered`, `connect_failed` or `connection_silent`.
+   */
+  | { readonly type: "probe_instance"; readonly instanceId: string }
+  /** Whether this router is one of the watchers of its failure domain. */
+  | { readonly type: "election_changed"; readonly elected: boolean }
+  | {
+    readonly type: "count";
+    readonly counter: MembershipCounter;
+    readonly amount: number;
+  }
+  | {
+    readonly type: "log";
+    readonly level: "info" | "warn";
+    readonly text: string;
+  };
+
+export type MembershipCounter =
+  | "list_applied"
+  | "list_older_ignored"
+  | "list_base_missing"
+  | "evidence_older_ignored"
+  | "endpoint_suspected"
+  | "domain_suspected"
+  | "endpoint_unstable";
--- /dev/null
+++ b/packages/core/src/membership/membership_queries.ts
@@ -0,0 +1,178 @@
+import type { Millis } from "../clock.js";
+import type { EndpointState } from "../wire/messages.js";
+import { isDomainSuspected, isDrained } from "./direct_evidence.js";
+import { UNLISTED_USE_MS } from "./instance_list.js";
+import type { InstanceRecord, MembershipState } from "./membership_state.js";
+import { rankByRendezvous } from "./rendezvous.js";
+
+/** Routers of a failure domain that hold its watches and poll the list. */
+export const WATCHERS_PER_DOMAIN = 2;
+
+/** An endpoint as placement sees it. */
+export interface EndpointView {
+  readonly endpointId: string;
+  readonly pool: string;
+  readonly address: string;
+  readonly failureDomain: string;
+  readonly incarnation: number | undefined;
+  /** Start of the incarnation as seen here, for a slow-start ramp. */
+  readonly incarnationSinceMs: Millis;
+  /** Addition to the estimated time to first token because of suspicion. */
+  readonly penaltyMs: Millis;
+}
+
+/** Why an endpoint is not offered for new work, or undefined if it is. */
+export type UnusableReason =
+  | "unknown"
+  | "leaving"
+  | "not_ready"
+  | "unlisted"
+  | "unstable"
+  | "domain_suspected"
+  | "suspected";
+
+/**
+ * Endpoints of a pool that may receive new work.
+ *
+ * When all of them are suspected one by one, they are offered all the same: a
+ * failed connection costs less than refusing every request of the pool.
+ */
+export function usableEndpoints(
+  state: MembershipState,
+  pool: string,
+  nowMs: Millis,
+): EndpointView[] {
+  const usable: EndpointView[] = [];
+  const suspected: EndpointView[] = [];
+  for (const id of state.idsByPool.get(pool) ?? []) {
+    const record = state.instances.get(id)!;
+    const reason = reasonFor(state, record, nowMs);
+    if (reason === undefined) {
+      usable.push(viewOf(record));
+    } else if (reason === "suspected") {
+      suspected.push(viewOf(record));
+    }
+  }
+  return usable.length > 0 ? usable : suspected;
+}
+
+export function unusableReason(
+  state: MembershipState,
+  endpointId: string,
+  nowMs: Millis,
+): UnusableReason | undefined {
+  const record = state.instances.get(endpointId);
+  return record === undefined || record.row.role !== "endpoint"
+    ? "unknown"
+    : reasonFor(state, record, nowMs);
+}
+
+/** View of a known endpoint whether or not it is usable. */
+export function findEndpoint(
+  state: MembershipState,
+  endpointId: string,
+): EndpointView | undefined {
+  const record = state.instances.get(endpointId);
+  return record?.row.role === "endpoint" ? viewOf(record) : undefined;
+}
+
+/** Suspicion of an endpoint in milliseconds; 0 without any. */
+export function endpointPenaltyMs(
+  state: MembershipState,
+  endpointId: string,
+): Millis {
+  return state.instances.get(endpointId)?.suspicionDelayMs ?? 0;
+}
+
+/**
+ * Ids of the routers that the list names as live and that this process does
+ * not suspect, itself included once it is listed.
+ */
+export function liveRouters(state: MembershipState, nowMs: Millis): string[] {
+  const ids: string[] = [];
+  for (const [id, record] of state.instances) {
+    if (record.row.role === "router" && isRouterLive(state, record, nowMs)) {
+      ids.push(id);
+    }
+  }
+  return ids;
+}
+
+/** The elected watchers of a failure domain, in rendezvous order. */
+export function watchersOf(
+  state: MembershipState,
+  failureDomain: string,
+  nowMs: Millis,
+): string[] {
+  const ids = liveRouters(state, nowMs).filter((id) =>
+    state.instances.get(id)!.row.failureDomain === failureDomain
+  );
+  return rankByRendezvous(
+    `watch/${failureDomain}`,
+    ids,
+    WATCHERS_PER_DOMAIN,
+  );
+}
+
+/** State in the newest direct evidence of an endpoint. */
+export function reportedState(
+  state: MembershipState,
+  endpointId: string,
+): EndpointState | undefined {
+  return state.instances.get(endpointId)?.reportedState;
+}
+
+function isRouterLive(
+  state: MembershipState,
+  record: InstanceRecord,
+  nowMs: Millis,
+): boolean {
+  if (!record.listed || record.row.state !== "live" || isDrained(record)) {
+    return false;
+  }
+  return record.row.instanceId === state.options.selfId ||
+    nowMs >= record.suspectedUntilMs;
+}
+
+function reasonFor(
+  state: MembershipState,
+  record: InstanceRecord,
+  nowMs: Millis,
+): UnusableReason | undefined {
+  if (record.row.state === "leaving" || isDrained(record)) {
+    return "leaving";
+  }
+  if (
+    record.reportedState === "starting" || record.reportedState === "down"
+  ) {
+    return "not_ready";
+  }
+  if (!record.listed && !answeredLately(record, nowMs)) {
+    return "unlisted";
+  }
+  if (nowMs < record.unstableUntilMs) {
+    return "unstable";
+  }
+  if (isDomainSuspected(state, record.row.failureDomain)) {
+    return "domain_suspected";
+  }
+  return nowMs < record.suspectedUntilMs ? "suspected" : undefined;
+}
+
+function answeredLately(record: InstanceRecord, nowMs: Millis): boolean {
+  return record.lastAnsweredMs !== undefined &&
+    record.failedAtMs === undefined &&
+    nowMs - record.lastAnsweredMs <= UNLISTED_USE_MS;
+}
+
+function viewOf(record: InstanceRecord): EndpointView {
+  return {
+    endpointId: record.row.instanceId,
+    pool: record.row.pool,
+    address: record.row.address,
+    failureDomain: record.row.failureDomain,
+    incarnation: record.incarnation,
+    incarnationSinceMs: record.incarnationSinceMs,
+    penaltyMs: record.suspicionDelayMs,
+  };
+}
--- /dev/null
+++ b/packages/core/src/membership/membership_state.ts
@@ -0,0 +1,102 @@
+import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import type { Millis } from "../clock.js";
+import type { EndpointState, MessageOf } from "../wire/messages.js";
+
+/** A row of the instance list, as relayed between processes. */
+export type InstanceRow = MessageOf<"instances">["instances"][number];
+
+export interface MembershipOptions {
+  /** Id of this process in the instance list. */
+  readonly selfId: string;
+  readonly role: "router" | "sidecar";
+  readonly failureDomain: string;
+  readonly seed: number;
+  /**
+   * A process that has heard nothing about the instance list for this long
+   * polls it itself. 5 s for a router; a minute for a sidecar, which only
+   * needs the addresses of its pool.
+   */
+  readonly listStaleAfterMs?: Millis;
+}
+
+/** What this process knows about one router or endpoint. */
+export interface InstanceRecord {
+  row: InstanceRow;
+  /** Whether the newest instance list names the instance. */
+  listed: boolean;
+  /** Incarnation of the newest direct evidence, or undefined without any. */
+  incarnation: number | undefined;
+  incarnationSinceMs: Millis;
+  /** State in the newest direct evidence. */
+  reportedState: EndpointState | undefined;
+  /** Incarnation that announced it is draining; it never takes work again. */
+  drainedIncarnation: number | undefined;
+  lastAnsweredMs: Millis | undefined;
+  /** Set while the newest evidence is a failure. */
+  failedAtMs: Millis | undefined;
+  suspicionDelayMs: Millis;
+  suspectedUntilMs: Millis;
+  /** Times of changes between up and down within the flap window. */
+  changeTimesMs: Millis[];
+  unstableUntilMs: Millis;
+  probeDelayMs: Millis;
+  nextProbeMs: Millis;
+  /** Time at which the instance left the list. */
+  unlistedAtMs: Millis | undefined;
+}
+
+/** A failure domain of which most endpoints failed at about the same time. */
+export interface DomainRecord {
+  suspected: boolean;
+  nextProbeMs: Millis;
+  /** Rotates over the endpoints, so that one dead endpoint hides nothing. */
+  probeCursor: number;
+}
+
+/** Rows that changed with one version of the instance list. */
+export interface ListChange {
+  readonly baseVersion: number;
+  readonly listVersion: number;
+  readonly changedIds: readonly string[];
+  readonly removedIds: readonly string[];
+}
+
+export interface MembershipState {
+  readonly options: Required<MembershipOptions>;
+  readonly random: RandomGenerator;
+  readonly instances: Map<string, InstanceRecord>;
+  readonly idsByPool: Map<string, Set<string>>;
+  readonly domains: Map<string, DomainRecord>;
+  /** Version of the newest instance list applied; -1 before the first. */
+  listVersion: number;
+  readonly changes: ListChange[];
+  elected: boolean;
+  pollInFlight: boolean;
+  pollFailures: number;
+  nextPollMs: Millis;
+}
+
+export const ROUTER_LIST_STALE_MS = 5_000;
+export const SIDECAR_LIST_STALE_MS = 60_000;
+
+export function createMembershipState(
+  options: MembershipOptions,
+): MembershipState {
+  const staleMs = options.role === "router"
+    ? ROUTER_LIST_STALE_MS
+    : SIDECAR_LIST_STALE_MS;
+  return {
+    options: { listStaleAfterMs: staleMs, ...options },
+    random: xoroshiro128plus(options.seed),
+    instances: new Map(),
+    idsByPool: new Map(),
+    domains: new Map(),
+    listVersion: -1,
+    changes: [],
+    elected: false,
+    pollInFlight: false,
+    pollFailures: 0,
+    nextPollMs: Number.NEGATIVE_INFINITY,
+  };
+}
--- /dev/null
+++ b/packages/core/src/membership/reduce_membership.ts
@@ -0,0 +1,203 @@
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import type { Millis } from "../clock.js";
+import { pickRandom } from "./pick_random.js";
+import { applyAnswered, applyFailure, probeUnused } from "./direct_evidence.js";
+import {
+  applyList,
+  applyRelayed,
+  composeInstances,
+  forgetUnlisted,
+} from "./instance_list.js";
+import type { MembershipEffect, MembershipEvent } from "./membership_event.js";
+import { liveRouters, watchersOf } from "./membership_queries.js";
+import type { MembershipState } from "./membership_state.js";
+
+/** Interval at which an elected router polls the instance list. */
+export const LIST_POLL_INTERVAL_MS = 1_000;
+/** Longest pause between polls while the instance list does not answer. */
+const MAX_POLL_BACKOFF_MS = 10_000;
+/** Number of routers to which a router passes on a new list. */
+const RELAY_FAN_OUT = 4;
+
+type ListReceived = Extract<
+  MembershipEvent,
+  { readonly type: "list_received" }
+>;
+type MessageReceived = Extract<
+  MembershipEvent,
+  { readonly type: "message_received" }
+>;
+
+/**
+ * Keeps the view that one process has of all routers and endpoints.
+ *
+ * The state is updated in place. The instance list is a hint; what instances
+ * themselves say or fail to say takes precedence over it.
+ */
+export function reduceMembership(
+  state: MembershipState,
+  event: MembershipEvent,
+): MembershipEffect[] {
+  const effects: MembershipEffect[] = [];
+  const { nowMs } = event;
+  applyEvent(state, event, effects);
+  updateElection(state, nowMs, effects);
+  if (!state.pollInFlight && nowMs >= state.nextPollMs) {
+    state.pollInFlight = true;
+    effects.push({ type: "poll_list" });
+  }
+  return effects;
+}
+
+function applyEvent(
+  state: MembershipState,
+  event: MembershipEvent,
+  effects: MembershipEffect[],
+): void {
+  const { nowMs } = event;
+  switch (event.type) {
+    case "list_received":
+      applyPolledList(state, event, effects);
+      return;
+    case "list_not_modified":
+      notePollAnswered(state, nowMs);
+      return;
+    case "list_failed":
+      notePollFailed(state, nowMs);
+      return;
+    case "message_received":
+      applyMessage(state, event, effects);
+      return;
+    case "answered":
+      applyAnswered(state, event, effects);
+      return;
+    case "connect_failed":
+    case "connection_silent":
+      applyFailure(state, event.instanceId, nowMs, effects);
+      return;
+    case "tick":
+      probeUnused(state, nowMs, effects);
+      forgetUnlisted(state, nowMs);
+      return;
+  }
+}
+
+function applyPolledList(
+  state: MembershipState,
+  event: ListReceived,
+  effects: MembershipEffect[],
+): void {
+  const { nowMs, listVersion, instances } = event;
+  notePollAnswered(state, nowMs);
+  const baseVersion = state.listVersion;
+  if (applyList(state, listVersion, instances, nowMs, effects)) {
+    relayChanges(state, baseVersion, nowMs, undefined, effects);
+  }
+}
+
+function applyMessage(
+  state: MembershipState,
+  event: MessageReceived,
+  effects: MembershipEffect[],
+): void {
+  const { nowMs, peerId, message } = event;
+  const { listVersion } = message;
+  if (listVersion === undefined) {
+    return;
+  }
+  if (listVersion >= state.listVersion) {
+    deferPoll(state, nowMs);
+  }
+  if (message.type === "config_query") {
+    if (listVersion < state.listVersion) {
+      const reply = composeInstances(state, listVersion);
+      effects.push({ type: "send", peerId, message: reply });
+    }
+    return;
+  }
+  const baseVersion = state.listVersion;
+  if (applyRelayed(state, message, nowMs, effects)) {
+    relayChanges(state, baseVersion, nowMs, peerId, effects);
+  }
+}
+
+/** Passes a new list on to a few routers, which pass it on in turn. */
+function relayChanges(
+  state: MembershipState,
+  baseVersion: number,
+  nowMs: Millis,
+  exceptId: string | undefined,
+  effects: MembershipEffect[],
+): void {
+  if (state.options.role !== "router") {
+    return;
+  }
+  const { selfId } = state.options;
+  const peerIds = liveRouters(state, nowMs).filter((id) =>
+    id !== selfId && id !== exceptId
+  );
+  const chosen = pickRandom(state.random, peerIds, RELAY_FAN_OUT);
+  if (chosen.length === 0) {
+    return;
+  }
+  const message = composeInstances(state, baseVersion);
+  for (const peerId of chosen) {
+    effects.push({ type: "send", peerId, message });
+  }
+}
+
+function updateElection(
+  state: MembershipState,
+  nowMs: Millis,
+  effects: MembershipEffect[],
+): void {
+  const { role, selfId, failureDomain } = state.options;
+  if (role !== "router") {
+    return;
+  }
+  const elected = watchersOf(state, failureDomain, nowMs).includes(selfId);
+  if (elected === state.elected) {
+    return;
+  }
+  state.elected = elected;
+  effects.push({ type: "election_changed", elected });
+  if (elected) {
+    state.nextPollMs = Math.min(
+      state.nextPollMs,
+      nowMs + LIST_POLL_INTERVAL_MS,
+    );
+  } else if (state.listVersion >= 0) {
+    deferPoll(state, nowMs);
+  }
+}
+
+function notePollAnswered(state: MembershipState, nowMs: Millis): void {
+  state.pollInFlight = false;
+  state.pollFailures = 0;
+  state.nextPollMs = nowMs + LIST_POLL_INTERVAL_MS;
+  deferPoll(state, nowMs);
+}
+
+function notePollFailed(state: MembershipState, nowMs: Millis): void {
+  state.pollInFlight = false;
+  const delayMs = Math.min(
+    MAX_POLL_BACKOFF_MS,
+    LIST_POLL_INTERVAL_MS * 2 ** state.pollFailures,
+  );
+  state.pollFailures++;
+  state.nextPollMs = nowMs + delayMs + jitterMs(state, delayMs);
+}
+
+/** Polling is left to the elected routers while their news arrives. */
+function deferPoll(state: MembershipState, nowMs: Millis): void {
+  if (!state.elected) {
+    const { listStaleAfterMs } = state.options;
+    const jitter = jitterMs(state, listStaleAfterMs);
+    state.nextPollMs = nowMs + listStaleAfterMs + jitter;
+  }
+}
+
+/** Up to half of a delay, so that routers do not poll all at once. */
+function jitterMs(state: MembershipState, delayMs: Millis): Millis {
+  return uniformInt(state.random, 0, Math.floor(delayMs / 2));
+}
--- /dev/null
+++ b/packages/core/src/membership/reduce_membership_test.ts
@@ -0,0 +1,249 @@
+import { beforeEach, describe, expect, it } from "vitest";
+import type { EndpointState } from "../wire/messages.js";
+import {
+  createMembershipState,
+  endpointPenaltyMs,
+  type InstanceRow,
+  liveRouters,
+  type MembershipEffect,
+  type MembershipEvent,
+  type MembershipState,
+  reduceMembership,
+  unusableReason,
+  usableEndpoints,
+  watchersOf,
+} from "./index.js";
+
+type EventInput = MembershipEvent extends infer E
+  ? E extends MembershipEvent ? Omit<E, "nowMs"> : never
+  : never;
+
+function row(id: string, change: Partial<InstanceRow> = {}): InstanceRow {
+  return {
+    instanceId: id,
+    role: id.startsWith("r") ? "router" : "endpoint",
+    pool: id.startsWith("r") ? "" : "chat",
+    address: "127.0.0.1:7000",
+    failureDomain: "a",
+    state: "live",
+    ...change,
+  };
+}
+
+describe("reduceMembership", () => {
+  let state: MembershipState;
+  const endpoints = ["e1", "e2", "e3", "e4"].map((id) => row(id));
+
+  beforeEach(() => {
+    state = createMembershipState({
+      selfId: "r1",
+      role: "router",
+      failureDomain: "a",
+      seed: 1,
+    });
+  });
+
+  const at = (nowMs: number, input: EventInput): MembershipEffect[] =>
+    reduceMembership(state, { ...input, nowMs });
+  const list = (nowMs: number, listVersion: number, instances: InstanceRow[]) =>
+    at(nowMs, { type: "list_received", listVersion, instances });
+  const answer = (
+    nowMs: number,
+    instanceId: string,
+    incarnation = 1,
+    reported: EndpointState = "active",
+  ) =>
+    at(nowMs, {
+      type: "answered",
+      instanceId,
+      facts: { incarnation, state: reported },
+    });
+  const fail = (nowMs: number, instanceId: string) =>
+    at(nowMs, { type: "connect_failed", instanceId });
+  const usable = (nowMs: number) =>
+    usableEndpoints(state, "chat", nowMs).map((view) => view.endpointId);
+
+  describe("with the instance list", () => {
+    it("ignores a list that is older than the one applied", () => {
+      list(0, 7, endpoints.slice(0, 2));
+      list(1, 6, endpoints);
+      expect(usable(1)).toEqual(["e1", "e2"]);
+    });
+
+    it("uses an unlisted endpoint while it answers, and not after", () => {
+      list(0, 1, endpoints);
+      answer(1000, "e1");
+      list(1001, 2, []);
+      expect(usable(2000)).toEqual(["e1"]);
+      expect(unusableReason(state, "e1", 11_001)).toBe("unlisted");
+    });
+
+    it("relays only the changes, and the list to a peer without it", () => {
+      list(0, 1, [row("r1"), row("r2"), ...endpoints]);
+      const sent = list(1, 2, [row("r1"), row("r2"), ...endpoints.slice(1)])
+        .find((effect) => effect.type === "send");
+      expect(sent).toMatchObject({
+        peerId: "r2",
+        message: { baseVersion: 1, instances: [], removedIds: ["e1"] },
+      });
+      const reply = at(2, {
+        type: "message_received",
+        peerId: "r2",
+        message: {
+          type: "config_query",
+          configVersion: 0,
+          haveSections: [],
+          wantContent: false,
+          listVersion: -1,
+        },
+      }).find((effect) => effect.type === "send");
+      expect(reply?.message.instances).toHaveLength(5);
+    });
+
+    it("does not apply a difference from a version it has not seen", () => {
+      list(0, 1, endpoints);
+      at(1, {
+        type: "message_received",
+        peerId: "r2",
+        message: {
+          type: "instances",
+          listVersion: 4,
+          baseVersion: 3,
+          instances: [],
+          removedIds: ["e1"],
+        },
+      });
+      expect(state.listVersion).toBe(1);
+      expect(usable(1)).toContain("e1");
+    });
+  });
+
+  describe("with leaving endpoints", () => {
+    it("stops offering an endpoint on its draining frame", () => {
+      list(0, 1, endpoints);
+      answer(1, "e1", 1, "draining");
+      list(2, 2, endpoints);
+      answer(3, "e1", 1, "active");
+      expect(usable(3)).not.toContain("e1");
+    });
+
+    it("keeps a drained endpoint away when an old list names it again", () => {
+      list(0, 1, endpoints);
+      answer(1, "e1", 1, "draining");
+      list(2, 2, endpoints.slice(1));
+      list(60_000, 3, endpoints);
+      expect(usable(120_000)).not.toContain("e1");
+    });
+
+    it("offers it again once a later incarnation is active", () => {
+      list(0, 1, endpoints);
+      answer(1, "e1", 1, "draining");
+      answer(2, "e1", 2);
+      expect(usable(2)).toContain("e1");
+      answer(3, "e1", 1, "draining");
+      expect(usable(3)).toContain("e1");
+    });
+
+    it("never offers what the list calls leaving, even if all else fails", () => {
+      list(0, 1, [row("e1", { state: "leaving" }), row("e2")]);
+      answer(1, "e1");
+      fail(2, "e2");
+      expect(usable(3)).toEqual(["e2"]);
+    });
+  });
+
+  describe("with failures", () => {
+    beforeEach(() => {
+      list(0, 1, endpoints);
+    });
+
+    it("doubles suspicion to 10 s and halves it with each success", () => {
+      const delays: number[] = [];
+      let nowMs = 0;
+      for (let i = 0; i < 6; i++) {
+        fail(nowMs, "e1");
+        delays.push(endpointPenaltyMs(state, "e1"));
+        expect(usable(nowMs + delays[i]! - 1)).not.toContain("e1");
+        nowMs += delays[i]!;
+        expect(usable(nowMs)).toContain("e1");
+      }
+      expect(delays).toEqual([500, 1000, 2000, 4000, 8000, 10_000]);
+      answer(nowMs, "e1");
+      expect(endpointPenaltyMs(state, "e1")).toBe(5000);
+      for (let i = 0; i < 4; i++) {
+        answer(nowMs, "e1");
+      }
+      expect(endpointPenaltyMs(state, "e1")).toBe(0);
+    });
+
+    it("offers suspected endpoints when the pool has no others", () => {
+      list(1, 2, [row("e1")]);
+      fail(2, "e1");
+      expect(usable(3)).toEqual(["e1"]);
+    });
+
+    it("uses an endpoint that flaps only after 5 s of stability", () => {
+      fail(1000, "e1");
+      answer(2000, "e1");
+      expect(usable(2000)).toContain("e1");
+      answer(3000, "e1", 2);
+      expect(usable(7999)).not.toContain("e1");
+      expect(usable(8000)).toContain("e1");
+      answer(62_500, "e1", 3);
+      expect(usable(62_500)).toContain("e1");
+    });
+
+    it("suspects a domain of which more than half fails within 2 s", () => {
+      fail(0, "e1");
+      fail(2000, "e2");
+      fail(2100, "e3");
+      expect(usable(2100)).toContain("e4");
+      fail(2200, "e1");
+      expect(unusableReason(state, "e4", 2200)).toBe("domain_suspected");
+      const probes = (nowMs: number) =>
+        at(nowMs, { type: "tick" })
+          .filter((effect) => effect.type === "probe_instance").length;
+      expect([2300, 3200, 3700, 4200].map(probes)).toEqual([0, 1, 0, 1]);
+      answer(4300, "e4");
+      expect(usable(4300)).toContain("e4");
+    });
+
+    it("probes an endpoint that is not ready until it is active", () => {
+      answer(1, "e1", 1, "starting");
+      expect(usable(1)).not.toContain("e1");
+      expect(at(2, { type: "tick" }))
+        .toContainEqual({ type: "probe_instance", instanceId: "e1" });
+      answer(3, "e1");
+      expect(usable(3)).toContain("e1");
+    });
+  });
+
+  describe("with the election of watchers", () => {
+    const routers = ["r1", "r2", "r3"].map((id) => row(id));
+
+    it("elects two live routers and replaces one that fails", () => {
+      list(0, 1, [...routers, row("r4", { failureDomain: "b" })]);
+      const elected = watchersOf(state, "a", 0);
+      expect(elected).toHaveLength(2);
+      const other = elected.find((id) => id !== "r1")!;
+      fail(1, other);
+      expect(watchersOf(state, "a", 1)).toContain("r1");
+      expect(watchersOf(state, "a", 1)).not.toContain(other);
+      expect(liveRouters(state, 1)).toHaveLength(3);
+    });
+
+    it("polls each second when elected, and once stale when not", () => {
+      const polls = (nowMs: number) =>
+        at(nowMs, { type: "tick" })
+          .filter((effect) => effect.type === "poll_list").length;
+      expect(polls(0)).toBe(1);
+      expect(list(1, 1, [row("r1")]))
+        .toContainEqual({ type: "election_changed", elected: true });
+      expect(polls(1000)).toBe(0);
+      expect(polls(1001)).toBe(1);
+      list(1002, 2, [row("r1", { state: "leaving" })]);
+      expect([2100, 6000].map(polls)).toEqual([0, 0]);
+      expect(polls(10_000)).toBe(1);
+    });
+  });
+});
--- a/packages/core/src/wire/messages.ts
+++ b/packages/core/src/wire/messages.ts
@@ -224,6 +224,8 @@
   /** Digests of sections that the sender holds already. */
   haveSections: z.array(z.string().max(64)).max(1024),
   wantContent: z.boolean(),
+  /** Version of the instance list that a router holds. */
+  listVersion: z.number().optional(),
 });
 
 const ConfigStateSchema = z.object({
@@ -237,6 +239,10 @@
 const InstancesSchema = z.object({
   type: z.literal("instances"),
   listVersion: z.number(),
+  /** The rows are the changes since this version; without it, the list. */
+  baseVersion: z.number().optional(),
+  /** Instances that left the list since `baseVersion`. */
+  removedIds: z.array(id).max(8192).optional(),
   instances: z.array(z.object({
     instanceId: id,
     role: z.enum(["router", "endpoint"]),
