Add the object store client over HTTP

Whether a failed write was sent decides between an unavailable store and an unknown outcome, so the client drives undici's dispatch handler itself.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,1 +1,2 @@
+export * from "./store/index.js";
 export * from "./system_clock.js";
--- /dev/null
+++ b/packages/daemon/src/store/http_object_store.ts
@@ -0,0 +1,339 @@
+import {
+  type ListOptions,
+  type Millis,
+  ObjectStore,
+  StoreConflictError,
+  type StoredObject,
+  type StoreError,
+  StoreUnavailableError,
+  StoreUnknownOutcomeError,
+  type WatchOptions,
+} from "@anvildeal/core";
+import { Agent } from "undici";
+import { z } from "zod";
+import {
+  HttpExchange,
+  HttpExchangeError,
+  type HttpExchangeOptions,
+  type HttpRequest,
+  type HttpResponse,
+} from "./http_exchange.js";
+
+export type StoreCallKind =
+  | "get"
+  | "create"
+  | "update"
+  | "delete"
+  | "list"
+  | "watch";
+
+/** One finished call, for the counters of calls and bytes. */
+export interface StoreCall {
+  readonly kind: StoreCallKind;
+  readonly outcome: "ok" | "conflict" | "unavailable" | "unknown";
+  /** Bytes of HTTP head and body; TCP and chunk framing are not counted. */
+  readonly sentBytes: number;
+  readonly receivedBytes: number;
+}
+
+export interface HttpObjectStoreOptions {
+  /** URL without a path, such as `http://127.0.0.1:8080`. */
+  readonly url: string;
+  /** Time until a call without a complete answer fails. */
+  readonly requestTimeoutMs: Millis;
+  /** Called once for each call when it ends. */
+  readonly onCall?: (call: StoreCall) => void;
+}
+
+/** A list of the largest page of the largest values stays below this. */
+const MAX_RESPONSE_BYTES = 64 * 1024 * 1024;
+
+const StoredObjectSchema = z.object({
+  key: z.string(),
+  version: z.int().positive(),
+  value: z.unknown(),
+});
+const VersionSchema = z.object({ version: z.int().positive() });
+const ListSchema = z.object({ items: z.array(StoredObjectSchema) });
+
+type WriteKind = "create" | "update" | "delete";
+
+/** {@link ObjectStore} over the HTTP interface of the platform. */
+export class HttpObjectStore extends ObjectStore {
+  readonly #origin: string;
+  readonly #requestTimeoutMs: Millis;
+  readonly #onCall: (call: StoreCall) => void;
+  readonly #disposed = new AbortController();
+  readonly #agents = new Set<Agent>();
+  #agent: Agent;
+
+  constructor(options: HttpObjectStoreOptions) {
+    super();
+    this.#origin = new URL(options.url).origin;
+    this.#requestTimeoutMs = options.requestTimeoutMs;
+    this.#onCall = options.onCall ?? (() => {});
+    this.#agent = this.#openAgent();
+  }
+
+  async get(key: string): Promise<StoredObject | undefined> {
+    const response = await this.#read("get", objectPath(key));
+    if (response.status === 404) {
+      return undefined;
+    }
+    return parseRead(response, StoredObjectSchema);
+  }
+
+  create(key: string, value: unknown): Promise<number> {
+    return this.#put("create", key, value, { "if-none-match": "*" });
+  }
+
+  update(key: string, value: unknown, ifVersion: number): Promise<number> {
+    return this.#put("update", key, value, { "if-match": `"${ifVersion}"` });
+  }
+
+  async delete(key: string, ifVersion: number): Promise<void> {
+    await this.#write("delete", key, {
+      origin: this.#origin,
+      method: "DELETE",
+      path: objectPath(key),
+      headers: { "if-match": `"${ifVersion}"` },
+    });
+  }
+
+  async list(prefix: string, options: ListOptions): Promise<StoredObject[]> {
+    const query = new URLSearchParams({
+      prefix,
+      limit: String(options.limit),
+    });
+    if (options.after !== undefined) {
+      query.set("after", options.after);
+    }
+    const response = await this.#read("list", `/objects?${query}`);
+    return parseRead(response, ListSchema).items;
+  }
+
+  /** Rejects with `StoreUnavailableError` when the signal is aborted. */
+  async watch(
+    key: string,
+    options: WatchOptions,
+  ): Promise<StoredObject | undefined> {
+    const query = new URLSearchParams({
+      after: String(options.afterVersion),
+      timeout_ms: String(options.timeoutMs),
+    });
+    const path = `/watch/${encodeKey(key)}?${query}`;
+    const response = await this.#read("watch", path, options);
+    if (response.status === 304) {
+      return undefined;
+    }
+    return parseRead(response, StoredObjectSchema);
+  }
+
+  /** Ends pending calls with an error; later calls fail. */
+  async dispose(): Promise<void> {
+    this.#disposed.abort(new Error("The object store client was disposed"));
+    await Promise.all([...this.#agents].map((agent) => agent.destroy()));
+    this.#agents.clear();
+  }
+
+  async #read(
+    kind: "get" | "list" | "watch",
+    path: string,
+    watch?: WatchOptions,
+  ): Promise<HttpResponse> {
+    const request = {
+      origin: this.#origin,
+      method: "GET",
+      path,
+      headers: {},
+    } as const;
+    const signal = watch?.signal === undefined
+      ? this.#disposed.signal
+      : AbortSignal.any([this.#disposed.signal, watch.signal]);
+    // The store holds a watch for its timeout before the answer is due.
+    const timeoutMs = this.#requestTimeoutMs + (watch?.timeoutMs ?? 0);
+    return this.#run(kind, request, { signal, timeoutMs }, (response) => {
+      const { status } = response;
+      const missing = kind === "get" && status === 404;
+      const unchanged = kind === "watch" && status === 304;
+      if (status !== 200 && !missing && !unchanged) {
+        throw new StoreUnavailableError(`Object store answered ${status}`);
+      }
+    });
+  }
+
+  async #put(
+    kind: "create" | "update",
+    key: string,
+    value: unknown,
+    condition: Record<string, string>,
+  ): Promise<number> {
+    const response = await this.#write(kind, key, {
+      origin: this.#origin,
+      method: "PUT",
+      path: objectPath(key),
+      headers: { "content-type": "application/json", ...condition },
+      body: Buffer.from(JSON.stringify(value)),
+    });
+    const parsed = VersionSchema.safeParse(parseJson(response.body));
+    if (!parsed.success) {
+      throw new StoreUnknownOutcomeError(
+        "Object store confirmed a write without its version",
+      );
+    }
+    return parsed.data.version;
+  }
+
+  #write(
+    kind: WriteKind,
+    key: string,
+    request: HttpRequest,
+  ): Promise<HttpResponse> {
+    const options = {
+      signal: this.#disposed.signal,
+      timeoutMs: this.#requestTimeoutMs,
+    };
+    return this.#run(kind, request, options, (response) => {
+      if (response.status !== 200 && response.status !== 204) {
+        throw errorOfWrite(kind, key, response);
+      }
+    });
+  }
+
+  /** Runs one call and reports it; `check` throws for a failing status. */
+  async #run(
+    kind: StoreCallKind,
+    request: HttpRequest,
+    options: Omit<HttpExchangeOptions, "maxResponseBytes">,
+    check: (response: HttpResponse) => void,
+  ): Promise<HttpResponse> {
+    const exchange = new HttpExchange(request, {
+      ...options,
+      maxResponseBytes: MAX_RESPONSE_BYTES,
+    });
+    const agent = this.#agent;
+    let outcome: StoreCall["outcome"] = "ok";
+    try {
+      const response = await exchange.run(agent);
+      check(response);
+      return response;
+    } catch (cause) {
+      if (cause instanceof HttpExchangeError && cause.timedOut) {
+        this.#replaceAgent(agent);
+      }
+      const error = toStoreError(kind, cause);
+      outcome = outcomeOf(error);
+      throw error;
+    } finally {
+      this.#onCall({
+        kind,
+        outcome,
+        sentBytes: exchange.sentBytes,
+        receivedBytes: exchange.receivedBytes,
+      });
+    }
+  }
+
+  #openAgent(): Agent {
+    // The exchange has its own timer for the whole call.
+    const agent = new Agent({
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      connect: { timeout: this.#requestTimeoutMs },
+    });
+    this.#agents.add(agent);
+    return agent;
+  }
+
+  /**
+   * Stops the use of idle connections after a timeout: when one established
+   * connection went silent, the others may have as well, and each would cost
+   * another timeout. Calls that are pending keep their connections.
+   */
+  #replaceAgent(agent: Agent): void {
+    if (agent !== this.#agent || this.#disposed.signal.aborted) {
+      return;
+    }
+    this.#agent = this.#openAgent();
+    const forget = () => this.#agents.delete(agent);
+    agent.close().then(forget, forget);
+  }
+}
+
+function toStoreError(kind: StoreCallKind, cause: unknown): StoreError {
+  if (!(cause instanceof HttpExchangeError)) {
+    return cause as StoreError;
+  }
+  const isWrite = kind === "create" || kind === "update" || kind === "delete";
+  const message = `Object store ${kind} failed: ${cause.message}`;
+  return isWrite && cause.sent
+    ? new StoreUnknownOutcomeError(message, { cause })
+    : new StoreUnavailableError(message, { cause });
+}
+
+/**
+ * Error of a write that the store answered with a failing status.
+ *
+ * A status of 500 and above may come from a part that had passed the write on,
+ * so its effect is unknown. A status below that refuses the write.
+ */
+function errorOfWrite(
+  kind: WriteKind,
+  key: string,
+  response: HttpResponse,
+): StoreError {
+  const { status } = response;
+  if (status === 412) {
+    return conflictOf(key, response);
+  }
+  if (status === 404 && kind !== "create") {
+    return new StoreConflictError(key, undefined);
+  }
+  const message = `Object store answered ${status} to ${kind}`;
+  return status >= 400 && status < 500
+    ? new StoreUnavailableError(message)
+    : new StoreUnknownOutcomeError(message);
+}
+
+function conflictOf(key: string, response: HttpResponse): StoreError {
+  const value = parseJson(response.body);
+  if (value === undefined || value === null) {
+    return new StoreConflictError(key, undefined);
+  }
+  const parsed = StoredObjectSchema.safeParse(value);
+  return parsed.success
+    ? new StoreConflictError(key, parsed.data as StoredObject)
+    : new StoreUnavailableError("Object store sent an unreadable conflict");
+}
+
+function outcomeOf(error: StoreError): StoreCall["outcome"] {
+  if (error instanceof StoreConflictError) {
+    return "conflict";
+  }
+  return error instanceof StoreUnknownOutcomeError ? "unknown" : "unavailable";
+}
+
+function parseRead<T>(response: HttpResponse, schema: z.ZodType<T>): T {
+  const parsed = schema.safeParse(parseJson(response.body));
+  if (!parsed.success) {
+    throw new StoreUnavailableError("Object store sent an unreadable answer");
+  }
+  return parsed.data;
+}
+
+function parseJson(body: Buffer): unknown {
+  try {
+    return JSON.parse(body.toString("utf8"));
+  } catch {
+    return undefined;
+  }
+}
+
+function objectPath(key: string): string {
+  return `/objects/${encodeKey(key)}`;
+}
+
+/** Encodes a key for a URL path; slashes stay separators. */
+function encodeKey(key: string): string {
+  return key.split("/").map(encodeURIComponent).join("/");
+}
--- /dev/null
+++ b/packages/daemon/src/store/index.ts
@@ -0,0 +1,1 @@
+export * from "./http_object_store.js";
