--- /dev/null
+++ b/packages/core/src/admission/fair_level.ts
@@ -0,0 +1,196 @@
+import type { QueuedRequest } from "./admission_queue.js";
+
+/** A waiting request with what the order of a {@link FairLevel} needs. */
+export interface FairEntry<T extends QueuedRequest = QueuedRequest> {
+  readonly request: T;
+  /** Rises with each request; decides between equals. */
+  readonly arrival: number;
+  readonly chargedTokens: number;
+  /** Virtual time that the service of the request takes. */
+  readonly charge: number;
+}
+
+interface AccountState<T extends QueuedRequest> {
+  /** Waiting requests in the order of service. */
+  readonly entries: FairEntry<T>[];
+  /** Start tag of the next request of the account. */
+  startTag: number;
+}
+
+/** Accounts kept beyond the waiting ones before old start tags are dropped. */
+const MIN_KEPT_ACCOUNTS = 64;
+
+/**
+ * Start-time fair queueing over the accounts of one priority.
+ *
+ * The start tag of an account is the larger of the virtual time when it began
+ * to wait and the finish tag of its last served request. A request that is
+ * removed unserved therefore costs its account nothing.
+ */
+export class FairLevel<T extends QueuedRequest> {
+  readonly priority: number;
+  readonly #accounts = new Map<string, AccountState<T>>();
+  #size = 0;
+  #workTokens = 0;
+  /** Start tag of the request that was served last. */
+  #virtualTime = 0;
+  #keptLimit = MIN_KEPT_ACCOUNTS;
+
+  constructor(priority: number) {
+    this.priority = priority;
+  }
+
+  get size(): number {
+    return this.#size;
+  }
+
+  get workTokens(): number {
+    return this.#workTokens;
+  }
+
+  add(entry: FairEntry<T>): void {
+    const { account, workTokens } = entry.request;
+    let state = this.#accounts.get(account);
+    if (state === undefined) {
+      this.#dropOldAccounts();
+      state = { entries: [], startTag: this.#virtualTime };
+      this.#accounts.set(account, state);
+    }
+    if (state.entries.length === 0) {
+      state.startTag = Math.max(state.startTag, this.#virtualTime);
+    }
+    state.entries.splice(positionOf(state.entries, entry), 0, entry);
+    this.#size++;
+    this.#workTokens += workTokens;
+  }
+
+  take(): FairEntry<T> | undefined {
+    let next: AccountState<T> | undefined;
+    for (const state of this.#accounts.values()) {
+      if (state.entries.length > 0 && (!next || isBefore(state, next))) {
+        next = state;
+      }
+    }
+    const entry = next?.entries.shift();
+    if (next === undefined || entry === undefined) {
+      return undefined;
+    }
+    this.#virtualTime = next.startTag;
+    next.startTag += entry.charge;
+    this.#release(entry);
+    return entry;
+  }
+
+  remove(entry: FairEntry<T>): void {
+    const entries = this.#accounts.get(entry.request.account)?.entries ?? [];
+    const index = entries.indexOf(entry);
+    if (index >= 0) {
+      entries.splice(index, 1);
+      this.#release(entry);
+    }
+  }
+
+  /** The waiting request of an account that would be served last. */
+  lastOf(account: string): FairEntry<T> | undefined {
+    return this.#accounts.get(account)?.entries.at(-1);
+  }
+
+  /** Work of this level that is served before `entry` if it is added now. */
+  workAheadOf(entry: FairEntry): number {
+    const { account } = entry.request;
+    const own = this.#accounts.get(account);
+    const ownAhead = own?.entries.slice(0, positionOf(own.entries, entry)) ??
+      [];
+    let tag = own?.startTag ?? this.#virtualTime;
+    if (!own || own.entries.length === 0) {
+      tag = Math.max(tag, this.#virtualTime);
+    }
+    let tokens = 0;
+    for (const ahead of ownAhead) {
+      tag += ahead.charge;
+      tokens += ahead.request.workTokens;
+    }
+    for (const [name, state] of this.#accounts) {
+      if (name !== account) {
+        tokens += workBefore(state, tag, entry);
+      }
+    }
+    return tokens;
+  }
+
+  #release(entry: FairEntry<T>): void {
+    this.#size--;
+    this.#workTokens = this.#size === 0
+      ? 0
+      : this.#workTokens - entry.request.workTokens;
+  }
+
+  /**
+   * Forgets idle accounts whose start tag has passed, which does not change
+   * the order. Runs when the number of accounts has doubled.
+   */
+  #dropOldAccounts(): void {
+    if (this.#accounts.size < this.#keptLimit) {
+      return;
+    }
+    for (const [name, state] of this.#accounts) {
+      if (state.entries.length === 0 && state.startTag <= this.#virtualTime) {
+        this.#accounts.delete(name);
+      }
+    }
+    this.#keptLimit = Math.max(MIN_KEPT_ACCOUNTS, 2 * this.#accounts.size);
+  }
+}
+
+function workBefore<T extends QueuedRequest>(
+  state: AccountState<T>,
+  tag: number,
+  entry: FairEntry,
+): number {
+  let tokens = 0;
+  let otherTag = state.startTag;
+  for (const other of state.entries) {
+    const first = otherTag < tag ||
+      (otherTag === tag && compareByDeadline(other, entry) < 0);
+    if (!first) {
+      break;
+    }
+    tokens += other.request.workTokens;
+    otherTag += other.charge;
+  }
+  return tokens;
+}
+
+function isBefore<T extends QueuedRequest>(
+  a: AccountState<T>,
+  b: AccountState<T>,
+): boolean {
+  return a.startTag < b.startTag ||
+    (a.startTag === b.startTag &&
+      compareByDeadline(a.entries[0], b.entries[0]) < 0);
+}
+
+/** Requests without a deadline come after those with one. */
+function compareByDeadline(a: FairEntry, b: FairEntry): number {
+  const deadlineA = a.request.deadlineMs ?? Infinity;
+  const deadlineB = b.request.deadlineMs ?? Infinity;
+  if (deadlineA !== deadlineB) {
+    return deadlineA < deadlineB ? -1 : 1;
+  }
+  return a.arrival - b.arrival;
+}
+
+/** Index at which `entry` belongs in a list in the order of service. */
+function positionOf(entries: readonly FairEntry[], entry: FairEntry): number {
+  let low = 0;
+  let high = entries.length;
+  while (low < high) {
+    const middle = (low + high) >>> 1;
+    if (compareByDeadline(entries[middle], entry) < 0) {
+      low = middle + 1;
+    } else {
+      high = middle;
+    }
+  }
+  return low;
+}
--- /dev/null
+++ b/packages/core/src/admission/fair_queue.ts
@@ -0,0 +1,189 @@
+import { AdmissionQueue, type QueuedRequest } from "./admission_queue.js";
+import { type FairEntry, FairLevel } from "./fair_level.js";
+
+interface AccountBacklog {
+  /** Work that counts against the share of the account. */
+  chargedTokens: number;
+  weight: number;
+  requests: number;
+}
+
+/**
+ * Least work that a request counts for. A request without tokens, such as a
+ * call of a plain service, must still move its account back in the order.
+ */
+const MIN_CHARGED_TOKENS = 1;
+
+/**
+ * Serves by priority, then by start-time fair queueing over accounts, then by
+ * deadline.
+ *
+ * Fair queueing selects the account and the deadline selects among the
+ * requests of that account, so a request with a near deadline overtakes only
+ * work of its own account. Between two accounts that wait throughout an
+ * interval, the served work divided by weight differs by at most the sum of
+ * the largest `workTokens / weight` of each.
+ *
+ * When the queue is full, the account with the most waiting work in proportion
+ * to its weight loses a request: of its lowest priority, the one that would be
+ * served last. The account of the new request loses ties, so that equal
+ * accounts do not displace each other.
+ */
+export class FairQueue<T extends QueuedRequest = QueuedRequest>
+  extends AdmissionQueue<T> {
+  readonly #entries = new Map<string, FairEntry<T>>();
+  readonly #levels = new Map<number, FairLevel<T>>();
+  readonly #backlogs = new Map<string, AccountBacklog>();
+  #nextArrival = 0;
+  #workTokens = 0;
+
+  get size(): number {
+    return this.#entries.size;
+  }
+
+  get workTokens(): number {
+    return this.#workTokens;
+  }
+
+  push(request: T): T | undefined {
+    if (this.#entries.has(request.attemptId)) {
+      throw new RangeError(`Attempt ${request.attemptId} is already waiting`);
+    }
+    this.#add(this.#toEntry(request));
+    if (this.#entries.size <= this.maxRequests) {
+      return undefined;
+    }
+    const victim = this.#selectVictim(request.account);
+    this.#delete(victim);
+    return victim.request;
+  }
+
+  take(): T | undefined {
+    let highest: FairLevel<T> | undefined;
+    for (const level of this.#levels.values()) {
+      if (
+        level.size > 0 &&
+        (highest === undefined || level.priority > highest.priority)
+      ) {
+        highest = level;
+      }
+    }
+    const entry = highest?.take();
+    if (entry === undefined) {
+      return undefined;
+    }
+    this.#release(entry);
+    return entry.request;
+  }
+
+  remove(attemptId: string): T | undefined {
+    const entry = this.#entries.get(attemptId);
+    if (entry === undefined) {
+      return undefined;
+    }
+    this.#delete(entry);
+    return entry.request;
+  }
+
+  has(attemptId: string): boolean {
+    return this.#entries.has(attemptId);
+  }
+
+  workAheadOf(request: QueuedRequest): number {
+    let tokens = 0;
+    for (const level of this.#levels.values()) {
+      if (level.priority > request.priority) {
+        tokens += level.workTokens;
+      } else if (level.priority === request.priority) {
+        tokens += level.workAheadOf(this.#toEntry(request));
+      }
+    }
+    return tokens;
+  }
+
+  *[Symbol.iterator](): Iterator<T> {
+    for (const entry of this.#entries.values()) {
+      yield entry.request;
+    }
+  }
+
+  #toEntry<R extends QueuedRequest>(request: R): FairEntry<R> {
+    const chargedTokens = Math.max(request.workTokens, MIN_CHARGED_TOKENS);
+    return {
+      request,
+      arrival: this.#nextArrival,
+      chargedTokens,
+      charge: chargedTokens / request.weight,
+    };
+  }
+
+  #add(entry: FairEntry<T>): void {
+    const { account, attemptId, priority, weight, workTokens } = entry.request;
+    this.#nextArrival++;
+    this.#entries.set(attemptId, entry);
+    this.#workTokens += workTokens;
+    let level = this.#levels.get(priority);
+    if (level === undefined) {
+      level = new FairLevel(priority);
+      this.#levels.set(priority, level);
+    }
+    level.add(entry);
+    const backlog = this.#backlogs.get(account) ??
+      { chargedTokens: 0, weight, requests: 0 };
+    backlog.chargedTokens += entry.chargedTokens;
+    backlog.weight = weight;
+    backlog.requests++;
+    this.#backlogs.set(account, backlog);
+  }
+
+  #delete(entry: FairEntry<T>): void {
+    this.#levels.get(entry.request.priority)?.remove(entry);
+    this.#release(entry);
+  }
+
+  /** Takes an entry that left its level out of the totals. */
+  #release(entry: FairEntry<T>): void {
+    const { account, attemptId, workTokens } = entry.request;
+    this.#entries.delete(attemptId);
+    this.#workTokens = this.#entries.size === 0
+      ? 0
+      : this.#workTokens - workTokens;
+    const backlog = this.#backlogs.get(account);
+    if (backlog === undefined || backlog.requests === 1) {
+      this.#backlogs.delete(account);
+      return;
+    }
+    backlog.requests--;
+    backlog.chargedTokens -= entry.chargedTokens;
+  }
+
+  #selectVictim(newAccount: string): FairEntry<T> {
+    let account = newAccount;
+    let most = this.#overShare(newAccount);
+    for (const other of this.#backlogs.keys()) {
+      const share = this.#overShare(other);
+      if (share > most) {
+        account = other;
+        most = share;
+      }
+    }
+    let lowest: FairEntry<T> | undefined;
+    let lowestPriority = Infinity;
+    for (const level of this.#levels.values()) {
+      const last = level.lastOf(account);
+      if (last !== undefined && level.priority < lowestPriority) {
+        lowest = last;
+        lowestPriority = level.priority;
+      }
+    }
+    if (lowest === undefined) {
+      throw new Error(`Account ${account} has a backlog but no request`);
+    }
+    return lowest;
+  }
+
+  #overShare(account: string): number {
+    const backlog = this.#backlogs.get(account);
+    return backlog === undefined ? 0 : backlog.chargedTokens / backlog.weight;
+  }
+}
--- /dev/null
+++ b/packages/core/src/admission/token_bucket.ts
@@ -0,0 +1,55 @@
+import type { Millis } from "../clock.js";
+
+/** Rate limit with a burst allowance; starts full. */
+export class TokenBucket {
+  #ratePerS: number;
+  #burst: number;
+  #available: number;
+  #updatedAtMs: Millis;
+
+  constructor(ratePerS: number, burst: number, nowMs: Millis) {
+    this.#ratePerS = ratePerS;
+    this.#burst = burst;
+    this.#available = burst;
+    this.#updatedAtMs = nowMs;
+  }
+
+  /** Takes `count` if that many are available, else takes nothing. */
+  tryTake(count: number, nowMs: Millis): boolean {
+    this.#refill(nowMs);
+    if (this.#available < count) {
+      return false;
+    }
+    this.#available -= count;
+    return true;
+  }
+
+  /** Time until `count` are available; infinite if they never will be. */
+  waitMs(count: number, nowMs: Millis): Millis {
+    this.#refill(nowMs);
+    if (this.#available >= count) {
+      return 0;
+    }
+    if (count > this.#burst || this.#ratePerS <= 0) {
+      return Infinity;
+    }
+    return (count - this.#available) / this.#ratePerS * 1000;
+  }
+
+  /** Changes the limit, for example when the number of live routers changes. */
+  setLimit(ratePerS: number, burst: number, nowMs: Millis): void {
+    this.#refill(nowMs);
+    this.#ratePerS = ratePerS;
+    this.#burst = burst;
+    this.#available = Math.min(this.#available, burst);
+  }
+
+  #refill(nowMs: Millis): void {
+    const elapsedMs = Math.max(0, nowMs - this.#updatedAtMs);
+    this.#available = Math.min(
+      this.#burst,
+      this.#available + elapsedMs / 1000 * this.#ratePerS,
+    );
+    this.#updatedAtMs = Math.max(nowMs, this.#updatedAtMs);
+  }
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./admission/index.js";
 export * from "./clock.js";
 export * from "./config/index.js";
 export * from "./store/index.js";
