--- /dev/null
+++ b/packages/core/src/log_events.ts
@@ -0,0 +1,120 @@
+/** Severity of a log event. */
+export type LogLevel = "error" | "warn" | "info" | "debug";
+
+interface LogEventDefinition {
+  readonly code: number;
+  readonly level: LogLevel;
+  readonly message: string;
+}
+
+/**
+ * Every log event with its number. docs/log_events.md lists the same events
+ * for operators; a test compares both.
+ *
+ * 1000 to 1999 process, 2000 to 2999 router, 3000 to 3999 sidecar, 4000 to
+ * 4999 configuration and membership, 5000 to 5999 administration.
+ */
+export const LOG_EVENTS = {
+  process_started: {
+    code: 1000,
+    level: "info",
+    message: "process started",
+  },
+  process_stopping: {
+    code: 1001,
+    level: "info",
+    message: "graceful shutdown started",
+  },
+  process_stopped: {
+    code: 1002,
+    level: "info",
+    message: "process stopped",
+  },
+  settings_invalid: {
+    code: 1003,
+    level: "error",
+    message: "settings file was rejected",
+  },
+  peer_rejected: {
+    code: 1010,
+    level: "warn",
+    message: "peer connection was closed because of invalid data",
+  },
+  peer_closed: {
+    code: 1011,
+    level: "debug",
+    message: "peer connection closed",
+  },
+  connection_silent: {
+    code: 2001,
+    level: "warn",
+    message: "connection delivered no frame within the limit and was closed",
+  },
+  request_finished: {
+    code: 2010,
+    level: "debug",
+    message: "request answered",
+  },
+  request_given_up: {
+    code: 2011,
+    level: "info",
+    message: "request refused or given up",
+  },
+  request_repeated: {
+    code: 2012,
+    level: "info",
+    message: "request submitted again after a failed attempt",
+  },
+  frame_dropped: {
+    code: 2020,
+    level: "warn",
+    message: "frame for an unknown attempt or with a wrong number was dropped",
+  },
+  endpoint_state_changed: {
+    code: 3001,
+    level: "info",
+    message: "endpoint state changed",
+  },
+  attempt_failed: {
+    code: 3010,
+    level: "info",
+    message: "attempt failed at the endpoint",
+  },
+  pause_detected: {
+    code: 3020,
+    level: "warn",
+    message: "process was paused; attempts past their start window are refused",
+  },
+  order_refused: {
+    code: 3030,
+    level: "warn",
+    message: "order with an old fencing number was refused",
+  },
+  config_applied: {
+    code: 4001,
+    level: "info",
+    message: "configuration version is in force",
+  },
+  membership_note: {
+    code: 4010,
+    level: "info",
+    message: "membership changed",
+  },
+  config_note: {
+    code: 4011,
+    level: "info",
+    message: "configuration sync",
+  },
+  store_failed: {
+    code: 4020,
+    level: "warn",
+    message: "object API call failed",
+  },
+} as const satisfies Record<string, LogEventDefinition>;
+
+export type LogEventName = keyof typeof LOG_EVENTS;
+
+/** Values that a log event carries beside its text. */
+export type LogFields = Readonly<
+  Record<string, string | number | boolean | undefined>
+>;
--- /dev/null
+++ b/packages/core/src/metric_names.ts
@@ -0,0 +1,124 @@
+/** Counters and histograms that reducers feed through `measure` effects. */
+export const METRICS = {
+  requests_total: {
+    kind: "counter",
+    help: "Requests by kind and result",
+    labels: ["kind", "result"],
+  },
+  refusals_total: {
+    kind: "counter",
+    help: "Refusals of attempts and requests by reason",
+    labels: ["reason"],
+  },
+  placements_total: {
+    kind: "counter",
+    help: "Submitted attempts by what decided the placement",
+    labels: ["decision"],
+  },
+  repeats_total: {
+    kind: "counter",
+    help: "Attempts submitted again, by cause",
+    labels: ["cause"],
+  },
+  repeats_denied_total: {
+    kind: "counter",
+    help: "Repeats that the retry budget did not allow",
+    labels: [],
+  },
+  frames_dropped_total: {
+    kind: "counter",
+    help: "Frames for unknown attempts or with a wrong sequence number",
+    labels: ["reason"],
+  },
+  silent_connections_total: {
+    kind: "counter",
+    help: "Connections closed because they delivered no frame",
+    labels: [],
+  },
+  resumes_total: {
+    kind: "counter",
+    help: "Attempts resumed over a new connection",
+    labels: [],
+  },
+  probes_total: {
+    kind: "counter",
+    help: "Probes by result",
+    labels: ["result"],
+  },
+  first_token_ms: {
+    kind: "histogram",
+    help: "Time from the receipt of a request to its first token, in ms",
+    labels: ["pool"],
+  },
+  inter_token_ms: {
+    kind: "histogram",
+    help: "Mean time between the chunks of one answer, in ms",
+    labels: ["pool"],
+  },
+  request_ms: {
+    kind: "histogram",
+    help: "Time from the receipt of a request to its end, in ms",
+    labels: ["pool"],
+  },
+  prompt_tokens_total: {
+    kind: "counter",
+    help: "Prompt tokens of answered requests",
+    labels: ["pool"],
+  },
+  cached_tokens_total: {
+    kind: "counter",
+    help: "Prompt tokens that endpoints found in their cache",
+    labels: ["pool"],
+  },
+  output_tokens_total: {
+    kind: "counter",
+    help: "Generated tokens",
+    labels: ["pool"],
+  },
+  deadline_missed_total: {
+    kind: "counter",
+    help: "Requests whose deadline passed before their answer ended",
+    labels: ["pool"],
+  },
+  bound_checks_total: {
+    kind: "counter",
+    help: "Decisions of the load bound",
+    labels: ["decision"],
+  },
+  load_over_mean: {
+    kind: "histogram",
+    help: "Load after admission as a multiple of the pool mean",
+    labels: [],
+  },
+  queue_wait_ms: {
+    kind: "histogram",
+    help: "Time that attempts waited in the sidecar's queue, in ms",
+    labels: [],
+  },
+  config_sync_total: {
+    kind: "counter",
+    help: "Steps of configuration sync by kind",
+    labels: ["step"],
+  },
+  membership_total: {
+    kind: "counter",
+    help: "Membership decisions by kind",
+    labels: ["step"],
+  },
+} as const satisfies Record<
+  string,
+  {
+    kind: "counter" | "histogram";
+    help: string;
+    labels: readonly string[];
+  }
+>;
+
+export type MetricName = keyof typeof METRICS;
+
+/** One observation of a metric. */
+export interface Measurement {
+  readonly metric: MetricName;
+  readonly value: number;
+  readonly labels: Readonly<Record<string, string>>;
+}
--- /dev/null
+++ b/packages/core/src/placement/cache_aware_policy.ts
@@ -0,0 +1,92 @@
+import type { Millis } from "../clock.js";
+import {
+  type Candidate,
+  type PlacementRequest,
+  PlacementPolicy,
+  type ShortlistOptions,
+} from "./placement_policy.js";
+
+/**
+ * A later choice must promise the first token this much earlier. Without the
+ * margin, routers whose views differ by one answer move chats back and forth.
+ */
+export const HYSTERESIS_MS: Millis = 20;
+
+/**
+ * Time that a token above the pool's mean load costs others. It keeps a warm
+ * endpoint from drawing every request until its queue is full.
+ */
+export const IMBALANCE_COST_MS_PER_TOKEN = 0.02;
+
+/**
+ * Weighs cache reuse against load in one cost: the estimated time to the
+ * first token.
+ */
+export class CacheAwarePolicy extends PlacementPolicy {
+  override shortlist(
+    rankedIds: readonly string[],
+    options: ShortlistOptions,
+  ): string[] {
+    const chosen = new Set<string>();
+    const { count, lastEndpointId, failureDomainOf, randomBelow } = options;
+    if (lastEndpointId !== undefined && rankedIds.includes(lastEndpointId)) {
+      chosen.add(lastEndpointId);
+    }
+    const first = rankedIds[0];
+    if (first !== undefined) {
+      chosen.add(first);
+    }
+    const domain = first === undefined ? "" : failureDomainOf(first);
+    const other = rankedIds.find((id) =>
+      !chosen.has(id) && failureDomainOf(id) !== domain
+    );
+    if (other !== undefined) {
+      chosen.add(other);
+    }
+    // One random endpoint bounds the damage of a bad stable order: the lesser
+    // of a stable and a random choice is never far above the mean.
+    if (rankedIds.length > 0) {
+      chosen.add(rankedIds[randomBelow(rankedIds.length)]);
+    }
+    for (const id of rankedIds) {
+      if (chosen.size >= count) {
+        break;
+      }
+      chosen.add(id);
+    }
+    return [...chosen].slice(0, count);
+  }
+
+  override order(
+    candidates: readonly Candidate[],
+    request: PlacementRequest,
+  ): Candidate[] {
+    return candidates
+      .map((candidate) => ({
+        candidate,
+        costMs: estimateCostMs(candidate, request) +
+          HYSTERESIS_MS * Math.min(candidate.rank, 1),
+      }))
+      .sort((a, b) =>
+        a.costMs - b.costMs || a.candidate.rank - b.candidate.rank
+      )
+      .map(({ candidate }) => candidate);
+  }
+}
+
+/** Estimated time to the first token with the cost of imbalance added. */
+export function estimateCostMs(
+  candidate: Candidate,
+  request: PlacementRequest,
+): Millis {
+  const uncachedTokens = Math.max(
+    0,
+    request.promptTokens - candidate.cachedTokens,
+  );
+  const prefillMs = uncachedTokens / candidate.prefillTokensPerS * 1000;
+  const loadAfter = candidate.loadTokens + uncachedTokens +
+    request.outputTokens;
+  const excessTokens = Math.max(0, loadAfter - candidate.poolMeanTokens);
+  return candidate.queueWaitMs + prefillMs + candidate.penaltyMs +
+    excessTokens * IMBALANCE_COST_MS_PER_TOKEN;
+}
--- /dev/null
+++ b/packages/core/src/router/admit_request.ts
@@ -0,0 +1,225 @@
+import { TokenBucket } from "../admission/index.js";
+import type { Millis } from "../clock.js";
+import type { Account, Pool, Route } from "../config/index.js";
+import { liveRouters } from "../membership/index.js";
+import { requestErrors } from "./request_errors.js";
+import { initialRequestSnapshot } from "./request_machine.js";
+import type { CallerRequest, ErrorAnswer } from "./router_event.js";
+import {
+  type AccountUsage,
+  explain,
+  measure,
+  type RequestState,
+  type RouterConfig,
+  type RouterContext,
+} from "./router_state.js";
+
+/** Outstanding tokens that a call of a plain service counts for. */
+const SERVICE_CALL_TOKENS = 64;
+
+/**
+ * Callers spread unevenly over routers, so that an even share of the rate
+ * would refuse callers that are within their limit.
+ */
+const SHARE_HEADROOM = 2;
+
+type Admission = { readonly error: ErrorAnswer } | {
+  readonly request: RequestState;
+};
+
+/** Checks a request against the configuration and the account's limits. */
+export function admitRequest(
+  ctx: RouterContext,
+  request: CallerRequest,
+): Admission {
+  const { state } = ctx;
+  if (state.draining) {
+    return { error: requestErrors.stopping() };
+  }
+  const config = state.config;
+  if (!config) {
+    return { error: requestErrors.notReady() };
+  }
+  const account = config.accountsByKeyHash.get(request.keyHash);
+  if (!account) {
+    return { error: requestErrors.invalidKey() };
+  }
+  const pool = findPool(config, account, request);
+  if (!pool) {
+    return {
+      error: request.kind === "chat"
+        ? requestErrors.modelNotFound(request.target)
+        : requestErrors.serviceNotFound(request.target),
+    };
+  }
+  const limited = takeLimits(ctx, account);
+  if (limited) {
+    return { error: limited };
+  }
+  const admitted = createRequest(ctx, request, account, pool);
+  state.requests.set(request.requestId, admitted);
+  explain(ctx, admitted, "admitted", {
+    detail: `account ${account.name}, pool ${pool.name}`,
+  });
+  return { request: admitted };
+}
+
+/** Releases what {@link admitRequest} took. */
+export function releaseRequest(ctx: RouterContext, request: RequestState) {
+  const { state } = ctx;
+  if (!state.requests.delete(request.request.requestId)) {
+    return;
+  }
+  const usage = state.usage.get(request.account.name);
+  if (usage) {
+    usage.concurrent--;
+  }
+  state.explained.set(request.request.requestId, request.steps);
+}
+
+/** Limits of an account, scaled to the share of this router. */
+export function usageOf(ctx: RouterContext, account: Account): AccountUsage {
+  const { state, nowMs } = ctx;
+  let usage = state.usage.get(account.name);
+  if (!usage) {
+    const share = shareOfLimits(ctx);
+    usage = {
+      bucket: new TokenBucket(
+        account.max_requests_per_s * share,
+        Math.max(1, account.burst_requests * share),
+        nowMs,
+      ),
+      concurrent: 0,
+    };
+    state.usage.set(account.name, usage);
+  }
+  return usage;
+}
+
+function shareOfLimits(ctx: RouterContext): number {
+  const routers = liveRouters(ctx.state.membership, ctx.nowMs).length;
+  return routers <= 1 ? 1 : Math.min(1, SHARE_HEADROOM / routers);
+}
+
+function takeLimits(
+  ctx: RouterContext,
+  account: Account,
+): ErrorAnswer | undefined {
+  const usage = usageOf(ctx, account);
+  const limit = account.max_concurrent_requests * shareOfLimits(ctx);
+  if (usage.concurrent + 1 > Math.max(1, limit)) {
+    return requestErrors.tooManyConcurrent();
+  }
+  if (!usage.bucket.tryTake(1, ctx.nowMs)) {
+    return requestErrors.rateLimited(usage.bucket.waitMs(1, ctx.nowMs));
+  }
+  usage.concurrent++;
+  ctx.state.retries.noteRequest(account.name);
+  return undefined;
+}
+
+function findPool(
+  config: RouterConfig,
+  account: Account,
+  request: CallerRequest,
+): Pool | undefined {
+  if (request.kind === "chat") {
+    const pool = config.poolsByModel.get(request.target);
+    return pool && allows(account.pools, pool.name) ? pool : undefined;
+  }
+  const service = config.servicesByName.get(request.target);
+  if (!service || !allows(account.services, service.name)) {
+    return undefined;
+  }
+  return config.poolsByName.get(service.pool);
+}
+
+/** An empty list in the configuration allows everything. */
+function allows(names: readonly string[], name: string): boolean {
+  return names.length === 0 || names.includes(name);
+}
+
+function createRequest(
+  ctx: RouterContext,
+  request: CallerRequest,
+  account: Account,
+  pool: Pool,
+): RequestState {
+  const deadlineInMs: Millis = Math.min(
+    request.deadlineInMs ?? account.default_deadline_ms,
+    account.default_deadline_ms,
+  );
+  return {
+    request,
+    account,
+    pool,
+    idempotent: isIdempotent(ctx.state.config, account, request),
+    receivedAtMs: ctx.nowMs,
+    deadlineAtMs: ctx.nowMs + deadlineInMs,
+    outputTokens: request.kind === "chat"
+      ? Math.min(
+        request.maxOutputTokens ?? pool.max_output_tokens,
+        pool.max_output_tokens,
+      )
+      : SERVICE_CALL_TOKENS,
+    snapshot: initialRequestSnapshot,
+    attempt: undefined,
+    attemptCount: 0,
+    executions: 0,
+    tried: new Set(),
+    nextIds: [],
+    probing: undefined,
+    awaitsConfig: undefined,
+    lastRefusal: undefined,
+    headSent: false,
+    firstDataAtMs: undefined,
+    chunkCount: 0,
+    delivered: [],
+    held: undefined,
+    congested: false,
+    steps: [],
+  };
+}
+
+/**
+ * Whether a call may be repeated. A route of the account goes before one of
+ * the service, then the caller's header, then what HTTP says of the method.
+ * A header cannot make a call repeatable that a route marks as not so.
+ */
+function isIdempotent(
+  config: RouterConfig | undefined,
+  account: Account,
+  request: CallerRequest,
+): boolean {
+  if (request.kind === "chat") {
+    return request.idempotent ?? true;
+  }
+  const service = config?.servicesByName.get(request.target);
+  const routes = [
+    ...account.routes.filter((route) => route.service === request.target),
+    ...service?.routes ?? [],
+  ];
+  const route = routes.find((candidate) => matches(candidate, request));
+  if (route) {
+    return route.idempotent && request.idempotent !== false;
+  }
+  const SAFE_TO_REPEAT = ["GET", "HEAD", "PUT", "DELETE", "OPTIONS"];
+  return request.idempotent ?? SAFE_TO_REPEAT.includes(request.method);
+}
+
+function matches(
+  route: Omit<Route, "service">,
+  request: CallerRequest,
+): boolean {
+  return (route.method === "*" || route.method === request.method) &&
+    request.path.startsWith(route.path_prefix);
+}
+
+/** Counts a request that was answered with an error before placement. */
+export function countRejected(
+  ctx: RouterContext,
+  request: CallerRequest,
+  error: ErrorAnswer,
+): void {
+  measure(ctx, "requests_total", { kind: request.kind, result: error.code });
+}
--- /dev/null
+++ b/packages/core/src/router/request_errors.ts
@@ -0,0 +1,135 @@
+import type { Millis } from "../clock.js";
+import type { RefusalReason, Refused } from "../wire/index.js";
+import type { ErrorAnswer } from "./router_event.js";
+
+/** When to come back after a refusal for lack of capacity. */
+const CAPACITY_RETRY_MS: Millis = 1000;
+
+function notRun(
+  status: number,
+  code: string,
+  message: string,
+  retryAfterMs?: Millis,
+): ErrorAnswer {
+  return {
+    status,
+    code,
+    errorType: status >= 500 ? "server_error" : "invalid_request_error",
+    message,
+    outcome: "not-run",
+    retryAfterMs,
+  };
+}
+
+/** Errors that a router answers before or instead of running a request. */
+export const requestErrors = {
+  invalidKey: () =>
+    notRun(401, "invalid_api_key", "Incorrect API key provided."),
+  modelNotFound: (model: string) =>
+    notRun(
+      404,
+      "model_not_found",
+      `The model '${model}' does not exist or you do not have access to it.`,
+    ),
+  serviceNotFound: (service: string) =>
+    notRun(
+      404,
+      "service_not_found",
+      `The service '${service}' does not exist or you do not have access to it.`,
+    ),
+  rateLimited: (retryAfterMs: Millis) =>
+    notRun(
+      429,
+      "rate_limit_exceeded",
+      "Rate limit of the account reached.",
+      retryAfterMs,
+    ),
+  tooManyConcurrent: () =>
+    notRun(
+      429,
+      "concurrency_limit_exceeded",
+      "Too many requests of the account are in progress.",
+      CAPACITY_RETRY_MS,
+    ),
+  notReady: () =>
+    notRun(
+      503,
+      "not_ready",
+      "This router has no configuration yet.",
+      CAPACITY_RETRY_MS,
+    ),
+  stopping: () =>
+    notRun(
+      503,
+      "stopping",
+      "This router is shutting down; repeat the request.",
+      0,
+    ),
+  noEndpoint: (detail: string) =>
+    notRun(
+      503,
+      "overloaded",
+      `No endpoint can take the request now (${detail}).`,
+      CAPACITY_RETRY_MS,
+    ),
+  staleConfig: () =>
+    notRun(
+      503,
+      "stale_configuration",
+      "This router waits for a newer configuration; repeat the request.",
+      CAPACITY_RETRY_MS,
+    ),
+  deadline: (mayHaveRun: boolean): ErrorAnswer => ({
+    status: 504,
+    code: "deadline_exceeded",
+    errorType: "server_error",
+    message: "The deadline passed before the answer was complete.",
+    outcome: mayHaveRun ? "unknown" : "not-run",
+  }),
+  lost: (detail: string): ErrorAnswer => ({
+    status: 502,
+    code: "outcome_unknown",
+    errorType: "server_error",
+    message: `The request was sent to an endpoint and its result was lost (${detail}). It may have run.`,
+    outcome: "unknown",
+    retryAfterMs: CAPACITY_RETRY_MS,
+  }),
+};
+
+const REFUSAL_STATUS: Partial<Record<RefusalReason, [number, string]>> = {
+  duplicate_running: [
+    409,
+    "A call with the same Idempotency-Key is running.",
+  ],
+  duplicate_finished: [
+    409,
+    "The call with this Idempotency-Key has finished; its answer is no longer held.",
+  ],
+  duplicate_unknown: [
+    409,
+    "A call with the same Idempotency-Key was started and its result is not known.",
+  ],
+  fingerprint_mismatch: [
+    422,
+    "This Idempotency-Key was used for another request.",
+  ],
+  store_unavailable: [
+    503,
+    "The call cannot be recorded now, so it was not started.",
+  ],
+  deadline: [503, "The request cannot finish before its deadline."],
+};
+
+/** The answer to a refusal that no other endpoint would change. */
+export function errorOfRefusal(refused: Refused): ErrorAnswer {
+  const [status, message] = REFUSAL_STATUS[refused.reason] ??
+    [503, `The endpoint refused the request (${refused.reason}).`];
+  return {
+    status,
+    code: refused.reason,
+    errorType: status >= 500 ? "server_error" : "invalid_request_error",
+    message,
+    outcome: refused.outcome,
+    retryAfterMs: refused.retryAfterMs,
+  };
+}
--- /dev/null
+++ b/packages/core/src/router/router_event.ts
@@ -0,0 +1,143 @@
+import type { Millis } from "../clock.js";
+import type { Bundle } from "../config/index.js";
+import type { LogEventName, LogFields } from "../log_events.js";
+import type { MembershipEffect, MembershipEvent } from "../membership/index.js";
+import type { Measurement } from "../metric_names.js";
+import type { Message, MessageOf, Outcome } from "../wire/index.js";
+
+/** A request as the host parsed it from HTTP. */
+export interface CallerRequest {
+  readonly requestId: string;
+  readonly kind: "chat" | "service";
+  /** SHA-256 of the bearer key in hexadecimal digits. */
+  readonly keyHash: string;
+  readonly method: string;
+  /** Path and query as the endpoint shall see them. */
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Uint8Array;
+  /** Model of a chat, or name of the service. */
+  readonly target: string;
+  readonly stream: boolean;
+  /** Name of the chat that the caller gave, or a digest of its start. */
+  readonly chatId: string;
+  readonly blockHashes: readonly bigint[];
+  readonly promptTokens: number;
+  readonly maxOutputTokens?: number | undefined;
+  readonly deadlineInMs?: number | undefined;
+  /** What the caller said about repeating the call, if anything. */
+  readonly idempotent?: boolean | undefined;
+  readonly idempotencyKey?: string | undefined;
+  /** Digest of method, path and body, to tell reuse of a key apart. */
+  readonly fingerprint: string;
+}
+
+export type RouterEvent =
+  | {
+    readonly type: "request_received";
+    readonly nowMs: Millis;
+    readonly request: CallerRequest;
+  }
+  | {
+    readonly type: "caller_gone";
+    readonly nowMs: Millis;
+    readonly requestId: string;
+  }
+  /** The caller's socket is full, or has room again. */
+  | {
+    readonly type: "caller_congested";
+    readonly nowMs: Millis;
+    readonly requestId: string;
+    readonly congested: boolean;
+  }
+  | {
+    readonly type: "connected";
+    readonly nowMs: Millis;
+    readonly endpointId: string;
+    readonly hello: MessageOf<"hello">;
+  }
+  /** A connection ended, or could not be opened. */
+  | {
+    readonly type: "connection_closed";
+    readonly nowMs: Millis;
+    readonly endpointId: string;
+    readonly wasReady: boolean;
+    readonly unsent: readonly Message[];
+  }
+  | {
+    readonly type: "message";
+    readonly nowMs: Millis;
+    readonly endpointId: string;
+    readonly message: Message;
+  }
+  | {
+    readonly type: "config_applied";
+    readonly nowMs: Millis;
+    readonly version: number;
+    readonly bundle: Bundle;
+  }
+  | {
+    readonly type: "membership";
+    readonly nowMs: Millis;
+    readonly event: MembershipEvent;
+  }
+  | { readonly type: "drain_requested"; readonly nowMs: Millis }
+  | { readonly type: "tick"; readonly nowMs: Millis };
+
+/** Error of the OpenAI HTTP API, as JSON in the body of an answer. */
+export interface ErrorAnswer {
+  readonly status: number;
+  readonly code: string;
+  readonly errorType: string;
+  readonly message: string;
+  readonly outcome: Outcome;
+  readonly retryAfterMs?: number | undefined;
+}
+
+export type RouterEffect =
+  /** Sends over the connection to the endpoint, which is opened if needed. */
+  | {
+    readonly type: "send";
+    readonly endpointId: string;
+    readonly address: string;
+    readonly message: Message;
+  }
+  | {
+    readonly type: "close_connection";
+    readonly endpointId: string;
+    readonly reason: string;
+  }
+  | {
+    readonly type: "respond_head";
+    readonly requestId: string;
+    readonly status: number;
+    readonly headers: Readonly<Record<string, string>>;
+  }
+  | {
+    readonly type: "respond_data";
+    readonly requestId: string;
+    readonly data: Uint8Array;
+  }
+  | { readonly type: "respond_end"; readonly requestId: string }
+  /** The head was sent already; the answer cannot be completed. */
+  | { readonly type: "respond_abort"; readonly requestId: string }
+  | {
+    readonly type: "respond_error";
+    readonly requestId: string;
+    readonly error: ErrorAnswer;
+    readonly endpointId?: string | undefined;
+  }
+  /** A peer holds this configuration version. */
+  | {
+    readonly type: "config_hint";
+    readonly version: number;
+    readonly peerId: string;
+  }
+  | { readonly type: "membership"; readonly effect: MembershipEffect }
+  | { readonly type: "drained" }
+  | { readonly type: "measure"; readonly measurement: Measurement }
+  | {
+    readonly type: "log";
+    readonly event: LogEventName;
+    readonly fields: LogFields;
+  };
--- /dev/null
+++ b/packages/core/src/sidecar/admit_attempt.ts
@@ -0,0 +1,218 @@
+import { unpackHashes } from "../placement/index.js";
+import { BLOCK_TOKENS } from "../placement/index.js";
+import type {
+  MessageOf,
+  Outcome,
+  RefusalReason,
+  StoredAnswer,
+  Submit,
+} from "../wire/index.js";
+import { initialAttemptSnapshot } from "./attempt_machine.js";
+import {
+  type AttemptState,
+  type ConnectionState,
+  factsOf,
+  loadTokensOf,
+  measure,
+  queueWaitMsOf,
+  type SidecarContext,
+} from "./sidecar_state.js";
+
+/** Longest time after which a refused caller is told to come back. */
+const MAX_RETRY_AFTER_MS = 5000;
+const MIN_RETRY_AFTER_MS = 250;
+
+/** Details of a refusal beside its reason. */
+export interface RefusalDetails {
+  readonly outcome?: Outcome;
+  readonly retryAfterMs?: number;
+  readonly alternatives?: readonly string[];
+  readonly answer?: StoredAnswer | undefined;
+}
+
+/**
+ * Decides on a submitted attempt: refuses it, or queues it and tells the
+ * router so. Returns the queued attempt.
+ */
+export function admitAttempt(
+  ctx: SidecarContext,
+  connection: ConnectionState,
+  submit: Submit,
+): AttemptState | undefined {
+  const { state } = ctx;
+  const { attemptId } = submit;
+  if (state.attempts.has(attemptId) || state.ended.has(attemptId)) {
+    measure(ctx, "frames_dropped_total", { reason: "repeated_submit" });
+    return undefined;
+  }
+  const refuse = (reason: RefusalReason, details: RefusalDetails = {}) => {
+    refuseAttempt(ctx, connection.connectionId, attemptId, reason, details);
+    return undefined;
+  };
+  if (submit.configVersion < state.configVersion) {
+    return refuse("stale_config");
+  }
+  if (submit.configVersion > state.configVersion) {
+    ctx.effects.push({
+      type: "config_hint",
+      version: submit.configVersion,
+      connectionId: connection.connectionId,
+    });
+  }
+  if (state.mode !== "active") {
+    return refuse(state.mode === "draining" ? "draining" : "down", {
+      alternatives: leastLoadedIds(ctx),
+    });
+  }
+  const attempt = createAttempt(ctx, connection, submit);
+  const decision = state.bound.decide({
+    loadTokens: loadTokensOf(state),
+    workTokens: attempt.workTokens,
+    ignoreBound: submit.ignoreBound ?? false,
+  }, ctx.nowMs);
+  measure(ctx, "bound_checks_total", {
+    decision: decision.admitted ? decision.rule : "refused",
+  });
+  if (!decision.admitted) {
+    return refuse("over_bound", {
+      alternatives: decision.alternatives.map((peer) => peer.endpointId),
+    });
+  }
+  if (!state.options.firstCome && missesDeadline(ctx, attempt)) {
+    return refuse("deadline", { alternatives: leastLoadedIds(ctx) });
+  }
+  measure(
+    ctx,
+    "load_over_mean",
+    {},
+    (loadTokensOf(state) + attempt.workTokens) /
+      Math.max(1, decision.poolMeanTokens),
+  );
+  return enqueue(ctx, connection, attempt);
+}
+
+/** Sends a refusal and remembers how the attempt ended. */
+export function refuseAttempt(
+  ctx: SidecarContext,
+  connectionId: string | undefined,
+  attemptId: string,
+  reason: RefusalReason,
+  details: RefusalDetails = {},
+): void {
+  const outcome = details.outcome ?? "not-run";
+  ctx.state.ended.set(attemptId, outcome);
+  measure(ctx, "refusals_total", { reason });
+  if (connectionId === undefined) {
+    return;
+  }
+  const message: MessageOf<"refused"> = {
+    type: "refused",
+    attemptId,
+    reason,
+    outcome,
+    retryAfterMs: details.retryAfterMs ?? retryAfterMs(ctx),
+    alternatives: [...details.alternatives ?? []],
+    facts: factsOf(ctx),
+    answer: details.answer,
+  };
+  ctx.effects.push({ type: "send", connectionId, message });
+}
+
+export function leastLoadedIds(ctx: SidecarContext): string[] {
+  const MAX_ALTERNATIVES = 3;
+  return ctx.state.table.leastLoaded(MAX_ALTERNATIVES, ctx.nowMs)
+    .map((peer) => peer.endpointId);
+}
+
+function enqueue(
+  ctx: SidecarContext,
+  connection: ConnectionState,
+  attempt: AttemptState,
+): AttemptState | undefined {
+  const { state } = ctx;
+  state.attempts.set(attempt.attemptId, attempt);
+  connection.attemptIds.add(attempt.attemptId);
+  const dropped = state.queue.push(attempt);
+  if (dropped) {
+    state.attempts.delete(dropped.attemptId);
+    const owner = dropped.connectionId;
+    state.connections.get(owner ?? "")?.attemptIds.delete(dropped.attemptId);
+    refuseAttempt(ctx, owner, dropped.attemptId, "queue_full", {
+      alternatives: leastLoadedIds(ctx),
+    });
+    if (dropped === attempt) {
+      return undefined;
+    }
+  }
+  ctx.effects.push({
+    type: "send",
+    connectionId: connection.connectionId,
+    message: {
+      type: "accepted",
+      attemptId: attempt.attemptId,
+      facts: factsOf(ctx),
+    },
+  });
+  return attempt;
+}
+
+function createAttempt(
+  ctx: SidecarContext,
+  connection: ConnectionState,
+  submit: Submit,
+): AttemptState {
+  const hashes = unpackHashes(submit.prefixHashes);
+  const cachedTokens = (ctx.state.cache.longestPrefix(hashes) + 1) *
+    BLOCK_TOKENS;
+  const uncachedTokens = Math.max(0, submit.promptTokens - cachedTokens);
+  return {
+    attemptId: submit.attemptId,
+    account: submit.account,
+    weight: submit.weight,
+    priority: submit.priority,
+    workTokens: uncachedTokens + submit.outputTokens,
+    ...submit.deadlineInMs !== undefined &&
+      { deadlineMs: ctx.nowMs + submit.deadlineInMs },
+    submit,
+    routerId: connection.nodeId,
+    receivedAtMs: ctx.nowMs,
+    hashes,
+    uncachedTokens,
+    snapshot: initialAttemptSnapshot,
+    connectionId: connection.connectionId,
+    detachedAtMs: undefined,
+    startedAtMs: undefined,
+    firstDataAtMs: undefined,
+    prefillAheadTokens: 0,
+    remainingPromptTokens: uncachedTokens,
+    remainingOutputTokens: submit.outputTokens,
+    generatedTokens: 0,
+    nextSeq: 0,
+    frames: [],
+    unackedBytes: 0,
+    paused: false,
+    endedAtMs: undefined,
+    answer: undefined,
+    answerParts: [],
+  };
+}
+
+/** Whether the attempt could not finish in time even without any delay. */
+function missesDeadline(ctx: SidecarContext, attempt: AttemptState): boolean {
+  if (attempt.deadlineMs === undefined || attempt.submit.kind !== "chat") {
+    return false;
+  }
+  const { rates } = ctx.state;
+  const finishMs = queueWaitMsOf(ctx.state) +
+    rates.serviceMs(attempt.uncachedTokens, attempt.submit.outputTokens);
+  return ctx.nowMs + finishMs > attempt.deadlineMs;
+}
+
+function retryAfterMs(ctx: SidecarContext): number {
+  return Math.round(
+    Math.min(
+      MAX_RETRY_AFTER_MS,
+      Math.max(MIN_RETRY_AFTER_MS, queueWaitMsOf(ctx.state)),
+    ),
+  );
+}
--- /dev/null
+++ b/packages/core/src/sidecar/cache_index.ts
@@ -0,0 +1,48 @@
+import { LRUCache } from "lru-cache";
+import { BLOCK_TOKENS } from "../placement/index.js";
+
+/**
+ * What a sidecar believes to be in its engine's prefix cache.
+ *
+ * It mirrors a cache of the configured size that evicts the least recently
+ * used block. Cache events of the engine correct the mirror, but arrive late
+ * and with gaps, so they cannot replace it.
+ */
+export class CacheIndex {
+  readonly #blocks: LRUCache<bigint, true>;
+
+  constructor(capacityTokens: number) {
+    const max = Math.max(1, Math.floor(capacityTokens / BLOCK_TOKENS));
+    this.#blocks = new LRUCache({ max });
+  }
+
+  /** Index of the last hash of the longest cached prefix, or -1. */
+  longestPrefix(hashes: readonly bigint[]): number {
+    for (let i = hashes.length - 1; i >= 0; i--) {
+      if (this.#blocks.has(hashes[i])) {
+        return i;
+      }
+    }
+    return -1;
+  }
+
+  /** Notes that the engine has just used these blocks. */
+  touch(hashes: readonly bigint[]): void {
+    // The end of a prefix is used least, so it has to be evicted first.
+    for (let i = hashes.length - 1; i >= 0; i--) {
+      this.#blocks.set(hashes[i], true);
+    }
+  }
+
+  /** Applies cache events; a stored block is not used more recently by it. */
+  applyEvents(stored: readonly bigint[], evicted: readonly bigint[]): void {
+    for (const hash of evicted) {
+      this.#blocks.delete(hash);
+    }
+    for (const hash of stored) {
+      if (!this.#blocks.has(hash)) {
+        this.#blocks.set(hash, true);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/sidecar/index.ts
@@ -0,0 +1,8 @@
+export * from "./reduce_sidecar.js";
+export * from "./sidecar_event.js";
+export { createSidecarState, factsOf, loadTokensOf } from "./sidecar_state.js";
+export type {
+  AttemptState as SidecarAttemptState,
+  SidecarOptions,
+  SidecarState,
+} from "./sidecar_state.js";
--- /dev/null
+++ b/packages/core/src/sidecar/sidecar_event.ts
@@ -0,0 +1,178 @@
+import type { Millis } from "../clock.js";
+import type { Pool } from "../config/index.js";
+import type { LogEventName, LogFields } from "../log_events.js";
+import type { Measurement } from "../metric_names.js";
+import type {
+  Message,
+  MessageOf,
+  Order,
+  Outcome,
+  RefusalReason,
+  StoredAnswer,
+  Submit,
+  Usage,
+} from "../wire/index.js";
+
+/** Another endpoint of the pool, as the instance list names it. */
+export interface PoolPeer {
+  readonly endpointId: string;
+  readonly address: string;
+}
+
+/** What the record of a keyed call allows. */
+export type ExecutionDecision =
+  | { readonly type: "start" }
+  | {
+    readonly type: "refuse";
+    readonly reason: RefusalReason;
+    readonly outcome: Outcome;
+    readonly retryAfterMs: Millis;
+    readonly answer?: StoredAnswer | undefined;
+  };
+
+export type SidecarEvent =
+  | {
+    readonly type: "connected";
+    readonly nowMs: Millis;
+    readonly connectionId: string;
+    readonly hello: MessageOf<"hello">;
+  }
+  | {
+    readonly type: "connection_closed";
+    readonly nowMs: Millis;
+    readonly connectionId: string;
+  }
+  | {
+    readonly type: "message";
+    readonly nowMs: Millis;
+    readonly connectionId: string;
+    readonly message: Message;
+  }
+  | {
+    readonly type: "execution_decided";
+    readonly nowMs: Millis;
+    readonly attemptId: string;
+    readonly decision: ExecutionDecision;
+  }
+  | {
+    readonly type: "call_head";
+    readonly nowMs: Millis;
+    readonly attemptId: string;
+    readonly status: number;
+    readonly headers: Readonly<Record<string, string>>;
+  }
+  | {
+    readonly type: "call_data";
+    readonly nowMs: Millis;
+    readonly attemptId: string;
+    readonly data: Uint8Array;
+    /** Generated tokens in `data`; 0 for anything that is not a stream. */
+    readonly outputTokens: number;
+  }
+  | {
+    readonly type: "call_ended";
+    readonly nowMs: Millis;
+    readonly attemptId: string;
+    readonly usage?: Usage | undefined;
+  }
+  | {
+    readonly type: "call_failed";
+    readonly nowMs: Millis;
+    readonly attemptId: string;
+    /** False only if the endpoint was never reached. */
+    readonly mayHaveRun: boolean;
+    readonly reason: string;
+  }
+  | {
+    readonly type: "endpoint_health";
+    readonly nowMs: Millis;
+    readonly healthy: boolean;
+  }
+  | {
+    readonly type: "cache_events";
+    readonly nowMs: Millis;
+    readonly stored: readonly bigint[];
+    readonly evicted: readonly bigint[];
+  }
+  | {
+    readonly type: "config_applied";
+    readonly nowMs: Millis;
+    readonly version: number;
+    readonly pool: Pool | undefined;
+  }
+  | {
+    readonly type: "peers_changed";
+    readonly nowMs: Millis;
+    readonly peers: readonly PoolPeer[];
+  }
+  | {
+    readonly type: "drain_requested";
+    readonly nowMs: Millis;
+    /** Whether the process ends once it is empty. */
+    readonly exit: boolean;
+  }
+  | {
+    readonly type: "order_answered";
+    readonly nowMs: Millis;
+    readonly connectionId: string;
+    readonly orderId: string;
+    readonly accepted: boolean;
+    readonly reason: string;
+  }
+  | { readonly type: "tick"; readonly nowMs: Millis };
+
+export type SidecarEffect =
+  | {
+    readonly type: "send";
+    readonly connectionId: string;
+    readonly message: Message;
+  }
+  | {
+    readonly type: "close_connection";
+    readonly connectionId: string;
+    readonly reason: string;
+  }
+  /** Sends to another sidecar over a connection that is opened if needed. */
+  | {
+    readonly type: "send_peer";
+    readonly peer: PoolPeer;
+    readonly message: MessageOf<"digest">;
+  }
+  | {
+    readonly type: "create_record";
+    readonly attemptId: string;
+    readonly submit: Submit;
+  }
+  | {
+    readonly type: "finish_record";
+    readonly attemptId: string;
+    readonly answer: StoredAnswer;
+  }
+  | {
+    readonly type: "start_call";
+    readonly attemptId: string;
+    readonly submit: Submit;
+  }
+  | { readonly type: "abort_call"; readonly attemptId: string }
+  | {
+    readonly type: "pause_call";
+    readonly attemptId: string;
+    readonly paused: boolean;
+  }
+  | {
+    readonly type: "run_order";
+    readonly connectionId: string;
+    readonly order: Order;
+  }
+  | {
+    readonly type: "config_hint";
+    readonly version: number;
+    readonly connectionId: string;
+  }
+  | { readonly type: "exit" }
+  | { readonly type: "measure"; readonly measurement: Measurement }
+  | {
+    readonly type: "log";
+    readonly event: LogEventName;
+    readonly fields: LogFields;
+  };
--- /dev/null
+++ b/packages/core/src/sidecar/sidecar_state.ts
@@ -0,0 +1,238 @@
+import { LRUCache } from "lru-cache";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import {
+  type AdmissionQueue,
+  FairQueue,
+  FirstComeQueue,
+  LoadBound,
+  type LoadBoundOptions,
+  PoolLoadTable,
+  type QueuedRequest,
+  ServiceRateEstimator,
+} from "../admission/index.js";
+import type { Millis } from "../clock.js";
+import { type Pool, PoolSchema } from "../config/index.js";
+import type { MetricName } from "../metric_names.js";
+import type { RandomBelow } from "../placement/index.js";
+import type {
+  EndpointState,
+  Facts,
+  MessageOf,
+  Outcome,
+  Submit,
+} from "../wire/index.js";
+import { type AttemptSnapshot } from "./attempt_machine.js";
+import { CacheIndex } from "./cache_index.js";
+import type { PoolPeer, SidecarEffect } from "./sidecar_event.js";
+
+/** Attempts whose ids are remembered after they ended. */
+const ENDED_MEMORY_SIZE = 100_000;
+
+/** Rates assumed until the engine has shown its own. */
+const INITIAL_RATES = { prefillTokensPerS: 10_000, decodeTokensPerS: 50 };
+
+export interface SidecarOptions {
+  readonly endpointId: string;
+  readonly incarnation: number;
+  readonly address: string;
+  readonly pool: string;
+  readonly seed: number;
+  readonly streamBufferBytes: number;
+  /** Baseline of the bench: serve in the order of arrival. */
+  readonly firstCome: boolean;
+}
+
+/** A frame kept until the router acknowledges it. */
+export type AnswerFrame =
+  | MessageOf<"head">
+  | MessageOf<"chunk">
+  | MessageOf<"end">
+  | MessageOf<"failed">;
+
+export interface AttemptState extends QueuedRequest {
+  readonly submit: Submit;
+  readonly routerId: string;
+  readonly receivedAtMs: Millis;
+  readonly hashes: readonly bigint[];
+  readonly uncachedTokens: number;
+  snapshot: AttemptSnapshot;
+  connectionId: string | undefined;
+  /** Set while no connection to the router exists. */
+  detachedAtMs: Millis | undefined;
+  startedAtMs: Millis | undefined;
+  firstDataAtMs: Millis | undefined;
+  /** Prompt tokens that the engine had to prefill before this attempt. */
+  prefillAheadTokens: number;
+  remainingPromptTokens: number;
+  remainingOutputTokens: number;
+  generatedTokens: number;
+  nextSeq: number;
+  readonly frames: AnswerFrame[];
+  unackedBytes: number;
+  paused: boolean;
+  endedAtMs: Millis | undefined;
+  /** Answer of a keyed call, kept for its record. */
+  answer: { status: number; headers: Record<string, string> } | undefined;
+  readonly answerParts: Uint8Array[];
+}
+
+export interface ConnectionState {
+  readonly connectionId: string;
+  readonly role: "router" | "sidecar";
+  readonly nodeId: string;
+  readonly attemptIds: Set<string>;
+  lastReceivedMs: Millis;
+}
+
+export interface SidecarState {
+  readonly options: SidecarOptions;
+  readonly randomBelow: RandomBelow;
+  readonly attempts: Map<string, AttemptState>;
+  readonly running: Set<string>;
+  /** How ended attempts ended, to answer late frames truthfully. */
+  readonly ended: LRUCache<string, Outcome>;
+  readonly connections: Map<string, ConnectionState>;
+  readonly table: PoolLoadTable;
+  readonly bound: LoadBound;
+  readonly rates: ServiceRateEstimator;
+  cache: CacheIndex;
+  queue: AdmissionQueue<AttemptState>;
+  pool: Pool;
+  configVersion: number;
+  mode: EndpointState;
+  exitWhenEmpty: boolean;
+  exited: boolean;
+  peers: readonly PoolPeer[];
+  /** Peers in the order in which digests go out. */
+  ring: PoolPeer[];
+  nextDigestMs: Millis;
+  lastTickMs: Millis | undefined;
+  highestFencingNumber: number;
+}
+
+export interface SidecarContext {
+  readonly state: SidecarState;
+  readonly nowMs: Millis;
+  readonly effects: SidecarEffect[];
+}
+
+export function createSidecarState(
+  options: SidecarOptions,
+  nowMs: Millis,
+): SidecarState {
+  const random = xoroshiro128plus(options.seed);
+  const pool = PoolSchema.parse({ name: options.pool, kind: "service" });
+  const table = new PoolLoadTable(options.endpointId);
+  return {
+    options,
+    randomBelow: (limit) => uniformInt(random, 0, limit - 1),
+    attempts: new Map(),
+    running: new Set(),
+    ended: new LRUCache({ max: ENDED_MEMORY_SIZE }),
+    connections: new Map(),
+    table,
+    bound: new LoadBound(boundOptionsOf(pool), table, nowMs),
+    rates: new ServiceRateEstimator(INITIAL_RATES),
+    cache: new CacheIndex(pool.cache_capacity_tokens),
+    queue: createQueue(options, pool),
+    pool,
+    configVersion: 0,
+    mode: "starting",
+    exitWhenEmpty: false,
+    exited: false,
+    peers: [],
+    ring: [],
+    nextDigestMs: 0,
+    lastTickMs: undefined,
+    highestFencingNumber: 0,
+  };
+}
+
+/** Limits of the bound that a pool's configuration asks for. */
+export function boundOptionsOf(pool: Pool): LoadBoundOptions {
+  return {
+    multiple: pool.load_bound_multiple,
+    floorTokens: pool.load_floor_tokens,
+    capacityTokens: pool.load_floor_tokens *
+      (pool.max_concurrent_requests + pool.max_queued_requests),
+  };
+}
+
+export function createQueue(
+  options: SidecarOptions,
+  pool: Pool,
+): AdmissionQueue<AttemptState> {
+  return options.firstCome
+    ? new FirstComeQueue(pool.max_queued_requests)
+    : new FairQueue(pool.max_queued_requests);
+}
+
+/** Outstanding work of the endpoint in tokens. */
+export function loadTokensOf(state: SidecarState): number {
+  let tokens = 0;
+  for (const attempt of state.attempts.values()) {
+    tokens += attempt.remainingPromptTokens + attempt.remainingOutputTokens;
+  }
+  return tokens;
+}
+
+/** What the sidecar tells its peers and routers of its endpoint. */
+export function factsOf({ state, nowMs }: SidecarContext): Facts {
+  const loadTokens = loadTokensOf(state);
+  return {
+    endpointId: state.options.endpointId,
+    incarnation: state.options.incarnation,
+    state: state.mode,
+    loadTokens,
+    queueWaitMs: queueWaitMsOf(state),
+    poolMeanTokens: state.bound.poolMeanTokens(loadTokens, nowMs),
+    prefillTokensPerS: state.rates.prefillTokensPerS,
+    configVersion: state.configVersion,
+  };
+}
+
+/**
+ * Estimated time until the engine would start on a new request: the wait for a
+ * free slot and the prompts that it has to prefill before.
+ */
+export function queueWaitMsOf(state: SidecarState): Millis {
+  const { rates, pool, running, attempts } = state;
+  let prefillTokens = 0;
+  let earliestEndMs = Number.POSITIVE_INFINITY;
+  for (const attemptId of running) {
+    const attempt = attempts.get(attemptId);
+    if (!attempt) {
+      continue;
+    }
+    prefillTokens += attempt.remainingPromptTokens;
+    earliestEndMs = Math.min(
+      earliestEndMs,
+      rates.serviceMs(
+        attempt.remainingPromptTokens,
+        attempt.remainingOutputTokens,
+      ),
+    );
+  }
+  const prefillMs = prefillTokens / rates.prefillTokensPerS * 1000;
+  if (running.size < pool.max_concurrent_requests) {
+    return prefillMs;
+  }
+  let queuedMs = 0;
+  for (const queued of state.queue) {
+    queuedMs += rates.serviceMs(
+      queued.remainingPromptTokens,
+      queued.remainingOutputTokens,
+    );
+  }
+  return prefillMs + earliestEndMs + queuedMs / pool.max_concurrent_requests;
+}
+
+export function measure(
+  ctx: SidecarContext,
+  metric: MetricName,
+  labels: Readonly<Record<string, string>> = {},
+  value = 1,
+): void {
+  ctx.effects.push({ type: "measure", measurement: { metric, value, labels } });
+}
--- /dev/null
+++ b/packages/daemon/src/net/disposable.ts
@@ -0,0 +1,4 @@
+/** Something that was opened and must be closed. */
+export interface Disposable {
+  dispose(): void;
+}
--- /dev/null
+++ b/packages/daemon/src/net/emitter.ts
@@ -0,0 +1,24 @@
+import type { Disposable } from "./disposable.js";
+
+/** A typed event that listeners subscribe to. */
+export type Event<T> = (listener: (value: T) => void) => Disposable;
+
+/** Source of one typed event. */
+export class Emitter<T> implements Disposable {
+  readonly #listeners = new Set<(value: T) => void>();
+
+  readonly event: Event<T> = (listener) => {
+    this.#listeners.add(listener);
+    return { dispose: () => this.#listeners.delete(listener) };
+  };
+
+  fire(value: T): void {
+    for (const listener of this.#listeners) {
+      listener(value);
+    }
+  }
+
+  dispose(): void {
+    this.#listeners.clear();
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/net/index.ts
@@ -0,0 +1,5 @@
+export * from "./disposable.js";
+export * from "./emitter.js";
+export * from "./handshake.js";
+export * from "./peer_connection.js";
+export * from "./traffic_meter.js";
--- /dev/null
+++ b/packages/daemon/src/net/peer_connection.ts
@@ -0,0 +1,173 @@
+import type { Socket } from "node:net";
+import {
+  encodeFrame,
+  FrameDecoder,
+  type Message,
+  type MessageOf,
+  type Millis,
+  WireError,
+} from "@anvildeal/core";
+import type { Disposable } from "./disposable.js";
+import { Emitter } from "./emitter.js";
+import { Handshake, HandshakeError, type PeerIdentity } from "./handshake.js";
+import type { TrafficMeter } from "./traffic_meter.js";
+
+/** A peer that has not finished the handshake by then is disconnected. */
+const HANDSHAKE_TIMEOUT_MS: Millis = 2000;
+
+/**
+ * Before the handshake a peer is not trusted, so it may not make this process
+ * hold more than a hello and a proof.
+ */
+const MAX_UNAUTHENTICATED_BYTES = 4096;
+
+export interface PeerConnectionOptions {
+  readonly identity: PeerIdentity;
+  readonly configVersion: number;
+  readonly meter: TrafficMeter;
+}
+
+export interface CloseInfo {
+  readonly reason: string;
+  /** Messages that were queued but never written to the socket. */
+  readonly unsent: readonly Message[];
+}
+
+/** One authenticated connection between two anvildeal processes. */
+export class PeerConnection implements Disposable {
+  readonly #socket: Socket;
+  readonly #options: PeerConnectionOptions;
+  readonly #handshake: Handshake;
+  readonly #decoder = new FrameDecoder();
+  readonly #onReady = new Emitter<MessageOf<"hello">>();
+  readonly #onMessage = new Emitter<Message>();
+  readonly #onClose = new Emitter<CloseInfo>();
+  readonly #timer: NodeJS.Timeout;
+  #queue: Message[] = [];
+  #peer: MessageOf<"hello"> | undefined;
+  #receivedBytes = 0;
+  #closed = false;
+
+  /** Fires once when the peer has proved that it belongs to the fleet. */
+  readonly onReady = this.#onReady.event;
+  /** Fires for each message after the handshake. */
+  readonly onMessage = this.#onMessage.event;
+  /** Fires once; no other event follows. */
+  readonly onClose = this.#onClose.event;
+
+  constructor(socket: Socket, options: PeerConnectionOptions) {
+    this.#socket = socket;
+    this.#options = options;
+    this.#handshake = new Handshake(options.identity);
+    this.#timer = setTimeout(
+      () => this.close("handshake timed out"),
+      HANDSHAKE_TIMEOUT_MS,
+    );
+    socket.setNoDelay(true);
+    socket.on("data", (data) => this.#receive(data));
+    socket.on("error", (error) => this.close(error.message));
+    socket.on("close", () => this.close("closed by peer"));
+    if (socket.connecting) {
+      socket.once("connect", () => this.#sendHello());
+    } else {
+      this.#sendHello();
+    }
+  }
+
+  get peer(): MessageOf<"hello"> | undefined {
+    return this.#peer;
+  }
+
+  get ready(): boolean {
+    return this.#peer !== undefined && !this.#closed;
+  }
+
+  /** Sends a message, or queues it until the handshake is complete. */
+  send(message: Message): void {
+    if (this.#closed) {
+      return;
+    }
+    if (this.#peer === undefined) {
+      this.#queue.push(message);
+      return;
+    }
+    this.#write(message);
+  }
+
+  close(reason: string): void {
+    if (this.#closed) {
+      return;
+    }
+    this.#closed = true;
+    clearTimeout(this.#timer);
+    this.#socket.destroy();
+    const unsent = this.#queue;
+    this.#queue = [];
+    this.#onClose.fire({ reason, unsent });
+    this.dispose();
+  }
+
+  dispose(): void {
+    this.close("disposed");
+    this.#onReady.dispose();
+    this.#onMessage.dispose();
+    this.#onClose.dispose();
+  }
+
+  #sendHello(): void {
+    this.#write(this.#handshake.hello(this.#options.configVersion));
+  }
+
+  #write(message: Message): void {
+    const frame = encodeFrame(message);
+    this.#options.meter.add("sent", message, frame.length);
+    this.#options.meter.addSocketBytes(frame.length);
+    this.#socket.write(frame);
+  }
+
+  #receive(data: Uint8Array): void {
+    this.#options.meter.addSocketBytes(data.length);
+    this.#receivedBytes += data.length;
+    if (!this.#peer && this.#receivedBytes > MAX_UNAUTHENTICATED_BYTES) {
+      this.close("too many bytes before the handshake was complete");
+      return;
+    }
+    try {
+      for (const { message, frameBytes } of this.#decoder.push(data)) {
+        this.#options.meter.add("received", message, frameBytes);
+        this.#dispatch(message);
+        if (this.#closed) {
+          return;
+        }
+      }
+    } catch (error) {
+      if (error instanceof WireError || error instanceof HandshakeError) {
+        this.close(error.message);
+        return;
+      }
+      throw error;
+    }
+  }
+
+  #dispatch(message: Message): void {
+    if (this.#peer) {
+      this.#onMessage.fire(message);
+      return;
+    }
+    if (message.type === "hello") {
+      this.#write(this.#handshake.acceptHello(message));
+      return;
+    }
+    if (message.type !== "proof") {
+      throw new HandshakeError(`Unexpected ${message.type} in the handshake`);
+    }
+    this.#peer = this.#handshake.acceptProof(message);
+    clearTimeout(this.#timer);
+    this.#onReady.fire(this.#peer);
+    const queued = this.#queue;
+    this.#queue = [];
+    for (const item of queued) {
+      this.#write(item);
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/net/traffic_meter.ts
@@ -0,0 +1,58 @@
+import {
+  DATA_MESSAGE_TYPES,
+  type Message,
+  type MessageType,
+} from "@anvildeal/core";
+
+export type Direction = "sent" | "received";
+
+/** Bytes of one kind of message in one direction. */
+export interface TrafficRow {
+  readonly kind: MessageType;
+  readonly direction: Direction;
+  readonly control: boolean;
+  readonly messages: number;
+  readonly bytes: number;
+}
+
+/** Counts the bytes that peer connections carry, by kind of message. */
+export class TrafficMeter {
+  readonly #rows = new Map<string, { messages: number; bytes: number }>();
+  #socketBytes = 0;
+
+  add(direction: Direction, message: Message, bytes: number): void {
+    const key = `${direction} ${message.type}`;
+    const row = this.#rows.get(key) ?? { messages: 0, bytes: 0 };
+    row.messages++;
+    row.bytes += bytes;
+    this.#rows.set(key, row);
+  }
+
+  /** Adds bytes that a socket reports, to check the breakdown against. */
+  addSocketBytes(bytes: number): void {
+    this.#socketBytes += bytes;
+  }
+
+  get socketBytes(): number {
+    return this.#socketBytes;
+  }
+
+  rows(): TrafficRow[] {
+    return [...this.#rows].map(([key, row]) => {
+      const [direction, kind] = key.split(" ") as [Direction, MessageType];
+      return {
+        kind,
+        direction,
+        control: !DATA_MESSAGE_TYPES.has(kind),
+        ...row,
+      };
+    });
+  }
+
+  /** Bytes of control traffic in both directions. */
+  controlBytes(): number {
+    return this.rows()
+      .filter((row) => row.control)
+      .reduce((sum, row) => sum + row.bytes, 0);
+  }
+}
