--- /dev/null
+++ b/packages/core/src/placement/index.ts
@@ -0,0 +1,1 @@
+export * from "./prefix_hasher.js";
--- /dev/null
+++ b/packages/core/src/placement/prefix_hasher.ts
@@ -0,0 +1,57 @@
+import xxhash, { type XXHashAPI } from "xxhash-wasm";
+
+/** Characters that the engines count as one token. */
+export const CHARS_PER_TOKEN = 4;
+
+/** Characters in one block of the prefix cache. */
+export const BLOCK_CHARS = 1024;
+
+/** Tokens in one block of the prefix cache. */
+export const BLOCK_TOKENS = BLOCK_CHARS / CHARS_PER_TOKEN;
+
+/** The part of a chat message that determines its place in the prompt. */
+export interface PromptMessage {
+  readonly role: string;
+  readonly content: string;
+}
+
+/** Tokens of a text, rounded up. */
+export function estimateTokens(text: string): number {
+  return Math.ceil(text.length / CHARS_PER_TOKEN);
+}
+
+/** The prompt as engines see it: role and content of each message by line. */
+export function promptText(messages: readonly PromptMessage[]): string {
+  return messages
+    .map((message) => `${message.role}\n${message.content}\n`)
+    .join("");
+}
+
+/**
+ * Hashes prompts in the way that engines name the blocks of their prefix
+ * cache. Each hash covers its block and everything before it.
+ */
+export class PrefixHasher {
+  readonly #xxhash: XXHashAPI;
+
+  constructor(api: XXHashAPI) {
+    this.#xxhash = api;
+  }
+
+  /** Hashes of the complete blocks of a prompt, first block first. */
+  blockHashes(messages: readonly PromptMessage[]): bigint[] {
+    const text = promptText(messages);
+    const hashes: bigint[] = [];
+    let previous = 0n;
+    for (let end = BLOCK_CHARS; end <= text.length; end += BLOCK_CHARS) {
+      previous = this.#xxhash.h64(text.slice(end - BLOCK_CHARS, end), previous);
+      hashes.push(previous);
+    }
+    return hashes;
+  }
+}
+
+/** Loads the WebAssembly module once and returns a hasher that uses it. */
+export async function createPrefixHasher(): Promise<PrefixHasher> {
+  return new PrefixHasher(await xxhash());
+}
--- /dev/null
+++ b/packages/stand-ins/src/batch_scheduler.ts
@@ -0,0 +1,202 @@
+/** Work of one request as the scheduler sees it. */
+export interface EngineJob {
+  /** 0 lowest, 9 highest. */
+  readonly priority: number;
+  /** Prompt tokens that are still to be computed. */
+  prefillTokens: number;
+  /** Output tokens that are still to be generated. */
+  decodeTokens: number;
+  /** The job takes a slot; sets `prefillTokens` from the cache. */
+  onStart(): void;
+  onPrefilled(): void;
+  onTokens(count: number): void;
+  onFinished(): void;
+}
+
+export interface SchedulerOptions {
+  readonly maxBatch: number;
+  readonly prefillTokensPerS: number;
+  /** Time per output token with an otherwise empty batch. */
+  readonly decodeBaseMs: number;
+  /** Added to the time per output token by each request in the batch. */
+  readonly decodePerRequestMs: number;
+}
+
+const TICK_MS = 10;
+
+/**
+ * Upper limit of the time that one tick accounts for. A process that was
+ * stopped for longer made no progress meanwhile, as a real engine would not.
+ */
+const MAX_TICK_MS = 200;
+
+interface RunningJob {
+  readonly job: EngineJob;
+  /** Fraction of the next output token that is already paid for. */
+  credit: number;
+  prefilled: boolean;
+}
+
+/** Continuous batching: prefill in order of arrival, decode in parallel. */
+export class BatchScheduler {
+  readonly #options: SchedulerOptions;
+  readonly #onTick: () => void;
+  #waiting: EngineJob[] = [];
+  #running: RunningJob[] = [];
+  #timer: NodeJS.Timeout | undefined;
+  #lastTickMs = 0;
+  #paused = false;
+  #slowFactor = 1;
+
+  constructor(options: SchedulerOptions, onTick: () => void = () => {}) {
+    this.#options = options;
+    this.#onTick = onTick;
+  }
+
+  get running(): number {
+    return this.#running.length;
+  }
+
+  get waiting(): number {
+    return this.#waiting.length;
+  }
+
+  /** Prompt tokens to compute and output tokens to generate, in total. */
+  get outstandingTokens(): number {
+    const jobs = [...this.#waiting, ...this.#running.map((item) => item.job)];
+    return jobs.reduce(
+      (sum, job) => sum + Math.ceil(job.prefillTokens) + job.decodeTokens,
+      0,
+    );
+  }
+
+  /** Output tokens per second of the whole batch at its present size. */
+  get decodeTokensPerS(): number {
+    const batch = Math.max(this.#running.length, 1);
+    return batch * 1000 / this.#tokenMs(batch);
+  }
+
+  get prefillTokensPerS(): number {
+    return this.#options.prefillTokensPerS / this.#slowFactor;
+  }
+
+  set paused(paused: boolean) {
+    this.#paused = paused;
+  }
+
+  set slowFactor(factor: number) {
+    this.#slowFactor = factor;
+  }
+
+  add(job: EngineJob): void {
+    const index = this.#waiting.findIndex((w) => w.priority < job.priority);
+    this.#waiting.splice(index === -1 ? this.#waiting.length : index, 0, job);
+    this.#fillBatch();
+    this.#startTimer();
+  }
+
+  /** Removes a job at once and frees its slot. */
+  cancel(job: EngineJob): void {
+    this.#waiting = this.#waiting.filter((item) => item !== job);
+    this.#running = this.#running.filter((item) => item.job !== job);
+    this.#fillBatch();
+    this.#onTick();
+  }
+
+  dispose(): void {
+    clearInterval(this.#timer);
+    this.#timer = undefined;
+    this.#waiting = [];
+    this.#running = [];
+  }
+
+  #startTimer(): void {
+    if (this.#timer === undefined) {
+      this.#lastTickMs = performance.now();
+      this.#timer = setInterval(() => this.#tick(), TICK_MS);
+    }
+  }
+
+  #tick(): void {
+    const nowMs = performance.now();
+    const elapsedMs = Math.min(nowMs - this.#lastTickMs, MAX_TICK_MS);
+    this.#lastTickMs = nowMs;
+    if (!this.#paused) {
+      this.#decode(elapsedMs);
+      this.#prefill(elapsedMs);
+      this.#finish();
+    }
+    this.#onTick();
+    if (this.#running.length === 0 && this.#waiting.length === 0) {
+      clearInterval(this.#timer);
+      this.#timer = undefined;
+    }
+  }
+
+  #prefill(elapsedMs: number): void {
+    let budget = this.prefillTokensPerS * elapsedMs / 1000;
+    for (const item of this.#running) {
+      if (item.prefilled) {
+        continue;
+      }
+      const spent = Math.min(budget, item.job.prefillTokens);
+      item.job.prefillTokens -= spent;
+      budget -= spent;
+      if (item.job.prefillTokens > 0) {
+        return;
+      }
+      item.prefilled = true;
+      item.job.onPrefilled();
+      this.#emit(item, 1);
+    }
+  }
+
+  #decode(elapsedMs: number): void {
+    const decoding = this.#running.filter((item) => item.prefilled);
+    const tokens = elapsedMs / this.#tokenMs(decoding.length);
+    for (const item of decoding) {
+      item.credit += tokens;
+      const whole = Math.floor(item.credit);
+      item.credit -= whole;
+      this.#emit(item, whole);
+    }
+  }
+
+  #emit(item: RunningJob, tokens: number): void {
+    const count = Math.min(tokens, item.job.decodeTokens);
+    if (count > 0) {
+      item.job.decodeTokens -= count;
+      item.job.onTokens(count);
+    }
+  }
+
+  #finish(): void {
+    const isDone = (item: RunningJob) =>
+      item.prefilled && item.job.decodeTokens === 0;
+    const done = this.#running.filter(isDone);
+    if (done.length === 0) {
+      return;
+    }
+    this.#running = this.#running.filter((item) => !isDone(item));
+    for (const item of done) {
+      item.job.onFinished();
+    }
+    this.#fillBatch();
+  }
+
+  #fillBatch(): void {
+    while (this.#running.length < this.#options.maxBatch) {
+      const job = this.#waiting.shift();
+      if (!job) {
+        return;
+      }
+      job.onStart();
+      this.#running.push({ job, credit: 0, prefilled: false });
+    }
+  }
+
+  #tokenMs(batch: number): number {
+    const { decodeBaseMs, decodePerRequestMs } = this.#options;
+    return (decodeBaseMs + decodePerRequestMs * batch) * this.#slowFactor;
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/cache_event_feed.ts
@@ -0,0 +1,63 @@
+import type { CacheEventKind } from "./prefix_cache.js";
+
+/** A cache event as the engine reports it; `hash` has 16 hex digits. */
+export interface CacheEvent {
+  readonly seq: number;
+  readonly kind: CacheEventKind;
+  readonly hash: string;
+  readonly tokens: number;
+}
+
+export interface CacheEventFeedOptions {
+  readonly delayMs: number;
+  /** Share of events that are never delivered, between 0 and 1. */
+  readonly lossShare: number;
+  readonly seed: number;
+}
+
+/** Older events are dropped, as an engine keeps only a limited history. */
+const MAX_EVENTS = 10_000;
+
+/** Events in one answer, so that an answer stays well below 1 MB. */
+const MAX_EVENTS_PER_READ = 2_000;
+
+/** Cache events that become visible late and with gaps in `seq`. */
+export class CacheEventFeed {
+  readonly #options: CacheEventFeedOptions;
+  #events: { readonly atMs: number; readonly event: CacheEvent }[] = [];
+  #nextSeq = 1;
+  #randomState: number;
+
+  constructor(options: CacheEventFeedOptions) {
+    this.#options = options;
+    this.#randomState = options.seed >>> 0;
+  }
+
+  add(event: Omit<CacheEvent, "seq">, nowMs: number): void {
+    const seq = this.#nextSeq;
+    this.#nextSeq += 1;
+    if (this.#random() < this.#options.lossShare) {
+      return;
+    }
+    this.#events.push({ atMs: nowMs, event: { seq, ...event } });
+    if (this.#events.length > 2 * MAX_EVENTS) {
+      this.#events = this.#events.slice(-MAX_EVENTS);
+    }
+  }
+
+  /** Visible events with a higher `seq` than `after`, oldest first. */
+  read(after: number, nowMs: number): CacheEvent[] {
+    const visibleMs = nowMs - this.#options.delayMs;
+    return this.#events
+      .filter(({ atMs, event }) => event.seq > after && atMs <= visibleMs)
+      .slice(0, MAX_EVENTS_PER_READ)
+      .map(({ event }) => event);
+  }
+
+  /** Uniform in [0, 1) from a 32-bit linear congruential generator. */
+  #random(): number {
+    const state = Math.imul(this.#randomState, 1664525) + 1013904223;
+    this.#randomState = state >>> 0;
+    return this.#randomState / 2 ** 32;
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/engine_stream.ts
@@ -0,0 +1,56 @@
+/** One event of a stream and the bytes that carry it. */
+type Subscriber = (event: string) => void;
+
+/**
+ * The numbered events of one answer. They are kept so that a subscriber can
+ * start or resume from any of them.
+ */
+export class EngineStream {
+  readonly id: string;
+  readonly #events: string[] = [];
+  readonly #subscribers = new Map<Subscriber, () => void>();
+  #ended = false;
+
+  constructor(id: string) {
+    this.id = id;
+  }
+
+  get ended(): boolean {
+    return this.#ended;
+  }
+
+  get subscriberCount(): number {
+    return this.#subscribers.size;
+  }
+
+  /** Adds an event with the next number; `data` is one line. */
+  push(data: string): void {
+    const event = `id: ${this.#events.length}\ndata: ${data}\n\n`;
+    this.#events.push(event);
+    for (const send of this.#subscribers.keys()) {
+      send(event);
+    }
+  }
+
+  end(): void {
+    this.#ended = true;
+    for (const onEnd of this.#subscribers.values()) {
+      onEnd();
+    }
+    this.#subscribers.clear();
+  }
+
+  /** Sends all events from number `from` on; returns how to unsubscribe. */
+  subscribe(from: number, send: Subscriber, onEnd: () => void): () => void {
+    const past = this.#events.slice(from).join("");
+    if (past) {
+      send(past);
+    }
+    if (this.#ended) {
+      onEnd();
+      return () => {};
+    }
+    this.#subscribers.set(send, onEnd);
+    return () => this.#subscribers.delete(send);
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/expected_answer.ts
@@ -0,0 +1,47 @@
+import { type PromptMessage, promptText } from "@anvildeal/core";
+import { createHash } from "node:crypto";
+
+const CONSONANTS = "bcdfghklmnprstvz";
+const VOWELS = "aeiouy";
+
+/** Multiplier and increment of a 32-bit linear congruential generator. */
+const LCG_MULTIPLIER = 1664525;
+const LCG_INCREMENT = 1013904223;
+
+/**
+ * The tokens of the answer that every model engine gives to these messages.
+ * `maxTokens` is the length of the whole answer and also determines its words,
+ * so that an answer to another request is never a prefix of this one.
+ */
+export function answerTokens(
+  messages: readonly PromptMessage[],
+  maxTokens: number,
+): string[] {
+  const digest = createHash("sha256")
+    .update(`${maxTokens}\n${promptText(messages)}`)
+    .digest();
+  let state = digest.readUInt32LE(0);
+  const tokens: string[] = [];
+  for (let index = 0; index < maxTokens; index += 1) {
+    state = (Math.imul(state, LCG_MULTIPLIER) + LCG_INCREMENT) >>> 0;
+    const word = wordOf(state);
+    tokens.push(index === 0 ? word : ` ${word}`);
+  }
+  return tokens;
+}
+
+/** The complete text that callers must receive for these messages. */
+export function expectedAnswer(
+  messages: readonly PromptMessage[],
+  maxTokens: number,
+): string {
+  return answerTokens(messages, maxTokens).join("");
+}
+
+/** Three letters from the high bits, which are the most random ones. */
+function wordOf(state: number): string {
+  const first = CONSONANTS[state >>> 28];
+  const middle = VOWELS[(state >>> 20) % VOWELS.length];
+  const last = CONSONANTS[(state >>> 16) & 15];
+  return first + middle + last;
+}
--- /dev/null
+++ b/packages/stand-ins/src/http_stand_in.ts
@@ -0,0 +1,253 @@
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
+import { z } from "zod";
+import { listenOnLoopback } from "./listen.js";
+
+/** Faults that every HTTP stand-in can show. */
+export const CommonFaultsSchema = z.object({
+  /**
+   * `refuse` closes the port and resets open connections; `hang` accepts
+   * requests but neither applies nor answers them.
+   */
+  outage: z.enum(["none", "refuse", "hang"]).optional(),
+  /** Delay before each request is handled. */
+  slow_ms: z.number().nonnegative().optional(),
+});
+export type CommonFaults = z.infer<typeof CommonFaultsSchema>;
+
+/** One request and its answer. */
+export interface Exchange {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly url: URL;
+}
+
+/** Longer than any pause of a test, so that idle connections stay usable. */
+const KEEP_ALIVE_MS = 120_000;
+
+const MAX_BODY_BYTES = 16 * 1024 * 1024;
+
+/** An error that is answered with an HTTP status instead of a 500. */
+export class HttpStatusError extends Error {
+  readonly status: number;
+
+  constructor(status: number, message: string) {
+    super(message);
+    this.status = status;
+  }
+}
+
+/**
+ * An HTTP server on loopback with a service port and a control port. The
+ * control port serves the same paths and stays reachable during an outage.
+ */
+export abstract class HttpStandIn {
+  readonly #service: Server;
+  readonly #control: Server;
+  readonly #held = new Set<ServerResponse>();
+  #port: number;
+  #controlPort = 0;
+  #outage: "none" | "refuse" | "hang" = "none";
+  #slowMs = 0;
+
+  /** Listens on `port`, or on any free port when it is 0. */
+  constructor(port = 0) {
+    this.#port = port;
+    this.#service = createServer({ keepAliveTimeout: KEEP_ALIVE_MS });
+    this.#control = createServer({ keepAliveTimeout: KEEP_ALIVE_MS });
+    this.#service.on("request", (request, response) => {
+      void this.#serve(request, response, false);
+    });
+    this.#control.on("request", (request, response) => {
+      void this.#serve(request, response, true);
+    });
+  }
+
+  get url(): string {
+    return `http://127.0.0.1:${this.#port}`;
+  }
+
+  get controlUrl(): string {
+    return `http://127.0.0.1:${this.#controlPort}`;
+  }
+
+  /** Requests that an outage of kind `hang` leaves unanswered. */
+  get heldRequests(): number {
+    return this.#held.size;
+  }
+
+  async start(): Promise<void> {
+    this.#port = await listenOnLoopback(this.#service, this.#port);
+    this.#controlPort = await listenOnLoopback(this.#control);
+  }
+
+  async dispose(): Promise<void> {
+    await Promise.all([closeServer(this.#service), closeServer(this.#control)]);
+  }
+
+  /** Answers one request; errors become HTTP answers. */
+  protected abstract handle(exchange: Exchange): Promise<void>;
+
+  /** Checks and applies the body of `POST /faults`. */
+  protected abstract applyFaults(body: unknown): Promise<void>;
+
+  protected async applyCommonFaults(faults: CommonFaults): Promise<void> {
+    this.#slowMs = faults.slow_ms ?? this.#slowMs;
+    if (faults.outage !== undefined) {
+      await this.#setOutage(faults.outage);
+    }
+  }
+
+  async #setOutage(outage: "none" | "refuse" | "hang"): Promise<void> {
+    const before = this.#outage;
+    this.#outage = outage;
+    if (outage === before) {
+      return;
+    }
+    for (const response of this.#held) {
+      response.destroy();
+    }
+    this.#held.clear();
+    if (outage === "refuse") {
+      await closeServer(this.#service);
+    } else if (before === "refuse") {
+      await listenOnLoopback(this.#service, this.#port);
+    }
+  }
+
+  async #serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+    viaControl: boolean,
+  ): Promise<void> {
+    const url = new URL(request.url ?? "/", this.url);
+    const exchange = { request, response, url };
+    try {
+      if (url.pathname === "/faults" && request.method === "POST") {
+        await this.applyFaults(await readJson(request));
+        sendJson(exchange, 200, {});
+        return;
+      }
+      if (!viaControl) {
+        if (this.#slowMs > 0) {
+          await sleep(this.#slowMs);
+        }
+        if (this.#outage === "hang") {
+          this.hold(response);
+          return;
+        }
+      }
+      await this.handle(exchange);
+    } catch (error) {
+      sendError(exchange, error);
+    }
+  }
+
+  /** True while answers must not leave the service port. */
+  protected get hanging(): boolean {
+    return this.#outage === "hang";
+  }
+
+  /** Keeps a response unanswered; it is reset when the outage ends. */
+  protected hold(response: ServerResponse): void {
+    if (response.destroyed) {
+      return;
+    }
+    this.#held.add(response);
+    response.once("close", () => this.#held.delete(response));
+  }
+
+  /** Answers, or keeps the request unanswered while the outage is `hang`. */
+  protected sendUnlessHanging(
+    exchange: Exchange,
+    status: number,
+    body: unknown,
+    headers: Record<string, string> = {},
+  ): void {
+    if (this.hanging) {
+      this.hold(exchange.response);
+      return;
+    }
+    sendJson(exchange, status, body, headers);
+  }
+}
+
+async function closeServer(server: Server): Promise<void> {
+  if (!server.listening) {
+    return;
+  }
+  const closed = new Promise<void>((resolve) => server.close(() => resolve()));
+  server.closeAllConnections();
+  await closed;
+}
+
+/** Reads a whole body; throws {@link HttpStatusError} above the limit. */
+export async function readBody(
+  request: IncomingMessage,
+  limitBytes = MAX_BODY_BYTES,
+): Promise<Buffer> {
+  const parts: Buffer[] = [];
+  let bytes = 0;
+  for await (const part of request) {
+    bytes += (part as Buffer).length;
+    if (bytes > limitBytes) {
+      throw new HttpStatusError(413, `Body exceeds ${limitBytes} bytes`);
+    }
+    parts.push(part as Buffer);
+  }
+  return Buffer.concat(parts);
+}
+
+export async function readJson(
+  request: IncomingMessage,
+  limitBytes = MAX_BODY_BYTES,
+): Promise<unknown> {
+  const body = await readBody(request, limitBytes);
+  try {
+    return JSON.parse(body.toString("utf8"));
+  } catch {
+    throw new HttpStatusError(400, "Body is not valid JSON");
+  }
+}
+
+/** Answers with JSON, or without a body when `body` is undefined. */
+export function sendJson(
+  { response }: Exchange,
+  status: number,
+  body?: unknown,
+  headers: Record<string, string> = {},
+): void {
+  if (response.destroyed || response.headersSent) {
+    return;
+  }
+  const text = body === undefined ? "" : JSON.stringify(body);
+  response.writeHead(status, {
+    ...(body === undefined ? {} : { "content-type": "application/json" }),
+    ...headers,
+  });
+  response.end(text);
+}
+
+function sendError(exchange: Exchange, error: unknown): void {
+  const message = error instanceof Error ? error.message : String(error);
+  const status = error instanceof HttpStatusError
+    ? error.status
+    : error instanceof z.ZodError
+    ? 400
+    : 500;
+  sendJson(exchange, status, { error: { message, type: "stand_in_error" } });
+}
+
+/** Value of a request header, or undefined when it is absent. */
+export function headerOf(
+  request: IncomingMessage,
+  name: string,
+): string | undefined {
+  const value = request.headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
--- /dev/null
+++ b/packages/stand-ins/src/lagged_value.ts
@@ -0,0 +1,31 @@
+/** A value whose readers see the state of some time ago. */
+export class LaggedValue<T> {
+  #entries: { readonly atMs: number; readonly value: T }[];
+  lagMs: number;
+
+  constructor(initial: T, lagMs: number) {
+    this.#entries = [{ atMs: Number.NEGATIVE_INFINITY, value: initial }];
+    this.lagMs = lagMs;
+  }
+
+  /** Sets the present value; `nowMs` must not decrease between calls. */
+  set(value: T, nowMs: number): void {
+    this.#entries.push({ atMs: nowMs, value });
+    this.#prune(nowMs);
+  }
+
+  /** The newest value that is at least as old as the lag. */
+  read(nowMs: number): T {
+    this.#prune(nowMs);
+    return this.#entries[0].value;
+  }
+
+  /** Drops the values that no reader can see any more. */
+  #prune(nowMs: number): void {
+    const visibleMs = nowMs - this.lagMs;
+    const index = this.#entries.findLastIndex((e) => e.atMs <= visibleMs);
+    if (index > 0) {
+      this.#entries.splice(0, index);
+    }
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/model_engine.ts
@@ -0,0 +1,454 @@
+import {
+  BLOCK_TOKENS,
+  createPrefixHasher,
+  type PrefixHasher,
+} from "@anvildeal/core";
+import { randomUUID } from "node:crypto";
+import type { ServerResponse } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
+import { z } from "zod";
+import { BatchScheduler } from "./batch_scheduler.js";
+import { CacheEventFeed } from "./cache_event_feed.js";
+import { ChatJob, type ChatRequest } from "./chat_job.js";
+import { executionIdOf, ExecutionLog } from "./execution_log.js";
+import {
+  CommonFaultsSchema,
+  type Exchange,
+  headerOf,
+  HttpStandIn,
+  HttpStatusError,
+  readJson,
+  sendJson,
+} from "./http_stand_in.js";
+import { LaggedValue } from "./lagged_value.js";
+import { PrefixCache } from "./prefix_cache.js";
+
+export interface ModelEngineOptions {
+  readonly port: number;
+  readonly maxBatch: number;
+  readonly prefillTokensPerS: number;
+  /** Time per output token with an otherwise empty batch. */
+  readonly decodeBaseMs: number;
+  /** Added to the time per output token by each request in the batch. */
+  readonly decodePerRequestMs: number;
+  readonly cacheTokens: number;
+  readonly cacheEventDelayMs: number;
+  /** Share of cache events that are never reported, between 0 and 1. */
+  readonly cacheEventLossShare: number;
+  readonly loadReportLagMs: number;
+  /** Speed of cache export and import. */
+  readonly transferTokensPerS: number;
+  /** Whether orders with an old fencing number are refused. */
+  readonly checksFencing: boolean;
+  /** Seed of the choice of lost cache events. */
+  readonly seed: number;
+}
+
+export const DEFAULT_ENGINE_OPTIONS: ModelEngineOptions = {
+  port: 0,
+  maxBatch: 16,
+  prefillTokensPerS: 20_000,
+  decodeBaseMs: 10,
+  decodePerRequestMs: 0.5,
+  cacheTokens: 200_000,
+  cacheEventDelayMs: 200,
+  cacheEventLossShare: 0.02,
+  loadReportLagMs: 500,
+  transferTokensPerS: 200_000,
+  checksFencing: true,
+  seed: 1,
+};
+
+/** Load samples are taken at most this often while requests run. */
+const LOAD_SAMPLE_MS = 50;
+
+/** A stream that nobody reads for this long is cancelled. */
+const UNREAD_STREAM_MS = 10_000;
+
+/** A finished stream can be read again for this long. */
+const FINISHED_STREAM_MS = 10_000;
+
+const DEFAULT_MAX_TOKENS = 128;
+const DEFAULT_PRIORITY = 5;
+
+const EVENT_STREAM_HEADERS = {
+  "content-type": "text/event-stream",
+  "cache-control": "no-cache",
+};
+
+const ChatBodySchema = z.object({
+  model: z.string().default("stand-in"),
+  messages: z.array(z.object({ role: z.string(), content: z.string() })).min(1),
+  max_tokens: z.int().positive().optional(),
+  max_completion_tokens: z.int().positive().optional(),
+  stream: z.boolean().default(false),
+  stream_options: z.object({ include_usage: z.boolean().default(false) })
+    .optional(),
+  continue_text: z.string().default(""),
+});
+
+const PrioritySchema = z.coerce.number().int().min(0).max(9);
+
+const hashHex = z.string().regex(/^[0-9a-f]{16}$/);
+
+const CacheExportSchema = z.object({ hashes: z.array(hashHex) });
+
+const CacheImportSchema = z.object({
+  blocks: z.array(z.object({ hash: hashHex, tokens: z.number() })),
+});
+
+const EngineOrderSchema = z.object({
+  kind: z.string(),
+  parameters: z.record(z.string(), z.string()),
+  fencing_number: z.int().nonnegative(),
+});
+export type EngineOrder = z.infer<typeof EngineOrderSchema>;
+
+const ModelEngineFaultsSchema = CommonFaultsSchema.extend({
+  /** Multiplies the time of prefill and decode. */
+  slow_factor: z.number().positive().optional(),
+  /** Generates nothing, while HTTP calls are still answered. */
+  paused: z.boolean().optional(),
+});
+export type ModelEngineFaults = z.input<typeof ModelEngineFaultsSchema>;
+
+/** What `GET /v1/load` reports. */
+export interface EngineLoad {
+  readonly running: number;
+  readonly waiting: number;
+  readonly outstanding_tokens: number;
+  readonly prefill_tokens_per_s: number;
+  readonly decode_tokens_per_s: number;
+  readonly max_batch: number;
+}
+
+/** Stand-in for a model engine with continuous batching and prefix cache. */
+export class ModelEngine extends HttpStandIn {
+  readonly executions = new ExecutionLog();
+  readonly #options: ModelEngineOptions;
+  readonly #cache: PrefixCache;
+  readonly #cacheEvents: CacheEventFeed;
+  readonly #scheduler: BatchScheduler;
+  readonly #loadReports: LaggedValue<EngineLoad>;
+  readonly #jobs = new Map<string, ChatJob>();
+  readonly #timers = new Map<string, NodeJS.Timeout>();
+  readonly #orders: EngineOrder[] = [];
+  #hasher: PrefixHasher | undefined;
+  #highestFencingNumber = 0;
+  #lastSampleMs = 0;
+
+  constructor(options: Partial<ModelEngineOptions> = {}) {
+    super(options.port);
+    this.#options = { ...DEFAULT_ENGINE_OPTIONS, ...options };
+    this.#cacheEvents = new CacheEventFeed({
+      delayMs: this.#options.cacheEventDelayMs,
+      lossShare: this.#options.cacheEventLossShare,
+      seed: this.#options.seed,
+    });
+    this.#cache = new PrefixCache(this.#options.cacheTokens, (kind, hash) => {
+      this.#cacheEvents.add(
+        { kind, hash: formatHash(hash), tokens: BLOCK_TOKENS },
+        performance.now(),
+      );
+    });
+    this.#scheduler = new BatchScheduler(
+      this.#options,
+      () => this.#sampleLoad(),
+    );
+    this.#loadReports = new LaggedValue(
+      this.load,
+      this.#options.loadReportLagMs,
+    );
+  }
+
+  /** The exact load of this moment. */
+  get load(): EngineLoad {
+    return {
+      running: this.#scheduler.running,
+      waiting: this.#scheduler.waiting,
+      outstanding_tokens: this.#scheduler.outstandingTokens,
+      prefill_tokens_per_s: this.#scheduler.prefillTokensPerS,
+      decode_tokens_per_s: this.#scheduler.decodeTokensPerS,
+      max_batch: this.#options.maxBatch,
+    };
+  }
+
+  override async start(): Promise<void> {
+    this.#hasher = await createPrefixHasher();
+    await super.start();
+  }
+
+  override async dispose(): Promise<void> {
+    this.#scheduler.dispose();
+    for (const timer of this.#timers.values()) {
+      clearTimeout(timer);
+    }
+    this.#timers.clear();
+    await super.dispose();
+  }
+
+  async setFaults(faults: ModelEngineFaults): Promise<void> {
+    const parsed = ModelEngineFaultsSchema.parse(faults);
+    if (parsed.slow_factor !== undefined) {
+      this.#scheduler.slowFactor = parsed.slow_factor;
+    }
+    if (parsed.paused !== undefined) {
+      this.#scheduler.paused = parsed.paused;
+    }
+    await this.applyCommonFaults(parsed);
+  }
+
+  protected override applyFaults(body: unknown): Promise<void> {
+    return this.setFaults(body as ModelEngineFaults);
+  }
+
+  protected override async handle(exchange: Exchange): Promise<void> {
+    const { request, url } = exchange;
+    const streamId = /^\/v1\/streams\/([\w-]+)$/.exec(url.pathname)?.[1];
+    const call = `${request.method} ${streamId ? "/v1/streams" : url.pathname}`;
+    switch (call) {
+      case "POST /v1/chat/completions":
+        return this.#chat(exchange);
+      case "GET /v1/streams":
+        return this.#resume(exchange, this.#jobOf(streamId));
+      case "DELETE /v1/streams":
+        this.#cancel(this.#jobOf(streamId));
+        return sendJson(exchange, 204);
+      case "GET /v1/load":
+        return this.sendUnlessHanging(
+          exchange,
+          200,
+          this.#loadReports.read(performance.now()),
+        );
+      case "GET /v1/cache/events":
+        return this.#readCacheEvents(exchange);
+      case "POST /v1/cache/export":
+        return this.#exportCache(exchange);
+      case "POST /v1/cache/import":
+        return this.#importCache(exchange);
+      case "POST /v1/orders":
+        return this.#order(exchange);
+      case "GET /health":
+        return sendJson(exchange, 200, { status: "ok" });
+      case "GET /executions":
+        return sendJson(exchange, 200, this.executions);
+      case "GET /debug/state":
+        return sendJson(exchange, 200, this.#debugState());
+      default:
+        throw new HttpStatusError(404, `No resource ${call}`);
+    }
+  }
+
+  async #chat(exchange: Exchange): Promise<void> {
+    const { request, response } = exchange;
+    const body = ChatBodySchema.parse(await readJson(request));
+    const job = this.#createJob(
+      {
+        model: body.model,
+        messages: body.messages,
+        maxTokens: body.max_tokens ?? body.max_completion_tokens ??
+          DEFAULT_MAX_TOKENS,
+        continueText: body.continue_text,
+        includeUsage: body.stream_options?.include_usage ?? false,
+        priority: PrioritySchema.parse(
+          headerOf(request, "x-priority") ?? DEFAULT_PRIORITY,
+        ),
+      },
+      executionIdOf(request),
+    );
+    this.#jobs.set(job.stream.id, job);
+    this.#scheduler.add(job);
+    this.#sampleLoad(true);
+    if (body.stream) {
+      this.#sendEvents(response, job, 0);
+    } else {
+      this.#sendCompletion(exchange, job);
+    }
+  }
+
+  #createJob(request: ChatRequest, executionId: string | undefined): ChatJob {
+    if (!this.#hasher) {
+      throw new Error("The engine has not been started");
+    }
+    const continued = request.continueText !== "";
+    const streamId = randomUUID();
+    return new ChatJob(streamId, request, this.#hasher, this.#cache, {
+      onStart: () => this.executions.start(executionId, continued),
+      onFinished: () => {
+        this.executions.complete(executionId);
+        this.#forgetLater(streamId, FINISHED_STREAM_MS);
+      },
+    });
+  }
+
+  #sendCompletion(exchange: Exchange, job: ChatJob): void {
+    const onEnd = () => {
+      if (job.decodeTokens > 0) {
+        sendJson(exchange, 409, { error: { message: "Stream cancelled" } });
+        return;
+      }
+      this.sendUnlessHanging(exchange, 200, job.completion, {
+        "x-stream-id": job.stream.id,
+      });
+    };
+    this.#attach(exchange.response, job, 0, () => {}, onEnd);
+  }
+
+  #sendEvents(response: ServerResponse, job: ChatJob, from: number): void {
+    response.writeHead(200, {
+      ...EVENT_STREAM_HEADERS,
+      "x-stream-id": job.stream.id,
+    });
+    // The stream id must arrive before the first event, which may take long.
+    response.flushHeaders();
+    const send = (event: string) => {
+      if (this.hanging) {
+        this.hold(response);
+      } else {
+        response.write(event);
+      }
+    };
+    const onEnd = () => {
+      if (!this.hanging) {
+        response.end();
+      }
+    };
+    this.#attach(response, job, from, send, onEnd);
+  }
+
+  /** Subscribes a response; the job ends some time after its last reader. */
+  #attach(
+    response: ServerResponse,
+    job: ChatJob,
+    from: number,
+    send: (event: string) => void,
+    onEnd: () => void,
+  ): void {
+    const { stream } = job;
+    this.#stopTimer(stream.id);
+    const unsubscribe = stream.subscribe(from, send, onEnd);
+    response.once("close", () => {
+      unsubscribe();
+      this.#onReaderGone(job);
+    });
+    if (response.destroyed) {
+      unsubscribe();
+      this.#onReaderGone(job);
+    }
+  }
+
+  #onReaderGone({ stream }: ChatJob): void {
+    if (!this.#jobs.has(stream.id) || stream.subscriberCount > 0) {
+      return;
+    }
+    const timeoutMs = stream.ended ? FINISHED_STREAM_MS : UNREAD_STREAM_MS;
+    this.#forgetLater(stream.id, timeoutMs);
+  }
+
+  #forgetLater(streamId: string, timeoutMs: number): void {
+    this.#stopTimer(streamId);
+    const timer = setTimeout(() => {
+      const job = this.#jobs.get(streamId);
+      if (job) {
+        this.#cancel(job);
+      }
+    }, timeoutMs);
+    timer.unref();
+    this.#timers.set(streamId, timer);
+  }
+
+  #stopTimer(streamId: string): void {
+    clearTimeout(this.#timers.get(streamId));
+    this.#timers.delete(streamId);
+  }
+
+  #cancel(job: ChatJob): void {
+    this.#stopTimer(job.stream.id);
+    this.#jobs.delete(job.stream.id);
+    if (!job.stream.ended) {
+      this.#scheduler.cancel(job);
+      job.stream.end();
+      this.#sampleLoad(true);
+    }
+  }
+
+  #resume(exchange: Exchange, job: ChatJob): void {
+    const from = Number(exchange.url.searchParams.get("from") ?? 0);
+    this.#sendEvents(exchange.response, job, from);
+  }
+
+  #jobOf(streamId: string | undefined): ChatJob {
+    const job = this.#jobs.get(streamId ?? "");
+    if (!job) {
+      throw new HttpStatusError(404, `No stream ${streamId}`);
+    }
+    return job;
+  }
+
+  #readCacheEvents(exchange: Exchange): void {
+    const after = Number(exchange.url.searchParams.get("after") ?? 0);
+    const events = this.#cacheEvents.read(after, performance.now());
+    this.sendUnlessHanging(exchange, 200, { events });
+  }
+
+  async #exportCache(exchange: Exchange): Promise<void> {
+    const body = CacheExportSchema.parse(await readJson(exchange.request));
+    const count = this.#cache.cachedBlocks(body.hashes.map(parseHash));
+    const blocks = body.hashes.slice(0, count).map((hash) => ({
+      hash,
+      tokens: BLOCK_TOKENS,
+    }));
+    await this.#waitForTransfer(count);
+    this.sendUnlessHanging(exchange, 200, { blocks });
+  }
+
+  async #importCache(exchange: Exchange): Promise<void> {
+    const body = CacheImportSchema.parse(await readJson(exchange.request));
+    await this.#waitForTransfer(body.blocks.length);
+    this.#cache.store(body.blocks.map((block) => parseHash(block.hash)));
+    this.sendUnlessHanging(exchange, 200, { imported: body.blocks.length });
+  }
+
+  async #waitForTransfer(blocks: number): Promise<void> {
+    const tokens = blocks * BLOCK_TOKENS;
+    await sleep(tokens * 1000 / this.#options.transferTokensPerS);
+  }
+
+  async #order(exchange: Exchange): Promise<void> {
+    const order = EngineOrderSchema.parse(await readJson(exchange.request));
+    const highest = this.#highestFencingNumber;
+    if (this.#options.checksFencing && order.fencing_number < highest) {
+      throw new HttpStatusError(409, `Fencing number is below ${highest}`);
+    }
+    this.#highestFencingNumber = Math.max(highest, order.fencing_number);
+    this.#orders.push(order);
+    this.sendUnlessHanging(exchange, 200, { accepted: true });
+  }
+
+  #debugState(): object {
+    return {
+      load: this.load,
+      cached_hashes: this.#cache.hashes.map(formatHash),
+      cached_tokens: this.#cache.tokens,
+      cache_capacity_tokens: this.#cache.capacityTokens,
+      orders: this.#orders,
+      highest_fencing_number: this.#highestFencingNumber,
+    };
+  }
+
+  #sampleLoad(always = this.#scheduler.running === 0): void {
+    const nowMs = performance.now();
+    if (always || nowMs - this.#lastSampleMs >= LOAD_SAMPLE_MS) {
+      this.#lastSampleMs = nowMs;
+      this.#loadReports.set(this.load, nowMs);
+    }
+  }
+}
+
+function formatHash(hash: bigint): string {
+  return hash.toString(16).padStart(16, "0");
+}
+
+function parseHash(hex: string): bigint {
+  return BigInt(`0x${hex}`);
+}
--- /dev/null
+++ b/packages/stand-ins/src/model_engine_test.ts
@@ -0,0 +1,174 @@
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { expectedAnswer } from "./expected_answer.js";
+import { ModelEngine, type ModelEngineOptions } from "./model_engine.js";
+
+const messages = [{ role: "user", content: "ledger ".repeat(400) }];
+
+/** Fast enough for tests, with events and load visible at once. */
+const FAST: Partial<ModelEngineOptions> = {
+  prefillTokensPerS: 200_000,
+  decodeBaseMs: 1,
+  decodePerRequestMs: 0,
+  cacheEventDelayMs: 0,
+  cacheEventLossShare: 0,
+  loadReportLagMs: 0,
+};
+
+let engine: ModelEngine;
+
+async function start(options: Partial<ModelEngineOptions>): Promise<void> {
+  engine = new ModelEngine({ ...FAST, ...options });
+  await engine.start();
+}
+
+function post(
+  path: string,
+  body: object,
+  headers: Record<string, string> = {},
+): Promise<Response> {
+  return fetch(engine.url + path, {
+    method: "POST",
+    headers,
+    body: JSON.stringify(body),
+  });
+}
+
+function chat(
+  body: object,
+  headers: Record<string, string> = {},
+): Promise<Response> {
+  return post("/v1/chat/completions", {
+    messages,
+    max_tokens: 40,
+    ...body,
+  }, headers);
+}
+
+interface Completion {
+  choices: [{ message: { role: string; content: string } }];
+  usage: {
+    completion_tokens: number;
+    prompt_tokens_details: { cached_tokens: number };
+  };
+}
+
+async function complete(body: object): Promise<Completion> {
+  return (await chat(body)).json() as Promise<Completion>;
+}
+
+async function getJson<T>(path: string): Promise<T> {
+  return (await fetch(engine.url + path)).json() as Promise<T>;
+}
+
+/** Event numbers and joined text of a complete stream. */
+async function readStream(
+  response: Response,
+): Promise<{ ids: number[]; text: string; done: boolean }> {
+  const body = await response.text();
+  const events = body.split("\n\n").filter(Boolean);
+  const ids = events.map((event) => Number(/^id: (\d+)/.exec(event)?.[1]));
+  const data = events.map((event) => event.slice(event.indexOf("data: ") + 6));
+  const text = data
+    .filter((line) => line !== "[DONE]")
+    .map((line) => JSON.parse(line).choices[0]?.delta.content ?? "")
+    .join("");
+  return { ids, text, done: data.at(-1) === "[DONE]" };
+}
+
+beforeEach(() => start({}));
+afterEach(() => engine.dispose());
+
+describe("ModelEngine", () => {
+  describe("answers", () => {
+    it("gives the expected answer with and without stream", async () => {
+      const expected = expectedAnswer(messages, 40);
+      const whole = await complete({});
+      expect(whole.choices[0].message.content).toBe(expected);
+      expect(whole.usage.completion_tokens).toBe(40);
+      const streamed = await readStream(await chat({ stream: true }));
+      expect(streamed).toMatchObject({ text: expected, done: true });
+    });
+
+    it("continues an answer inside a token without repeating text", async () => {
+      const expected = expectedAnswer(messages, 40);
+      const response = await chat({
+        stream: true,
+        continue_text: expected.slice(0, 57),
+      });
+      const { text } = await readStream(response);
+      expect(expected.slice(0, 57) + text).toBe(expected);
+    });
+
+    it("rejects continue_text of another answer", async () => {
+      expect((await chat({ continue_text: "other" })).status).toBe(400);
+    });
+  });
+
+  describe("streams", () => {
+    it("resumes from an event number without loss or repetition", async () => {
+      const response = await chat({ stream: true });
+      const id = response.headers.get("x-stream-id");
+      const whole = await readStream(response);
+      const rest = await readStream(
+        await fetch(`${engine.url}/v1/streams/${id}?from=5`),
+      );
+      expect(rest.ids).toEqual(whole.ids.slice(5));
+      expect(engine.executions.toJSON().unidentified).toBe(1);
+    });
+
+    it("frees the slot of a cancelled stream", async () => {
+      await engine.setFaults({ paused: true });
+      const response = await chat({ stream: true });
+      const id = response.headers.get("x-stream-id");
+      expect(engine.load.running).toBe(1);
+      await fetch(`${engine.url}/v1/streams/${id}`, { method: "DELETE" });
+      expect(engine.load).toMatchObject({ running: 0, outstanding_tokens: 0 });
+      expect((await readStream(response)).done).toBe(false);
+    });
+  });
+
+  describe("prefix cache", () => {
+    it("reports cached tokens of a returning chat, answer included", async () => {
+      const first = await complete({ max_tokens: 400 });
+      expect(first.usage.prompt_tokens_details.cached_tokens).toBe(0);
+      const answer = first.choices[0].message;
+      const second = await complete({
+        messages: [...messages, answer, { role: "user", content: "Go on." }],
+      });
+      // 2,806 + 1,610 characters hold four complete blocks of 1,024.
+      expect(second.usage.prompt_tokens_details.cached_tokens).toBe(4 * 256);
+    });
+
+    it("evicts the least recently used blocks and reports it", async () => {
+      await engine.dispose();
+      await start({ cacheTokens: 3 * 256 });
+      await chat({}).then((r) => r.text());
+      await chat({ messages: [{ role: "user", content: "x".repeat(2000) }] })
+        .then((r) => r.text());
+      const { events } = await getJson<{ events: { kind: string }[] }>(
+        "/v1/cache/events?after=0",
+      );
+      expect(events.map((event) => event.kind)).toContain("evicted");
+      const state = await getJson<{ cached_hashes: string[] }>("/debug/state");
+      expect(state.cached_hashes).toHaveLength(3);
+    });
+  });
+
+  describe("executions", () => {
+    it("counts repeats of one request under its caller's identity", async () => {
+      const id = { "x-execution-id": "e1" };
+      await chat({}, { ...id, "anvildeal-request": "r1" }).then((r) =>
+        r.text()
+      );
+      await chat({}, { ...id, "anvildeal-request": "r2" }).then((r) =>
+        r.text()
+      );
+      const { executions } = await getJson<{ executions: object[] }>(
+        "/executions",
+      );
+      expect(executions).toEqual([
+        { id: "e1", started: 2, completed: 2, continued: 0 },
+      ]);
+    });
+  });
+});
--- /dev/null
+++ b/packages/stand-ins/src/object_api.ts
@@ -0,0 +1,263 @@
+import type { IncomingMessage } from "node:http";
+import { z } from "zod";
+import {
+  CommonFaultsSchema,
+  type Exchange,
+  headerOf,
+  HttpStandIn,
+  HttpStatusError,
+  readJson,
+  sendJson,
+} from "./http_stand_in.js";
+import { ObjectTable, type Precondition } from "./object_table.js";
+
+/** Limit of one value, as the platform's object API states it. */
+export const MAX_VALUE_BYTES = 1024 * 1024;
+
+const DEFAULT_LIST_LIMIT = 1000;
+const DEFAULT_WATCH_TIMEOUT_MS = 30_000;
+
+/** Selects writes by key prefix, at most `next_writes` of them. */
+const WriteSelectorSchema = z.object({
+  key_prefix: z.string().default(""),
+  next_writes: z.int().positive().optional(),
+});
+
+const ObjectApiFaultsSchema = CommonFaultsSchema.extend({
+  /** Applies the selected writes but resets the connection; null ends it. */
+  drop_answers: WriteSelectorSchema.nullable().optional(),
+  /**
+   * Resets the connection of the selected writes at once and applies each
+   * write, if its precondition then holds, after the delay; null ends it.
+   */
+  delay_writes: WriteSelectorSchema
+    .extend({ delay_ms: z.number().nonnegative() })
+    .nullable()
+    .optional(),
+});
+export type ObjectApiFaults = z.input<typeof ObjectApiFaultsSchema>;
+
+type CallKind = "get" | "create" | "update" | "delete" | "list" | "watch";
+
+interface WriteSelector {
+  readonly key_prefix: string;
+  next_writes?: number | undefined;
+}
+
+/** Stand-in for the platform's object API. */
+export class ObjectApi extends HttpStandIn {
+  readonly table = new ObjectTable();
+  readonly #calls: Record<CallKind, number> = {
+    get: 0,
+    create: 0,
+    update: 0,
+    delete: 0,
+    list: 0,
+    watch: 0,
+  };
+  readonly #delayedWrites = new Set<NodeJS.Timeout>();
+  #pendingWatches = 0;
+  #dropAnswers: WriteSelector | undefined;
+  #delayWrites: (WriteSelector & { readonly delay_ms: number }) | undefined;
+
+  constructor(options: { readonly port?: number } = {}) {
+    super(options.port);
+  }
+
+  /** Call counts since the start; a pending watch is also in `calls.watch`. */
+  get stats(): {
+    total: number;
+    calls: Record<CallKind, number>;
+    pending_watches: number;
+  } {
+    const total = Object.values(this.#calls).reduce((sum, n) => sum + n, 0);
+    return {
+      total,
+      calls: { ...this.#calls },
+      pending_watches: this.#pendingWatches,
+    };
+  }
+
+  async setFaults(faults: ObjectApiFaults): Promise<void> {
+    const parsed = ObjectApiFaultsSchema.parse(faults);
+    if (parsed.drop_answers !== undefined) {
+      this.#dropAnswers = parsed.drop_answers ?? undefined;
+    }
+    if (parsed.delay_writes !== undefined) {
+      this.#delayWrites = parsed.delay_writes ?? undefined;
+    }
+    await this.applyCommonFaults(parsed);
+  }
+
+  override async dispose(): Promise<void> {
+    for (const timer of this.#delayedWrites) {
+      clearTimeout(timer);
+    }
+    await super.dispose();
+  }
+
+  protected override applyFaults(body: unknown): Promise<void> {
+    return this.setFaults(body as ObjectApiFaults);
+  }
+
+  protected override async handle(exchange: Exchange): Promise<void> {
+    const { request, url } = exchange;
+    const path = decodeURIComponent(url.pathname);
+    if (path === "/stats") {
+      sendJson(exchange, 200, this.stats);
+    } else if (path === "/objects" && request.method === "GET") {
+      this.#list(exchange);
+    } else if (path.startsWith("/watch/") && request.method === "GET") {
+      this.#watch(exchange, path.slice("/watch/".length));
+    } else if (path.startsWith("/objects/")) {
+      await this.#object(exchange, path.slice("/objects/".length));
+    } else {
+      throw new HttpStatusError(404, `No resource ${path}`);
+    }
+  }
+
+  async #object(exchange: Exchange, key: string): Promise<void> {
+    switch (exchange.request.method) {
+      case "GET":
+        return this.#get(exchange, key);
+      case "PUT":
+        return this.#put(exchange, key);
+      case "DELETE":
+        return this.#delete(exchange, key);
+      default:
+        throw new HttpStatusError(405, "Method not allowed");
+    }
+  }
+
+  #get(exchange: Exchange, key: string): void {
+    this.#calls.get += 1;
+    const row = this.table.get(key);
+    if (!row) {
+      throw new HttpStatusError(404, `No object ${key}`);
+    }
+    sendJson(exchange, 200, row);
+  }
+
+  #list(exchange: Exchange): void {
+    this.#calls.list += 1;
+    const query = exchange.url.searchParams;
+    const items = this.table.list(
+      query.get("prefix") ?? "",
+      Number(query.get("limit") ?? DEFAULT_LIST_LIMIT),
+      query.get("after") ?? "",
+    );
+    sendJson(exchange, 200, { items });
+  }
+
+  async #put(exchange: Exchange, key: string): Promise<void> {
+    const when = preconditionOf(exchange.request);
+    this.#calls[when === "absent" ? "create" : "update"] += 1;
+    const value = await readJson(exchange.request, MAX_VALUE_BYTES);
+    this.#write(exchange, key, () => {
+      const result = this.table.put(key, value, when);
+      if (result.applied) {
+        return { status: 200, body: { version: result.version } };
+      }
+      return { status: 412, body: result.current ?? null };
+    });
+  }
+
+  #delete(exchange: Exchange, key: string): void {
+    const when = preconditionOf(exchange.request);
+    this.#calls.delete += 1;
+    this.#write(exchange, key, () => {
+      const result = this.table.delete(key, when);
+      return result.applied
+        ? { status: 204, body: undefined }
+        : { status: 412, body: result.current };
+    });
+  }
+
+  /** Applies a write, subject to the write faults in force. */
+  #write(
+    exchange: Exchange,
+    key: string,
+    apply: () => { status: number; body: unknown },
+  ): void {
+    const delay = this.#delayWrites;
+    if (delay && takeWrite(delay, key)) {
+      this.#applyLater(apply, delay.delay_ms);
+      exchange.response.destroy();
+      return;
+    }
+    const dropped = this.#dropAnswers && takeWrite(this.#dropAnswers, key);
+    const { status, body } = apply();
+    if (dropped) {
+      exchange.response.destroy();
+    } else {
+      this.sendUnlessHanging(exchange, status, body);
+    }
+  }
+
+  #applyLater(apply: () => unknown, delayMs: number): void {
+    const timer = setTimeout(() => {
+      this.#delayedWrites.delete(timer);
+      try {
+        apply();
+      } catch (error) {
+        // The object was deleted meanwhile; no caller waits for the answer.
+        if (!(error instanceof HttpStatusError)) {
+          throw error;
+        }
+      }
+    }, delayMs);
+    this.#delayedWrites.add(timer);
+  }
+
+  #watch(exchange: Exchange, key: string): void {
+    this.#calls.watch += 1;
+    const query = exchange.url.searchParams;
+    const after = Number(query.get("after") ?? 0);
+    const timeoutMs = Number(
+      query.get("timeout_ms") ?? DEFAULT_WATCH_TIMEOUT_MS,
+    );
+    const current = this.table.get(key);
+    if (current && current.version > after) {
+      sendJson(exchange, 200, current);
+      return;
+    }
+    this.#pendingWatches += 1;
+    const finish = (status: number, body?: unknown) => {
+      unsubscribe();
+      clearTimeout(timer);
+      exchange.response.off("close", onClose);
+      this.#pendingWatches -= 1;
+      this.sendUnlessHanging(exchange, status, body);
+    };
+    const onClose = () => finish(304);
+    const timer = setTimeout(() => finish(304), timeoutMs);
+    const unsubscribe = this.table.subscribe(key, (row) => {
+      if (row.version > after) {
+        finish(200, row);
+      }
+    });
+    exchange.response.once("close", onClose);
+  }
+}
+
+/** Uses up one write of the selector if it selects the key. */
+function takeWrite(selector: WriteSelector, key: string): boolean {
+  if (!key.startsWith(selector.key_prefix) || selector.next_writes === 0) {
+    return false;
+  }
+  if (selector.next_writes !== undefined) {
+    selector.next_writes -= 1;
+  }
+  return true;
+}
+
+function preconditionOf(request: IncomingMessage): Precondition {
+  if (headerOf(request, "if-none-match") === "*") {
+    return "absent";
+  }
+  const version = /^"(\d+)"$/.exec(headerOf(request, "if-match") ?? "");
+  if (!version) {
+    throw new HttpStatusError(428, "A write needs If-None-Match or If-Match");
+  }
+  return Number(version[1]);
+}
--- /dev/null
+++ b/packages/stand-ins/src/prefix_cache.ts
@@ -0,0 +1,62 @@
+import { BLOCK_TOKENS } from "@anvildeal/core";
+
+export type CacheEventKind = "stored" | "evicted";
+
+type CacheListener = (kind: CacheEventKind, hash: bigint) => void;
+
+/** Prefix cache of an engine: blocks by hash, least recently used first. */
+export class PrefixCache {
+  /** Insertion order is the order of use. */
+  readonly #blocks = new Set<bigint>();
+  readonly #capacityBlocks: number;
+  readonly #listener: CacheListener;
+
+  constructor(capacityTokens: number, listener: CacheListener = () => {}) {
+    this.#capacityBlocks = Math.floor(capacityTokens / BLOCK_TOKENS);
+    this.#listener = listener;
+  }
+
+  get capacityTokens(): number {
+    return this.#capacityBlocks * BLOCK_TOKENS;
+  }
+
+  get tokens(): number {
+    return this.#blocks.size * BLOCK_TOKENS;
+  }
+
+  get hashes(): bigint[] {
+    return [...this.#blocks];
+  }
+
+  /** Number of leading blocks that are cached; does not count as a use. */
+  cachedBlocks(hashes: readonly bigint[]): number {
+    const missing = hashes.findIndex((hash) => !this.#blocks.has(hash));
+    return missing === -1 ? hashes.length : missing;
+  }
+
+  /**
+   * Stores a prefix and marks it as used. Its first block becomes the most
+   * recently used one, because a block is of no use without those before it.
+   */
+  store(hashes: readonly bigint[]): void {
+    const kept = hashes.slice(0, this.#capacityBlocks);
+    for (const hash of kept.toReversed()) {
+      const wasCached = this.#blocks.delete(hash);
+      this.#blocks.add(hash);
+      if (!wasCached) {
+        this.#listener("stored", hash);
+      }
+    }
+    this.#evict();
+  }
+
+  #evict(): void {
+    for (const hash of this.#blocks) {
+      if (this.#blocks.size <= this.#capacityBlocks) {
+        return;
+      }
+      this.#blocks.delete(hash);
+      this.#listener("evicted", hash);
+    }
+  }
+}
