--- a/packages/core/src/placement/baseline_policies.ts
+++ b/packages/core/src/placement/baseline_policies.ts
@@ -1,7 +1,7 @@
 import {
   type Candidate,
-  type PlacementRequest,
   PlacementPolicy,
+  type PlacementRequest,
   type RandomBelow,
   type ShortlistOptions,
 } from "./placement_policy.js";
--- a/packages/core/src/placement/cache_aware_policy.ts
+++ b/packages/core/src/placement/cache_aware_policy.ts
@@ -1,8 +1,8 @@
 import type { Millis } from "../clock.js";
 import {
   type Candidate,
-  type PlacementRequest,
   PlacementPolicy,
+  type PlacementRequest,
   type ShortlistOptions,
 } from "./placement_policy.js";
 
--- a/packages/core/src/placement/prefix_sample.ts
+++ b/packages/core/src/placement/prefix_sample.ts
@@ -15,8 +15,9 @@
 export function unpackHashes(packed: Uint8Array): bigint[] {
   const view = new DataView(packed.buffer, packed.byteOffset, packed.length);
   const count = Math.floor(packed.length / HASH_BYTES);
-  return Array.from({ length: count }, (_, i) =>
-    view.getBigUint64(i * HASH_BYTES)
+  return Array.from(
+    { length: count },
+    (_, i) => view.getBigUint64(i * HASH_BYTES),
   );
 }
 
--- a/packages/core/src/router/reduce_router.ts
+++ b/packages/core/src/router/reduce_router.ts
@@ -73,8 +73,11 @@
       receiveRequest(ctx, event.request);
       break;
     case "caller_gone":
-      withRequest(ctx, event.requestId, (request) =>
-        advance(ctx, request, { type: "caller_gone" }));
+      withRequest(
+        ctx,
+        event.requestId,
+        (request) => advance(ctx, request, { type: "caller_gone" }),
+      );
       break;
     case "caller_congested":
       withRequest(ctx, event.requestId, (request) => {
@@ -204,7 +207,7 @@
     type: "answered",
     nowMs,
     instanceId: endpointId,
-    incarnation: hello.incarnation,
+    facts: { incarnation: hello.incarnation },
   });
   hintConfig(ctx, endpointId, hello.configVersion);
 }
@@ -222,8 +225,7 @@
       type: "answered",
       nowMs,
       instanceId: endpointId,
-      incarnation: message.facts.incarnation,
-      state: message.facts.state,
+      facts: message.facts,
     });
     hintConfig(ctx, endpointId, message.facts.configVersion);
   }
--- a/packages/core/src/router/request_errors.ts
+++ b/packages/core/src/router/request_errors.ts
@@ -90,7 +90,8 @@
     status: 502,
     code: "outcome_unknown",
     errorType: "server_error",
-    message: `The request was sent to an endpoint and its result was lost (${detail}). It may have run.`,
+    message:
+      `The request was sent to an endpoint and its result was lost (${detail}). It may have run.`,
     outcome: "unknown",
     retryAfterMs: CAPACITY_RETRY_MS,
   }),
--- a/packages/core/src/router/request_machine.ts
+++ b/packages/core/src/router/request_machine.ts
@@ -1,4 +1,9 @@
-import { getInitialSnapshot, setup, type SnapshotFrom, transition } from "xstate";
+import {
+  getInitialSnapshot,
+  setup,
+  type SnapshotFrom,
+  transition,
+} from "xstate";
 
 /** What happens to one request, as far as its life cycle is concerned. */
 export type RequestMachineEvent =
--- a/packages/core/src/router/router_state.ts
+++ b/packages/core/src/router/router_state.ts
@@ -1,7 +1,7 @@
 import { LRUCache } from "lru-cache";
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
-import { RetryBudget, TokenBucket } from "../admission/index.js";
+import { RetryBudget, type TokenBucket } from "../admission/index.js";
 import type { Millis } from "../clock.js";
 import type { Account, Pool, Service } from "../config/index.js";
 import {
--- a/packages/core/src/sidecar/attempt_machine.ts
+++ b/packages/core/src/sidecar/attempt_machine.ts
@@ -1,4 +1,9 @@
-import { getInitialSnapshot, setup, type SnapshotFrom, transition } from "xstate";
+import {
+  getInitialSnapshot,
+  setup,
+  type SnapshotFrom,
+  transition,
+} from "xstate";
 
 export type AttemptMachineEvent =
   /** A slot of the endpoint is free. */
--- a/packages/core/src/sidecar/reduce_sidecar.ts
+++ b/packages/core/src/sidecar/reduce_sidecar.ts
@@ -1,8 +1,17 @@
 import type { Millis } from "../clock.js";
 import type { Pool } from "../config/index.js";
 import { unpackHashes } from "../placement/index.js";
-import type { EndpointState, Message, MessageOf, Order } from "../wire/index.js";
-import { admitAttempt, leastLoadedIds, refuseAttempt } from "./admit_attempt.js";
+import type {
+  EndpointState,
+  Message,
+  MessageOf,
+  Order,
+} from "../wire/index.js";
+import {
+  admitAttempt,
+  leastLoadedIds,
+  refuseAttempt,
+} from "./admit_attempt.js";
 import { CacheIndex } from "./cache_index.js";
 import { exchangeDigests, receiveDigest } from "./exchange_digests.js";
 import {
@@ -85,24 +94,39 @@
       break;
     }
     case "execution_decided":
-      withAttempt(ctx, event.attemptId, (attempt) =>
-        decideExecution(ctx, attempt, event.decision));
+      withAttempt(
+        ctx,
+        event.attemptId,
+        (attempt) => decideExecution(ctx, attempt, event.decision),
+      );
       break;
     case "call_head":
-      withAttempt(ctx, event.attemptId, (attempt) =>
-        receiveCallHead(ctx, attempt, event));
+      withAttempt(
+        ctx,
+        event.attemptId,
+        (attempt) => receiveCallHead(ctx, attempt, event),
+      );
       break;
     case "call_data":
-      withAttempt(ctx, event.attemptId, (attempt) =>
-        receiveCallData(ctx, attempt, event));
+      withAttempt(
+        ctx,
+        event.attemptId,
+        (attempt) => receiveCallData(ctx, attempt, event),
+      );
       break;
     case "call_ended":
-      withAttempt(ctx, event.attemptId, (attempt) =>
-        receiveCallEnded(ctx, attempt, event));
+      withAttempt(
+        ctx,
+        event.attemptId,
+        (attempt) => receiveCallEnded(ctx, attempt, event),
+      );
       break;
     case "call_failed":
-      withAttempt(ctx, event.attemptId, (attempt) =>
-        receiveCallFailed(ctx, attempt, event));
+      withAttempt(
+        ctx,
+        event.attemptId,
+        (attempt) => receiveCallFailed(ctx, attempt, event),
+      );
       break;
     case "endpoint_health":
       noteHealth(ctx, event.healthy);
@@ -149,8 +173,12 @@
       resumeAttempt(ctx, connection, message);
       break;
     case "ack":
-      withOwnAttempt(ctx, connection, message.attemptId, (attempt) =>
-        acknowledgeFrames(ctx, attempt, message.nextSeq));
+      withOwnAttempt(
+        ctx,
+        connection,
+        message.attemptId,
+        (attempt) => acknowledgeFrames(ctx, attempt, message.nextSeq),
+      );
       break;
     case "ping":
       ctx.effects.push({
--- a/packages/core/src/wire/messages.ts
+++ b/packages/core/src/wire/messages.ts
@@ -5,7 +5,10 @@
 
 const id = z.string().min(1).max(128);
 const tokens = z.number().nonnegative();
-const bytes = z.instanceof(Uint8Array);
+const bytes = z.custom<Uint8Array>(
+  (value) => value instanceof Uint8Array,
+  "expected bytes",
+);
 const seq = z.int().nonnegative();
 
 /** State in which a sidecar reports its endpoint. */
