--- a/packages/core/src/router/index.ts
+++ b/packages/core/src/router/index.ts
@@ -8,3 +8,4 @@
   RouterState,
 } from "./router_state.js";
 export { requestErrors } from "./request_errors.js";
+export * from "./list_models.js";
--- /dev/null
+++ b/packages/core/src/sidecar/engine_dialect.ts
@@ -0,0 +1,122 @@
+import type { Submit } from "../wire/index.js";
+
+/** One HTTP call to an endpoint. */
+export interface EngineCall {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Uint8Array | undefined;
+  /** Whether the answer is a stream of chat events that are counted. */
+  readonly chatStream: boolean;
+  /** Whether the caller asked for the usage event that ends a stream. */
+  readonly wantsUsage: boolean;
+}
+
+/** How an endpoint is called; varies between engines and plain services. */
+export abstract class EngineDialect {
+  abstract composeCall(submit: Submit): EngineCall;
+
+  /** Path that yields a stream from an event on, if streams can be resumed. */
+  resumePath(_attemptId: string, _fromEvent: number): string | undefined {
+    return undefined;
+  }
+
+  /** Path whose `DELETE` frees the slot of a cancelled stream, if any. */
+  cancelPath(_attemptId: string): string | undefined {
+    return undefined;
+  }
+}
+
+/** Plain HTTP: method, path, headers and body pass through. */
+export class PlainDialect extends EngineDialect {
+  override composeCall(submit: Submit): EngineCall {
+    return {
+      method: submit.method,
+      path: submit.path,
+      headers: {
+        ...submit.headers,
+        "anvildeal-request": submit.requestId,
+      },
+      body: submit.body.length > 0 ? submit.body : undefined,
+      chatStream: false,
+      wantsUsage: false,
+    };
+  }
+}
+
+interface ChatBody {
+  readonly stream?: boolean;
+  readonly stream_options?: { readonly include_usage?: boolean };
+}
+
+/** OpenAI-compatible engine without extensions. */
+export class OpenAiDialect extends EngineDialect {
+  override composeCall(submit: Submit): EngineCall {
+    const body = JSON.parse(new TextDecoder().decode(submit.body)) as ChatBody;
+    const chatStream = body.stream === true;
+    const wantsUsage = body.stream_options?.include_usage === true;
+    const engineBody = {
+      ...body,
+      ...chatStream && { stream_options: { include_usage: true } },
+      ...this.extendBody(submit),
+    };
+    return {
+      method: "POST",
+      path: "/v1/chat/completions",
+      headers: {
+        "content-type": "application/json",
+        "anvildeal-request": submit.requestId,
+        ...this.extendHeaders(submit),
+      },
+      body: new TextEncoder().encode(JSON.stringify(engineBody)),
+      chatStream,
+      wantsUsage,
+    };
+  }
+
+  protected extendBody(_submit: Submit): Record<string, unknown> {
+    return {};
+  }
+
+  protected extendHeaders(_submit: Submit): Record<string, string> {
+    return {};
+  }
+}
+
+/** OpenAI-compatible engine with stream ids, priorities and continuation. */
+export class ResumableOpenAiDialect extends OpenAiDialect {
+  override resumePath(attemptId: string, fromEvent: number): string {
+    return `/v1/streams/${encodeURIComponent(attemptId)}?from=${fromEvent}`;
+  }
+
+  override cancelPath(attemptId: string): string {
+    return `/v1/streams/${encodeURIComponent(attemptId)}`;
+  }
+
+  protected override extendBody(submit: Submit): Record<string, unknown> {
+    return submit.resumeText === undefined
+      ? {}
+      : { continue_text: submit.resumeText };
+  }
+
+  protected override extendHeaders(submit: Submit): Record<string, string> {
+    return {
+      "x-stream-id": submit.attemptId,
+      "x-priority": String(submit.priority),
+    };
+  }
+}
+
+/** The dialect that a pool's configuration names. */
+export function createDialect(
+  name: "openai" | "openai_resumable" | "plain",
+): EngineDialect {
+  switch (name) {
+    case "openai":
+      return new OpenAiDialect();
+    case "openai_resumable":
+      return new ResumableOpenAiDialect();
+    case "plain":
+      return new PlainDialect();
+  }
+}
--- a/packages/core/src/sidecar/index.ts
+++ b/packages/core/src/sidecar/index.ts
@@ -6,3 +6,4 @@
   SidecarOptions,
   SidecarState,
 } from "./sidecar_state.js";
+export * from "./engine_dialect.js";
--- /dev/null
+++ b/packages/daemon/src/engine/engine_client.ts
@@ -0,0 +1,380 @@
+import {
+  type EngineCall,
+  EngineDialect,
+  type Millis,
+  type Order,
+  type SidecarEvent,
+  type Submit,
+  type Usage,
+} from "@anvildeal/core";
+import { Agent, type Dispatcher } from "undici";
+import type { Disposable } from "../net/index.js";
+import { ChatEventReader, usageOf } from "./chat_event_reader.js";
+import { EngineError } from "./engine_error.js";
+
+/** A stream without bytes for this long is read over a new connection. */
+const STREAM_SILENCE_MS: Millis = 2000;
+
+/** An answer that is not a stream is kept for its usage up to this size. */
+const MAX_USAGE_BODY_BYTES = 1024 * 1024;
+
+const HOP_BY_HOP_HEADERS = new Set([
+  "connection",
+  "content-length",
+  "keep-alive",
+  "transfer-encoding",
+  "upgrade",
+]);
+
+/** What happens to a call, without the time that the host adds. */
+export type CallEvent = Extract<
+  SidecarEvent,
+  { type: "call_head" | "call_data" | "call_ended" | "call_failed" }
+>;
+
+export type CallListener = (
+  event: CallEvent extends infer E
+    ? E extends unknown ? Omit<E, "nowMs"> : never
+    : never,
+) => void;
+
+interface RunningCall {
+  readonly controller: AbortController;
+  body: Dispatcher.ResponseData["body"] | undefined;
+  paused: boolean;
+}
+
+/** Calls the endpoint over HTTP and reports what comes back. */
+export class EngineClient implements Disposable {
+  readonly #url: string;
+  readonly #listener: CallListener;
+  readonly #calls = new Map<string, RunningCall>();
+  #agent = createAgent();
+  #dialect: EngineDialect;
+
+  constructor(url: string, dialect: EngineDialect, listener: CallListener) {
+    this.#url = url;
+    this.#dialect = dialect;
+    this.#listener = listener;
+  }
+
+  setDialect(dialect: EngineDialect): void {
+    this.#dialect = dialect;
+  }
+
+  start(attemptId: string, submit: Submit): void {
+    const call = {
+      controller: new AbortController(),
+      body: undefined,
+      paused: false,
+    };
+    this.#calls.set(attemptId, call);
+    void this.#run(attemptId, submit, call).catch((error: unknown) => {
+      if (!call.controller.signal.aborted) {
+        this.#listener({
+          type: "call_failed",
+          attemptId,
+          mayHaveRun: mayHaveRun(error),
+          reason: error instanceof Error ? error.message : String(error),
+        });
+      }
+    }).finally(() => this.#calls.delete(attemptId));
+  }
+
+  /** Stops a call; nothing more is reported about it. */
+  abort(attemptId: string): void {
+    const call = this.#calls.get(attemptId);
+    call?.controller.abort();
+    const path = this.#dialect.cancelPath(attemptId);
+    if (call && path !== undefined) {
+      void this.#agent.request({
+        origin: this.#url,
+        path,
+        method: "DELETE",
+      }).then(({ body }) => body.dump()).catch(() => {
+        // The engine frees the slot itself when nobody reads the stream.
+      });
+    }
+  }
+
+  setPaused(attemptId: string, paused: boolean): void {
+    const call = this.#calls.get(attemptId);
+    if (!call) {
+      return;
+    }
+    call.paused = paused;
+    if (paused) {
+      call.body?.pause();
+    } else {
+      call.body?.resume();
+    }
+  }
+
+  /** Whether the endpoint answers its health check. */
+  async isHealthy(): Promise<boolean> {
+    try {
+      const { statusCode, body } = await this.#agent.request({
+        origin: this.#url,
+        path: "/health",
+        method: "GET",
+        headersTimeout: STREAM_SILENCE_MS,
+        bodyTimeout: STREAM_SILENCE_MS,
+      });
+      await body.dump();
+      return statusCode < 500;
+    } catch {
+      return false;
+    }
+  }
+
+  /** Passes an order on; resolves to its result. */
+  async runOrder(order: Order): Promise<{ accepted: boolean; reason: string }> {
+    try {
+      const { statusCode, body } = await this.#agent.request({
+        origin: this.#url,
+        path: "/v1/orders",
+        method: "POST",
+        headers: { "content-type": "application/json" },
+        body: JSON.stringify({
+          kind: order.kind,
+          parameters: order.parameters,
+          fencing_number: order.fencingNumber,
+        }),
+      });
+      const reason = await body.text();
+      return { accepted: statusCode < 300, reason: reason.slice(0, 200) };
+    } catch (error) {
+      return { accepted: false, reason: String(error).slice(0, 200) };
+    }
+  }
+
+  /** Cache events after a number; undefined when the endpoint has none. */
+  async readCacheEvents(after: number): Promise<CacheEvents | undefined> {
+    try {
+      const { statusCode, body } = await this.#agent.request({
+        origin: this.#url,
+        path: `/v1/cache/events?after=${after}`,
+        method: "GET",
+      });
+      if (statusCode !== 200) {
+        await body.dump();
+        return undefined;
+      }
+      return await body.json() as CacheEvents;
+    } catch {
+      return undefined;
+    }
+  }
+
+  dispose(): void {
+    for (const { controller } of this.#calls.values()) {
+      controller.abort();
+    }
+    void this.#agent.destroy().catch(() => {});
+  }
+
+  async #run(
+    attemptId: string,
+    submit: Submit,
+    call: RunningCall,
+  ): Promise<void> {
+    const engineCall = this.#dialect.composeCall(submit);
+    const { signal } = call.controller;
+    const response = await this.#agent.request({
+      origin: this.#url,
+      path: engineCall.path,
+      method: engineCall.method as Dispatcher.HttpMethod,
+      headers: { ...engineCall.headers },
+      body: engineCall.body ?? null,
+      signal,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+    if (submit.kind === "chat" && response.statusCode >= 500) {
+      await response.body.dump();
+      throw new EngineError(`engine answered ${response.statusCode}`, true);
+    }
+    this.#listener({
+      type: "call_head",
+      attemptId,
+      status: response.statusCode,
+      headers: passedHeaders(response.headers),
+    });
+    if (engineCall.chatStream && response.statusCode === 200) {
+      await this.#readStream(attemptId, call, engineCall, response.body);
+    } else {
+      await this.#readBody(attemptId, call, submit, response.body);
+    }
+  }
+
+  async #readBody(
+    attemptId: string,
+    call: RunningCall,
+    submit: Submit,
+    body: Dispatcher.ResponseData["body"],
+  ): Promise<void> {
+    call.body = body;
+    const kept: Uint8Array[] = [];
+    let keptBytes = 0;
+    for await (const part of body) {
+      const data = new Uint8Array(part as Buffer);
+      if (submit.kind === "chat" && keptBytes < MAX_USAGE_BODY_BYTES) {
+        kept.push(data);
+        keptBytes += data.length;
+      }
+      this.#listener({ type: "call_data", attemptId, data, outputTokens: 0 });
+    }
+    this.#listener({
+      type: "call_ended",
+      attemptId,
+      usage: submit.kind === "chat" ? parseUsage(kept) : undefined,
+    });
+  }
+
+  /** Reads a chat stream, over new connections when it goes silent. */
+  async #readStream(
+    attemptId: string,
+    call: RunningCall,
+    engineCall: EngineCall,
+    firstBody: Dispatcher.ResponseData["body"],
+  ): Promise<void> {
+    const reader = new ChatEventReader(engineCall.wantsUsage);
+    let body: Dispatcher.ResponseData["body"] | undefined = firstBody;
+    while (body) {
+      call.body = body;
+      const ended = await this.#readUntilSilent(attemptId, call, body, reader);
+      if (reader.done) {
+        this.#listener({ type: "call_ended", attemptId, usage: reader.usage });
+        return;
+      }
+      if (call.controller.signal.aborted) {
+        return;
+      }
+      body = await this.#reopen(attemptId, call, reader, ended);
+    }
+    throw new EngineError("engine ended the stream early", true);
+  }
+
+  /** Resolves to true when the body ended, false when it went silent. */
+  async #readUntilSilent(
+    attemptId: string,
+    call: RunningCall,
+    body: Dispatcher.ResponseData["body"],
+    reader: ChatEventReader,
+  ): Promise<boolean> {
+    let silent = false;
+    const onSilence = () => {
+      if (call.paused) {
+        timer.refresh();
+        return;
+      }
+      silent = true;
+      body.destroy();
+    };
+    const timer = setTimeout(onSilence, STREAM_SILENCE_MS);
+    try {
+      for await (const part of body) {
+        timer.refresh();
+        const { data, outputTokens } = reader.push(part as Buffer);
+        if (data.length > 0) {
+          this.#listener({ type: "call_data", attemptId, data, outputTokens });
+        }
+      }
+      return !silent;
+    } catch (error) {
+      if (call.controller.signal.aborted) {
+        throw error;
+      }
+      return !silent;
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
+  async #reopen(
+    attemptId: string,
+    call: RunningCall,
+    reader: ChatEventReader,
+    ended: boolean,
+  ): Promise<Dispatcher.ResponseData["body"] | undefined> {
+    const path = this.#dialect.resumePath(attemptId, reader.eventCount);
+    if (path === undefined) {
+      throw new EngineError(
+        ended ? "engine ended the stream early" : "engine stream went silent",
+        true,
+      );
+    }
+    reader.restart();
+    this.#replaceAgent(ended);
+    const response = await this.#agent.request({
+      origin: this.#url,
+      path,
+      method: "GET",
+      signal: call.controller.signal,
+      headersTimeout: STREAM_SILENCE_MS,
+      bodyTimeout: 0,
+    });
+    if (response.statusCode !== 200) {
+      await response.body.dump();
+      return undefined;
+    }
+    return response.body;
+  }
+
+  /**
+   * After silence no pooled connection can be trusted, so later calls must
+   * not reuse one; calls that are under way keep theirs.
+   */
+  #replaceAgent(ended: boolean): void {
+    if (ended) {
+      return;
+    }
+    const old = this.#agent;
+    this.#agent = createAgent();
+    void old.close().catch(() => {});
+  }
+}
+
+export interface CacheEvents {
+  readonly events: readonly {
+    readonly seq: number;
+    readonly kind: "stored" | "evicted";
+    readonly hash: string;
+    readonly tokens: number;
+  }[];
+}
+
+function createAgent(): Agent {
+  return new Agent({ connections: 256, pipelining: 1 });
+}
+
+function mayHaveRun(error: unknown): boolean {
+  if (error instanceof EngineError) {
+    return error.mayHaveRun;
+  }
+  const code = (error as { code?: string }).code;
+  return code !== "ECONNREFUSED" && code !== "UND_ERR_CONNECT_TIMEOUT";
+}
+
+function passedHeaders(
+  headers: Record<string, string | string[] | undefined>,
+): Record<string, string> {
+  const passed: Record<string, string> = {};
+  for (const [name, value] of Object.entries(headers)) {
+    if (value !== undefined && !HOP_BY_HOP_HEADERS.has(name)) {
+      passed[name] = Array.isArray(value) ? value.join(", ") : value;
+    }
+  }
+  return passed;
+}
+
+function parseUsage(parts: readonly Uint8Array[]): Usage | undefined {
+  try {
+    const body = JSON.parse(Buffer.concat(parts).toString()) as {
+      usage?: Parameters<typeof usageOf>[0];
+    };
+    return body.usage ? usageOf(body.usage) : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/logging/index.ts
@@ -0,0 +1,1 @@
+export * from "./logger.js";
--- /dev/null
+++ b/packages/daemon/src/metrics/index.ts
@@ -0,0 +1,1 @@
+export * from "./metric_registry.js";
--- /dev/null
+++ b/packages/daemon/src/net/peer_server.ts
@@ -0,0 +1,42 @@
+import { createServer, type Server } from "node:net";
+import type { Disposable } from "./disposable.js";
+import { Emitter } from "./emitter.js";
+import { PeerConnection, type PeerConnectionOptions } from "./peer_connection.js";
+
+/** Accepts connections of other anvildeal processes. */
+export class PeerServer implements Disposable {
+  readonly #server: Server;
+  readonly #connections = new Set<PeerConnection>();
+  readonly #onConnection = new Emitter<PeerConnection>();
+
+  /** Fires for each connection before its handshake. */
+  readonly onConnection = this.#onConnection.event;
+
+  constructor(options: () => PeerConnectionOptions) {
+    this.#server = createServer((socket) => {
+      const connection = new PeerConnection(socket, options());
+      this.#connections.add(connection);
+      connection.onClose(() => this.#connections.delete(connection));
+      this.#onConnection.fire(connection);
+    });
+  }
+
+  /** Starts to listen; resolves to the port in use. */
+  listen(host: string, port: number): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, host, () => {
+        const address = this.#server.address();
+        resolve(address && typeof address === "object" ? address.port : port);
+      });
+    });
+  }
+
+  dispose(): void {
+    this.#server.close();
+    for (const connection of this.#connections) {
+      connection.dispose();
+    }
+    this.#onConnection.dispose();
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/router/caller_error.ts
@@ -0,0 +1,18 @@
+import type { ErrorAnswer } from "@anvildeal/core";
+
+/** A request that cannot be understood; it was not run. */
+export class CallerError extends Error {
+  override readonly name = "CallerError";
+  readonly answer: ErrorAnswer;
+
+  constructor(status: number, code: string, message: string) {
+    super(message);
+    this.answer = {
+      status,
+      code,
+      errorType: "invalid_request_error",
+      message,
+      outcome: "not-run",
+    };
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/router/caller_server.ts
@@ -0,0 +1,305 @@
+import { randomBytes } from "node:crypto";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { Socket } from "node:net";
+import type {
+  CallerRequest,
+  ErrorAnswer,
+  Millis,
+  PrefixHasher,
+} from "@anvildeal/core";
+import { type Disposable, Emitter } from "../net/index.js";
+import { CallerError } from "./caller_error.js";
+import {
+  keyHashOf,
+  parseChatRequest,
+  parseServiceRequest,
+  type RequestHead,
+} from "./parse_request.js";
+import { readBody } from "./read_body.js";
+
+const REQUEST_ID_BYTES = 12;
+
+/** Interval at which slow headers are looked for. */
+const SLOW_CHECK_INTERVAL_MS: Millis = 500;
+
+export interface CallerServerOptions {
+  readonly maxBodyBytes: number;
+  readonly maxHeaderBytes: number;
+  readonly bodyTimeoutMs: Millis;
+  readonly hasher: PrefixHasher;
+  /** Models that the account with this key may use; undefined if unknown. */
+  readonly listModels: (keyHash: string) => readonly string[] | undefined;
+  /** Undefined when the router takes requests, else why it does not. */
+  readonly notReadyReason: () => string | undefined;
+}
+
+export interface Congestion {
+  readonly requestId: string;
+  readonly congested: boolean;
+}
+
+/** HTTP server for callers: reads requests and writes the answers. */
+export class CallerServer implements Disposable {
+  readonly #options: CallerServerOptions;
+  readonly #server: Server;
+  readonly #responses = new Map<string, ServerResponse>();
+  readonly #onRequest = new Emitter<CallerRequest>();
+  readonly #onGone = new Emitter<string>();
+  readonly #onCongestion = new Emitter<Congestion>();
+  #stopping = false;
+
+  readonly onRequest = this.#onRequest.event;
+  /** Fires when a caller closes the connection before its answer is whole. */
+  readonly onGone = this.#onGone.event;
+  readonly onCongestion = this.#onCongestion.event;
+
+  constructor(options: CallerServerOptions) {
+    this.#options = options;
+    this.#server = createServer({
+      maxHeaderSize: options.maxHeaderBytes,
+      headersTimeout: options.bodyTimeoutMs,
+      requestTimeout: 0,
+      connectionsCheckingInterval: SLOW_CHECK_INTERVAL_MS,
+      keepAliveTimeout: 60_000,
+    }, (request, response) => void this.#handle(request, response));
+    this.#server.on("clientError", answerClientError);
+  }
+
+  listen(host: string, port: number): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, host, () => {
+        const address = this.#server.address();
+        resolve(address && typeof address === "object" ? address.port : port);
+      });
+    });
+  }
+
+  /** Asks callers to close their connections after their next answer. */
+  stopKeepAlive(): void {
+    this.#stopping = true;
+    this.#server.closeIdleConnections();
+  }
+
+  sendHead(
+    requestId: string,
+    status: number,
+    headers: Readonly<Record<string, string>>,
+  ): void {
+    const response = this.#responses.get(requestId);
+    if (response && !response.headersSent) {
+      this.#setConnectionHeader(response);
+      response.writeHead(status, headers);
+    }
+  }
+
+  sendData(requestId: string, data: Uint8Array): void {
+    const response = this.#responses.get(requestId);
+    if (response && !response.write(data)) {
+      this.#onCongestion.fire({ requestId, congested: true });
+      response.once("drain", () => {
+        this.#onCongestion.fire({ requestId, congested: false });
+      });
+    }
+  }
+
+  sendEnd(requestId: string): void {
+    const response = this.#responses.get(requestId);
+    this.#responses.delete(requestId);
+    response?.end();
+  }
+
+  /** Cuts a response whose head was sent, so that it cannot look whole. */
+  abort(requestId: string): void {
+    const response = this.#responses.get(requestId);
+    this.#responses.delete(requestId);
+    response?.destroy();
+  }
+
+  sendError(requestId: string, error: ErrorAnswer, endpointId?: string): void {
+    const response = this.#responses.get(requestId);
+    this.#responses.delete(requestId);
+    if (response) {
+      this.#setConnectionHeader(response);
+      writeError(response, requestId, error, endpointId);
+    }
+  }
+
+  dispose(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+    this.#onRequest.dispose();
+    this.#onGone.dispose();
+    this.#onCongestion.dispose();
+  }
+
+  async #handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const head: RequestHead = {
+      requestId: randomBytes(REQUEST_ID_BYTES).toString("base64url"),
+      method: request.method ?? "GET",
+      url: request.url ?? "/",
+      headers: request.headers,
+    };
+    if (this.#answerLocally(head, request, response)) {
+      return;
+    }
+    this.#register(head.requestId, response);
+    try {
+      const body = await readBody(request, this.#options);
+      this.#onRequest.fire(this.#parse(head, body));
+    } catch (error) {
+      if (!(error instanceof CallerError)) {
+        this.#responses.delete(head.requestId);
+        response.destroy();
+        return;
+      }
+      response.setHeader("connection", "close");
+      this.sendError(head.requestId, error.answer);
+    }
+  }
+
+  #register(requestId: string, response: ServerResponse): void {
+    this.#responses.set(requestId, response);
+    response.on("error", () => {});
+    response.once("close", () => {
+      if (this.#responses.delete(requestId)) {
+        this.#onGone.fire(requestId);
+      }
+    });
+  }
+
+  #parse(head: RequestHead, body: Uint8Array): CallerRequest {
+    const path = head.url.split("?")[0];
+    if (path.startsWith("/services/")) {
+      return parseServiceRequest(head, body);
+    }
+    if (path !== "/v1/chat/completions") {
+      throw new CallerError(404, "not_found", `Unknown path ${path}`);
+    }
+    if (head.method !== "POST") {
+      throw new CallerError(405, "method_not_allowed", "Use POST.");
+    }
+    return parseChatRequest(head, body, this.#options.hasher);
+  }
+
+  /** Answers health checks and the list of models; false for the rest. */
+  #answerLocally(
+    head: RequestHead,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): boolean {
+    const path = head.url.split("?")[0];
+    if (path !== "/healthz" && path !== "/readyz" && path !== "/v1/models") {
+      return false;
+    }
+    request.resume();
+    if (path === "/healthz") {
+      writeJson(response, 200, { status: "ok" });
+    } else if (path === "/readyz") {
+      const reason = this.#options.notReadyReason();
+      writeJson(response, reason === undefined ? 200 : 503, {
+        status: reason ?? "ready",
+      });
+    } else {
+      this.#answerModels(head, response);
+    }
+    return true;
+  }
+
+  #answerModels(head: RequestHead, response: ServerResponse): void {
+    const models = this.#options.listModels(keyHashOf(head));
+    if (!models) {
+      writeError(response, head.requestId, {
+        status: 401,
+        code: "invalid_api_key",
+        errorType: "invalid_request_error",
+        message: "Incorrect API key provided.",
+        outcome: "not-run",
+      });
+      return;
+    }
+    response.setHeader("anvildeal-request", head.requestId);
+    writeJson(response, 200, {
+      object: "list",
+      data: models.map((id) => ({
+        id,
+        object: "model",
+        created: 0,
+        owned_by: "anvildeal",
+      })),
+    });
+  }
+
+  #setConnectionHeader(response: ServerResponse): void {
+    if (this.#stopping && !response.headersSent) {
+      response.setHeader("connection", "close");
+    }
+  }
+}
+
+/** Writes an error in the shape of the OpenAI HTTP API. */
+function writeError(
+  response: ServerResponse,
+  requestId: string,
+  error: ErrorAnswer,
+  endpointId?: string,
+): void {
+  if (response.headersSent) {
+    response.destroy();
+    return;
+  }
+  response.setHeader("anvildeal-request", requestId);
+  response.setHeader("anvildeal-endpoint", endpointId ?? "none");
+  response.setHeader("anvildeal-outcome", error.outcome);
+  if (error.retryAfterMs !== undefined) {
+    const MS_PER_S = 1000;
+    const seconds = Math.ceil(error.retryAfterMs / MS_PER_S);
+    response.setHeader("retry-after", String(seconds));
+  }
+  writeJson(response, error.status, {
+    error: {
+      message: error.message,
+      type: error.errorType,
+      param: null,
+      code: error.code,
+    },
+  });
+}
+
+function writeJson(
+  response: ServerResponse,
+  status: number,
+  value: unknown,
+): void {
+  const body = JSON.stringify(value);
+  response.writeHead(status, {
+    "content-type": "application/json",
+    "content-length": Buffer.byteLength(body),
+  });
+  response.end(body);
+}
+
+/** Answers bytes that are not a valid or timely HTTP request head. */
+function answerClientError(error: Error & { code?: string }, socket: Socket) {
+  if (!socket.writable || error.code === "ECONNRESET") {
+    socket.destroy();
+    return;
+  }
+  const status = error.code === "ERR_HTTP_REQUEST_TIMEOUT"
+    ? "408 Request Timeout"
+    : error.code === "HPE_HEADER_OVERFLOW"
+    ? "431 Request Header Fields Too Large"
+    : "400 Bad Request";
+  socket.end(
+    `HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n` +
+      "anvildeal-outcome: not-run\r\n\r\n",
+  );
+}
--- /dev/null
+++ b/packages/daemon/src/router/parse_request.ts
@@ -0,0 +1,241 @@
+import { createHash } from "node:crypto";
+import type { IncomingMessage } from "node:http";
+import {
+  type CallerRequest,
+  estimateTokens,
+  type PrefixHasher,
+} from "@anvildeal/core";
+import { z } from "zod";
+import { CallerError } from "./caller_error.js";
+
+const contentPart = z.looseObject({
+  type: z.string(),
+  text: z.string().optional(),
+});
+
+const ChatBodySchema = z.looseObject({
+  model: z.string().min(1),
+  messages: z.array(z.looseObject({
+    role: z.string(),
+    content: z.union([z.string(), z.array(contentPart), z.null()]).optional(),
+  })).min(1),
+  stream: z.boolean().nullish(),
+  max_tokens: z.int().positive().nullish(),
+  max_completion_tokens: z.int().positive().nullish(),
+  user: z.string().nullish(),
+});
+type ChatBody = z.infer<typeof ChatBodySchema>;
+
+/** Headers that concern this connection or the caller's key only. */
+const DROPPED_HEADERS = new Set([
+  "authorization",
+  "connection",
+  "content-length",
+  "expect",
+  "host",
+  "keep-alive",
+  "proxy-authorization",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+]);
+
+const SERVICE_PATH = /^\/services\/([^/?]+)(\/[^?]*)?(\?.*)?$/;
+
+/** What of a request is known before its body. */
+export interface RequestHead {
+  readonly requestId: string;
+  readonly method: string;
+  readonly url: string;
+  readonly headers: IncomingMessage["headers"];
+}
+
+/** Turns a call of the chat API into a request; throws `CallerError`. */
+export function parseChatRequest(
+  head: RequestHead,
+  body: Uint8Array,
+  hasher: PrefixHasher,
+): CallerRequest {
+  const chat = parseChatBody(body);
+  const keyHash = keyHashOf(head);
+  const messages = chat.messages.map((message) => ({
+    role: message.role,
+    content: textOf(message.content),
+  }));
+  const text = messages.map((message) => message.content).join("");
+  return {
+    ...commonFields(head, body, keyHash),
+    kind: "chat",
+    path: "/v1/chat/completions",
+    headers: {},
+    target: chat.model,
+    stream: chat.stream === true,
+    chatId: chatIdOf(head, keyHash, chat, messages),
+    blockHashes: hasher.blockHashes(messages),
+    promptTokens: estimateTokens(text),
+    maxOutputTokens: chat.max_completion_tokens ?? chat.max_tokens ??
+      undefined,
+  };
+}
+
+/** Turns a call below `/services/` into a request; throws `CallerError`. */
+export function parseServiceRequest(
+  head: RequestHead,
+  body: Uint8Array,
+): CallerRequest {
+  const match = SERVICE_PATH.exec(head.url);
+  if (!match) {
+    throw new CallerError(404, "not_found", `Unknown path ${head.url}`);
+  }
+  const [, service, path = "/", query = ""] = match;
+  const keyHash = keyHashOf(head);
+  return {
+    ...commonFields(head, body, keyHash),
+    kind: "service",
+    path: path + query,
+    headers: passedHeaders(head.headers),
+    target: decodeURIComponent(service),
+    stream: false,
+    chatId: headerOf(head, "anvildeal-chat") ?? `${keyHash}/${service}`,
+    blockHashes: [],
+    promptTokens: 0,
+  };
+}
+
+/** SHA-256 of the bearer key, or an empty string without one. */
+export function keyHashOf(head: RequestHead): string {
+  const match = /^Bearer\s+(\S+)$/i.exec(headerOf(head, "authorization") ?? "");
+  return match ? sha256(match[1]) : "";
+}
+
+function commonFields(
+  head: RequestHead,
+  body: Uint8Array,
+  keyHash: string,
+) {
+  return {
+    requestId: head.requestId,
+    keyHash,
+    method: head.method,
+    body,
+    deadlineInMs: deadlineOf(head),
+    idempotent: idempotentOf(head),
+    idempotencyKey: idempotencyKeyOf(head),
+    fingerprint: createHash("sha256")
+      .update(`${head.method} ${head.url}\n`)
+      .update(body)
+      .digest("hex")
+      .slice(0, 64),
+  };
+}
+
+function parseChatBody(body: Uint8Array): ChatBody {
+  let value: unknown;
+  try {
+    value = JSON.parse(Buffer.from(body).toString("utf8"));
+  } catch {
+    throw new CallerError(400, "invalid_json", "The body is not valid JSON.");
+  }
+  const parsed = ChatBodySchema.safeParse(value);
+  if (!parsed.success) {
+    const issue = parsed.error.issues[0];
+    const place = issue.path.join(".") || "body";
+    throw new CallerError(400, "invalid_request", `${place}: ${issue.message}`);
+  }
+  return parsed.data;
+}
+
+function textOf(
+  content: ChatBody["messages"][number]["content"],
+): string {
+  if (typeof content === "string") {
+    return content;
+  }
+  return (content ?? []).map((part) => part.text ?? "").join("");
+}
+
+/**
+ * Identity of a chat. Without a name from the caller it is the start of the
+ * conversation, which stays the same as the chat grows.
+ */
+function chatIdOf(
+  head: RequestHead,
+  keyHash: string,
+  chat: ChatBody,
+  messages: readonly { role: string; content: string }[],
+): string {
+  const named = headerOf(head, "anvildeal-chat") ?? chat.user;
+  if (named) {
+    return sha256(`${keyHash}/${chat.model}/${named}`).slice(0, 24);
+  }
+  const system = messages.find((message) => message.role === "system");
+  const first = messages.find((message) => message.role === "user");
+  const start = `${system?.content ?? ""}\0${first?.content ?? ""}`;
+  return sha256(`${keyHash}/${chat.model}/${start}`).slice(0, 24);
+}
+
+function deadlineOf(head: RequestHead): number | undefined {
+  const value = headerOf(head, "anvildeal-deadline-ms");
+  if (value === undefined) {
+    return undefined;
+  }
+  const deadlineMs = Number(value);
+  if (!Number.isInteger(deadlineMs) || deadlineMs <= 0) {
+    throw new CallerError(
+      400,
+      "invalid_deadline",
+      "Anvildeal-Deadline-Ms must be a positive number of milliseconds.",
+    );
+  }
+  return deadlineMs;
+}
+
+function idempotentOf(head: RequestHead): boolean | undefined {
+  const value = headerOf(head, "anvildeal-idempotent");
+  if (value === undefined) {
+    return undefined;
+  }
+  if (value !== "true" && value !== "false") {
+    throw new CallerError(
+      400,
+      "invalid_header",
+      "Anvildeal-Idempotent must be true or false.",
+    );
+  }
+  return value === "true";
+}
+
+function idempotencyKeyOf(head: RequestHead): string | undefined {
+  const MAX_KEY_CHARS = 256;
+  const key = headerOf(head, "idempotency-key");
+  if (key !== undefined && (key.length === 0 || key.length > MAX_KEY_CHARS)) {
+    throw new CallerError(
+      400,
+      "invalid_idempotency_key",
+      `Idempotency-Key must have 1 to ${MAX_KEY_CHARS} characters.`,
+    );
+  }
+  return key;
+}
+
+function passedHeaders(
+  headers: IncomingMessage["headers"],
+): Record<string, string> {
+  const passed: Record<string, string> = {};
+  for (const [name, value] of Object.entries(headers)) {
+    if (value !== undefined && !DROPPED_HEADERS.has(name)) {
+      passed[name] = Array.isArray(value) ? value.join(", ") : value;
+    }
+  }
+  return passed;
+}
+
+function headerOf(head: RequestHead, name: string): string | undefined {
+  const value = head.headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
+
+function sha256(text: string): string {
+  return createHash("sha256").update(text).digest("hex");
+}
--- /dev/null
+++ b/packages/daemon/src/router/read_body.ts
@@ -0,0 +1,79 @@
+import type { IncomingMessage } from "node:http";
+import type { Millis } from "@anvildeal/core";
+import { CallerError } from "./caller_error.js";
+
+export interface BodyLimits {
+  readonly maxBodyBytes: number;
+  readonly bodyTimeoutMs: Millis;
+}
+
+/**
+ * Reads a request body within limits of size and time.
+ *
+ * Throws {@link CallerError} with status 413 or 408. The rest of a body that
+ * is too large is read and discarded for a while, since a caller that is still
+ * sending would otherwise see a reset instead of the answer.
+ */
+export function readBody(
+  request: IncomingMessage,
+  { maxBodyBytes, bodyTimeoutMs }: BodyLimits,
+): Promise<Uint8Array> {
+  return new Promise((resolve, reject) => {
+    const parts: Buffer[] = [];
+    let bytes = 0;
+    const fail = (error: Error) => {
+      clearTimeout(timer);
+      request.removeAllListeners("data");
+      request.resume();
+      discardFor(request, bodyTimeoutMs);
+      reject(error);
+    };
+    const tooLarge = () =>
+      fail(
+        new CallerError(
+          413,
+          "body_too_large",
+          `The body exceeds the limit of ${maxBodyBytes} bytes.`,
+        ),
+      );
+    const timer = setTimeout(
+      () =>
+        fail(
+          new CallerError(
+            408,
+            "body_timeout",
+            `The body did not arrive within ${bodyTimeoutMs} ms.`,
+          ),
+        ),
+      bodyTimeoutMs,
+    );
+    request.on("data", (part: Buffer) => {
+      bytes += part.length;
+      if (bytes > maxBodyBytes) {
+        tooLarge();
+        return;
+      }
+      parts.push(part);
+    });
+    request.once("end", () => {
+      clearTimeout(timer);
+      resolve(new Uint8Array(Buffer.concat(parts)));
+    });
+    request.once("error", (error) => {
+      clearTimeout(timer);
+      reject(error);
+    });
+    request.once("close", () => {
+      clearTimeout(timer);
+      reject(new Error("caller closed the connection"));
+    });
+    if (Number(request.headers["content-length"] ?? 0) > maxBodyBytes) {
+      tooLarge();
+    }
+  });
+}
+
+function discardFor(request: IncomingMessage, timeoutMs: Millis): void {
+  const timer = setTimeout(() => request.destroy(), timeoutMs);
+  request.once("close", () => clearTimeout(timer));
+}
--- /dev/null
+++ b/packages/daemon/src/settings/index.ts
@@ -0,0 +1,1 @@
+export * from "./load_settings.js";
--- /dev/null
+++ b/packages/daemon/src/settings/load_settings.ts
@@ -0,0 +1,52 @@
+import { readFileSync } from "node:fs";
+import {
+  ConfigError,
+  issuesOf,
+  type Settings,
+  SettingsSchema,
+} from "@anvildeal/core";
+import { parse, TomlError } from "smol-toml";
+
+/**
+ * Reads and checks a settings file.
+ *
+ * Throws {@link ConfigError} that names file, key, value found and what is
+ * allowed, for every mistake in the file.
+ */
+export function loadSettings(file: string): Settings {
+  const value = parseToml(readText(file), file);
+  const parsed = SettingsSchema.safeParse(value);
+  if (!parsed.success) {
+    throw new ConfigError(issuesOf(parsed.error, value, file));
+  }
+  return parsed.data;
+}
+
+function readText(file: string): string {
+  try {
+    return readFileSync(file, "utf8");
+  } catch (error) {
+    throw singleIssue(file, "(file)", String(error), "expected a file");
+  }
+}
+
+function parseToml(text: string, file: string): unknown {
+  try {
+    return parse(text);
+  } catch (error) {
+    if (error instanceof TomlError) {
+      const place = `line ${error.line}, column ${error.column}`;
+      throw singleIssue(file, place, "invalid TOML", error.message);
+    }
+    throw error;
+  }
+}
+
+function singleIssue(
+  file: string,
+  key: string,
+  found: string,
+  allowed: string,
+): ConfigError {
+  return new ConfigError([{ file, key, found, allowed }]);
+}
