--- a/packages/stand-ins/src/cache_event_feed.ts
+++ b/packages/stand-ins/src/cache_event_feed.ts
@@ -1,4 +1,5 @@
 import type { CacheEventKind } from "./prefix_cache.js";
+import { nextRandom32 } from "./random32.js";
 
 /** A cache event as the engine reports it; `hash` has 16 hex digits. */
 export interface CacheEvent {
@@ -54,10 +55,9 @@
       .map(({ event }) => event);
   }
 
-  /** Uniform in [0, 1) from a 32-bit linear congruential generator. */
+  /** Uniform in [0, 1). */
   #random(): number {
-    const state = Math.imul(this.#randomState, 1664525) + 1013904223;
-    this.#randomState = state >>> 0;
+    this.#randomState = nextRandom32(this.#randomState);
     return this.#randomState / 2 ** 32;
   }
 }
--- a/packages/stand-ins/src/chat_job.ts
+++ b/packages/stand-ins/src/chat_job.ts
@@ -9,7 +9,7 @@
 import type { EngineJob } from "./batch_scheduler.js";
 import { EngineStream } from "./engine_stream.js";
 import { answerTokens } from "./expected_answer.js";
-import { HttpStatusError } from "./http_stand_in.js";
+import { HttpStatusError } from "./http_status_error.js";
 import type { PrefixCache } from "./prefix_cache.js";
 
 export interface ChatRequest {
--- a/packages/stand-ins/src/execution_log.ts
+++ b/packages/stand-ins/src/execution_log.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage } from "node:http";
-import { headerOf } from "./http_stand_in.js";
+import { headerOf } from "./http_exchange.js";
 
 /** How often one request ran. */
 export interface ExecutionCount {
--- a/packages/stand-ins/src/expected_answer.ts
+++ b/packages/stand-ins/src/expected_answer.ts
@@ -1,13 +1,10 @@
 import { type PromptMessage, promptText } from "@anvildeal/core";
 import { createHash } from "node:crypto";
+import { nextRandom32 } from "./random32.js";
 
 const CONSONANTS = "bcdfghklmnprstvz";
 const VOWELS = "aeiouy";
 
-/** Multiplier and increment of a 32-bit linear congruential generator. */
-const LCG_MULTIPLIER = 1664525;
-const LCG_INCREMENT = 1013904223;
-
 /**
  * The tokens of the answer that every model engine gives to these messages.
  * `maxTokens` is the length of the whole answer and also determines its words,
@@ -23,7 +20,7 @@
   let state = digest.readUInt32LE(0);
   const tokens: string[] = [];
   for (let index = 0; index < maxTokens; index += 1) {
-    state = (Math.imul(state, LCG_MULTIPLIER) + LCG_INCREMENT) >>> 0;
+    state = nextRandom32(state);
     const word = wordOf(state);
     tokens.push(index === 0 ? word : ` ${word}`);
   }
--- /dev/null
+++ b/packages/stand-ins/src/http_exchange.ts
@@ -0,0 +1,79 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { z } from "zod";
+import { HttpStatusError } from "./http_status_error.js";
+
+const MAX_BODY_BYTES = 16 * 1024 * 1024;
+
+/** One request and its answer. */
+export interface Exchange {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly url: URL;
+}
+
+/** Reads a whole body; throws {@link HttpStatusError} above the limit. */
+export async function readBody(
+  request: IncomingMessage,
+  limitBytes = MAX_BODY_BYTES,
+): Promise<Buffer> {
+  const parts: Buffer[] = [];
+  let bytes = 0;
+  for await (const part of request) {
+    bytes += (part as Buffer).length;
+    if (bytes > limitBytes) {
+      throw new HttpStatusError(413, `Body exceeds ${limitBytes} bytes`);
+    }
+    parts.push(part as Buffer);
+  }
+  return Buffer.concat(parts);
+}
+
+export async function readJson(
+  request: IncomingMessage,
+  limitBytes = MAX_BODY_BYTES,
+): Promise<unknown> {
+  const body = await readBody(request, limitBytes);
+  try {
+    return JSON.parse(body.toString("utf8"));
+  } catch {
+    throw new HttpStatusError(400, "Body is not valid JSON");
+  }
+}
+
+/** Answers with JSON, or without a body when `body` is undefined. */
+export function sendJson(
+  { response }: Exchange,
+  status: number,
+  body?: unknown,
+  headers: Record<string, string> = {},
+): void {
+  if (response.destroyed || response.headersSent) {
+    return;
+  }
+  const text = body === undefined ? "" : JSON.stringify(body);
+  response.writeHead(status, {
+    ...(body === undefined ? {} : { "content-type": "application/json" }),
+    ...headers,
+  });
+  response.end(text);
+}
+
+/** Answers with the status that belongs to the error. */
+export function sendError(exchange: Exchange, error: unknown): void {
+  const message = error instanceof Error ? error.message : String(error);
+  const status = error instanceof HttpStatusError
+    ? error.status
+    : error instanceof z.ZodError
+    ? 400
+    : 500;
+  sendJson(exchange, status, { error: { message, type: "stand_in_error" } });
+}
+
+/** Value of a request header, or undefined when it is absent. */
+export function headerOf(
+  request: IncomingMessage,
+  name: string,
+): string | undefined {
+  const value = request.headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
--- /dev/null
+++ b/packages/stand-ins/src/http_status_error.ts
@@ -0,0 +1,9 @@
+/** An error that is answered with an HTTP status instead of a 500. */
+export class HttpStatusError extends Error {
+  readonly status: number;
+
+  constructor(status: number, message: string) {
+    super(message);
+    this.status = status;
+  }
+}
--- a/packages/stand-ins/src/instance_list.ts
+++ b/packages/stand-ins/src/instance_list.ts
@@ -1,13 +1,12 @@
 import { z } from "zod";
 import {
-  CommonFaultsSchema,
   type Exchange,
   headerOf,
-  HttpStandIn,
-  HttpStatusError,
   readJson,
   sendJson,
-} from "./http_stand_in.js";
+} from "./http_exchange.js";
+import { CommonFaultsSchema, HttpStandIn } from "./http_stand_in.js";
+import { HttpStatusError } from "./http_status_error.js";
 import { LaggedValue } from "./lagged_value.js";
 
 export const InstanceSchema = z.object({
@@ -56,6 +55,11 @@
     return this.#frozen ?? this.#snapshots.read(performance.now());
   }
 
+  /** The true list, which readers see after the lag. */
+  get instances(): Instance[] {
+    return [...this.#instances.values()];
+  }
+
   /** Adds or replaces an instance in the true list. */
   put(instance: Instance): void {
     this.#instances.set(instance.instance_id, instance);
@@ -112,9 +116,8 @@
 
   #publish(): void {
     this.#version += 1;
-    const instances = [...this.#instances.values()];
     this.#snapshots.set(
-      { version: this.#version, instances },
+      { version: this.#version, instances: this.instances },
       performance.now(),
     );
   }
--- a/packages/stand-ins/src/listen.ts
+++ b/packages/stand-ins/src/listen.ts
@@ -1,3 +1,4 @@
+import type { Server as HttpServer } from "node:http";
 import type { Server } from "node:net";
 
 /** Starts a server on a loopback port and returns the port in use. */
@@ -5,8 +6,19 @@
   return new Promise((resolve, reject) => {
     server.once("error", reject);
     server.listen(port, "127.0.0.1", () => {
+      server.off("error", reject);
       const address = server.address();
       resolve(typeof address === "object" && address ? address.port : port);
     });
   });
 }
+
+/** Stops an HTTP server and ends its connections. */
+export async function closeServer(server: HttpServer): Promise<void> {
+  if (!server.listening) {
+    return;
+  }
+  const closed = new Promise<void>((resolve) => server.close(() => resolve()));
+  server.closeAllConnections();
+  await closed;
+}
--- /dev/null
+++ b/packages/stand-ins/src/model_engine_schemas.ts
@@ -0,0 +1,55 @@
+import { z } from "zod";
+import { CommonFaultsSchema } from "./http_stand_in.js";
+
+/** Body of a chat completion, as far as the engine reads it. */
+export const ChatBodySchema = z.object({
+  model: z.string().default("stand-in"),
+  messages: z.array(z.object({ role: z.string(), content: z.string() })).min(1),
+  max_tokens: z.int().positive().optional(),
+  max_completion_tokens: z.int().positive().optional(),
+  stream: z.boolean().default(false),
+  stream_options: z.object({ include_usage: z.boolean().default(false) })
+    .optional(),
+  continue_text: z.string().default(""),
+});
+
+/** Header `x-priority`: 0 lowest, 9 highest. */
+export const PrioritySchema = z.coerce.number().int().min(0).max(9);
+
+/** Number of a stream event or a cache event in a query. */
+export const EventNumberSchema = z.coerce.number().int().nonnegative();
+
+const hashHex = z.string().regex(/^[0-9a-f]{16}$/);
+
+/** Prefix hashes to export, first block first. */
+export const CacheExportSchema = z.object({ hashes: z.array(hashHex) });
+
+/** Blocks to import, first block first. */
+export const CacheImportSchema = z.object({
+  blocks: z.array(z.object({ hash: hashHex, tokens: z.number() })),
+});
+
+export const EngineOrderSchema = z.object({
+  kind: z.string(),
+  parameters: z.record(z.string(), z.string()),
+  fencing_number: z.int().nonnegative(),
+});
+export type EngineOrder = z.infer<typeof EngineOrderSchema>;
+
+export const ModelEngineFaultsSchema = CommonFaultsSchema.extend({
+  /** Multiplies the time of prefill and decode. */
+  slow_factor: z.number().positive().optional(),
+  /** Generates nothing, while HTTP calls are still answered. */
+  paused: z.boolean().optional(),
+});
+export type ModelEngineFaults = z.input<typeof ModelEngineFaultsSchema>;
+
+/** What `GET /v1/load` reports. */
+export interface EngineLoad {
+  readonly running: number;
+  readonly waiting: number;
+  readonly outstanding_tokens: number;
+  readonly prefill_tokens_per_s: number;
+  readonly decode_tokens_per_s: number;
+  readonly max_batch: number;
+}
--- a/packages/stand-ins/src/model_engine_test.ts
+++ b/packages/stand-ins/src/model_engine_test.ts
@@ -1,6 +1,7 @@
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { expectedAnswer } from "./expected_answer.js";
-import { ModelEngine, type ModelEngineOptions } from "./model_engine.js";
+import { ModelEngine } from "./model_engine.js";
+import type { ModelEngineOptions } from "./model_engine_options.js";
 
 const messages = [{ role: "user", content: "ledger ".repeat(400) }];
 
--- a/packages/stand-ins/src/object_api.ts
+++ b/packages/stand-ins/src/object_api.ts
@@ -1,14 +1,13 @@
 import type { IncomingMessage } from "node:http";
 import { z } from "zod";
 import {
-  CommonFaultsSchema,
   type Exchange,
   headerOf,
-  HttpStandIn,
-  HttpStatusError,
   readJson,
   sendJson,
-} from "./http_stand_in.js";
+} from "./http_exchange.js";
+import { CommonFaultsSchema, HttpStandIn } from "./http_stand_in.js";
+import { HttpStatusError } from "./http_status_error.js";
 import { ObjectTable, type Precondition } from "./object_table.js";
 
 /** Limit of one value, as the platform's object API states it. */
@@ -164,12 +163,18 @@
 
   #delete(exchange: Exchange, key: string): void {
     const when = preconditionOf(exchange.request);
+    if (when === "absent") {
+      throw new HttpStatusError(428, "A delete needs If-Match");
+    }
     this.#calls.delete += 1;
     this.#write(exchange, key, () => {
       const result = this.table.delete(key, when);
-      return result.applied
-        ? { status: 204, body: undefined }
-        : { status: 412, body: result.current };
+      if (result.applied) {
+        return { status: 204, body: undefined };
+      }
+      return result.current
+        ? { status: 412, body: result.current }
+        : { status: 404, body: { error: { message: `No object ${key}` } } };
     });
   }
 
@@ -197,14 +202,7 @@
   #applyLater(apply: () => unknown, delayMs: number): void {
     const timer = setTimeout(() => {
       this.#delayedWrites.delete(timer);
-      try {
-        apply();
-      } catch (error) {
-        // The object was deleted meanwhile; no caller waits for the answer.
-        if (!(error instanceof HttpStatusError)) {
-          throw error;
-        }
-      }
+      apply();
     }, delayMs);
     this.#delayedWrites.add(timer);
   }
--- a/packages/stand-ins/src/object_table.ts
+++ b/packages/stand-ins/src/object_table.ts
@@ -1,5 +1,3 @@
-import { HttpStatusError } from "./http_stand_in.js";
-
 /** An object as the API returns it. */
 export interface ObjectRow {
   readonly key: string;
@@ -40,11 +38,8 @@
     return { applied: true, version: row.version };
   }
 
-  delete(key: string, when: Precondition): WriteResult {
+  delete(key: string, when: number): WriteResult {
     const current = this.#rows.get(key);
-    if (!current) {
-      throw new HttpStatusError(404, `No object ${key}`);
-    }
     if (!holds(current, when)) {
       return { applied: false, current };
     }
--- a/packages/stand-ins/src/plain_service.ts
+++ b/packages/stand-ins/src/plain_service.ts
@@ -1,13 +1,8 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { z } from "zod";
 import { executionIdOf, ExecutionLog } from "./execution_log.js";
-import {
-  CommonFaultsSchema,
-  type Exchange,
-  HttpStandIn,
-  readBody,
-  sendJson,
-} from "./http_stand_in.js";
+import { type Exchange, readBody, sendJson } from "./http_exchange.js";
+import { CommonFaultsSchema, HttpStandIn } from "./http_stand_in.js";
 
 /** Methods without an effect on the service. */
 const SAFE_METHODS: ReadonlySet<string> = new Set(["GET", "HEAD", "OPTIONS"]);
--- /dev/null
+++ b/packages/stand-ins/src/proxied_connection.ts
@@ -0,0 +1,76 @@
+import type { Socket } from "node:net";
+import { ProxiedDirection } from "./proxied_direction.js";
+
+export type SilentDirection = "to_target" | "to_client" | "both";
+
+/** Ends a connection after a number of bytes in one direction. */
+export interface ProxyCut {
+  readonly afterBytes: number;
+  readonly direction: "to_target" | "to_client";
+}
+
+export interface ProxiedConnectionHooks {
+  readonly delayMs: () => number;
+  readonly onBytes: (
+    direction: "to_target" | "to_client",
+    bytes: number,
+  ) => void;
+  readonly onClosed: (connection: ProxiedConnection) => void;
+}
+
+/** A client's connection and the one to the target that belongs to it. */
+export class ProxiedConnection {
+  readonly #client: Socket;
+  readonly #target: Socket;
+  readonly #toTarget: ProxiedDirection;
+  readonly #toClient: ProxiedDirection;
+
+  constructor(
+    client: Socket,
+    target: Socket,
+    cut: ProxyCut | undefined,
+    hooks: ProxiedConnectionHooks,
+  ) {
+    this.#client = client;
+    this.#target = target;
+    const direction = (name: "to_target" | "to_client") => {
+      const [from, to] = name === "to_target"
+        ? [client, target]
+        : [target, client];
+      const maxBytes = cut?.direction === name ? cut.afterBytes : Infinity;
+      return new ProxiedDirection(from, to, maxBytes, {
+        delayMs: hooks.delayMs,
+        onBytes: (bytes) => hooks.onBytes(name, bytes),
+        onCut: () => this.reset(),
+      });
+    };
+    this.#toTarget = direction("to_target");
+    this.#toClient = direction("to_client");
+    for (const socket of [client, target]) {
+      socket.setNoDelay(true);
+      socket.once("close", () => {
+        if (client.closed && target.closed) {
+          hooks.onClosed(this);
+        }
+      });
+    }
+  }
+
+  /** Resets both sides at once; delayed data is lost. */
+  reset(): void {
+    this.#toTarget.dispose();
+    this.#toClient.dispose();
+    this.#client.resetAndDestroy();
+    this.#target.resetAndDestroy();
+  }
+
+  /** Makes one or both directions permanently silent. */
+  silence(direction: SilentDirection): void {
+    if (direction !== "to_client") {
+      this.#toTarget.silence();
+    }
+    if (direction !== "to_target") {
+      this.#toClient.silence();
+    }
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/proxied_direction.ts
@@ -0,0 +1,126 @@
+import type { Socket } from "node:net";
+
+export interface ProxiedDirectionHooks {
+  /** Delay in milliseconds of data that is read now. */
+  readonly delayMs: () => number;
+  readonly onBytes: (bytes: number) => void;
+  /** The byte limit has been reached and all bytes below it are written. */
+  readonly onCut: () => void;
+}
+
+/** Forwards data and the end of data from one socket to another. */
+export class ProxiedDirection {
+  readonly #source: Socket;
+  readonly #target: Socket;
+  readonly #hooks: ProxiedDirectionHooks;
+  /** Steps in order; a step never overtakes one that has a longer delay. */
+  #delayed: { readonly dueMs: number; readonly step: () => void }[] = [];
+  #timer: NodeJS.Timeout | undefined;
+  #bytesLeft: number;
+  #silent = false;
+
+  /** Forwards at most `maxBytes`, then calls `onCut`. */
+  constructor(
+    source: Socket,
+    target: Socket,
+    maxBytes: number,
+    hooks: ProxiedDirectionHooks,
+  ) {
+    this.#source = source;
+    this.#target = target;
+    this.#bytesLeft = maxBytes;
+    this.#hooks = hooks;
+    source.on("data", (data: Buffer) => this.#onData(data));
+    source.on("end", () => this.#later(() => this.#target.end()));
+    source.on("error", () => {});
+    source.on("close", (hadError) => this.#onClose(hadError));
+    target.on("drain", () => this.#resume());
+  }
+
+  /**
+   * Stops reading for good and hides the end of the source, as if its packets
+   * were lost: the sender sees no error and the receiver gets nothing more.
+   */
+  silence(): void {
+    this.#silent = true;
+    this.#source.pause();
+    this.dispose();
+  }
+
+  /** Drops the data that is still delayed. */
+  dispose(): void {
+    clearTimeout(this.#timer);
+    this.#delayed = [];
+  }
+
+  #onData(data: Buffer): void {
+    if (this.#silent) {
+      return;
+    }
+    const part = data.subarray(0, this.#bytesLeft);
+    this.#bytesLeft -= part.length;
+    const isLast = this.#bytesLeft === 0;
+    this.#later(() => this.#write(part, isLast));
+  }
+
+  #write(data: Buffer, isLast: boolean): void {
+    if (this.#target.destroyed) {
+      return;
+    }
+    this.#hooks.onBytes(data.length);
+    const flushed = this.#target.write(data, () => {
+      if (isLast) {
+        this.#hooks.onCut();
+      }
+    });
+    if (!flushed) {
+      this.#source.pause();
+    }
+  }
+
+  #resume(): void {
+    if (!this.#silent) {
+      this.#source.resume();
+    }
+  }
+
+  #onClose(hadError: boolean): void {
+    if (this.#silent) {
+      return;
+    }
+    if (hadError) {
+      this.#target.resetAndDestroy();
+    } else {
+      this.#later(() => this.#target.destroySoon());
+    }
+  }
+
+  /** Runs a step after the delay and after all earlier steps. */
+  #later(step: () => void): void {
+    const delayMs = this.#hooks.delayMs();
+    if (delayMs === 0 && this.#delayed.length === 0) {
+      step();
+      return;
+    }
+    this.#delayed.push({ dueMs: performance.now() + delayMs, step });
+    if (this.#delayed.length === 1) {
+      this.#startTimer();
+    }
+  }
+
+  #startTimer(): void {
+    const waitMs = this.#delayed[0].dueMs - performance.now();
+    this.#timer = setTimeout(() => this.#runDue(), Math.max(0, waitMs));
+  }
+
+  #runDue(): void {
+    while (
+      this.#delayed.length > 0 && this.#delayed[0].dueMs <= performance.now()
+    ) {
+      this.#delayed.shift()?.step();
+    }
+    if (this.#delayed.length > 0) {
+      this.#startTimer();
+    }
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/tcp_proxy.ts
@@ -0,0 +1,195 @@
+import { createServer as createHttpServer } from "node:http";
+import { connect, createServer, type Socket } from "node:net";
+import { z } from "zod";
+import {
+  type Exchange,
+  readJson,
+  sendError,
+  sendJson,
+} from "./http_exchange.js";
+import { HttpStatusError } from "./http_status_error.js";
+import { closeServer, listenOnLoopback } from "./listen.js";
+import {
+  ProxiedConnection,
+  type ProxyCut,
+  type SilentDirection,
+} from "./proxied_connection.js";
+import type { StandIn } from "./stand_in.js";
+
+const TcpProxyFaultsSchema = z.object({
+  /** Delay of data in both directions, also on established connections. */
+  delay_ms: z.number().nonnegative().optional(),
+  /** Resets each of the next new connections after so many bytes. */
+  cut: z.object({
+    after_bytes: z.int().positive(),
+    next_connections: z.int().positive().default(1),
+    direction: z.enum(["to_target", "to_client"]).default("to_client"),
+  }).optional(),
+  /** False closes the listening port; established connections stay. */
+  accepting: z.boolean().optional(),
+  /** Silences the connections established now; new ones work. */
+  silence: z.enum(["to_target", "to_client", "both"]).optional(),
+  /** Resets the connections established now. */
+  reset: z.literal(true).optional(),
+});
+export type TcpProxyFaults = z.input<typeof TcpProxyFaultsSchema>;
+
+export interface TcpProxyOptions {
+  readonly port?: number;
+  /** Port on loopback to which connections are forwarded. */
+  readonly targetPort: number;
+}
+
+/** Forwards one loopback port to another and injects connection faults. */
+export class TcpProxy implements StandIn {
+  readonly #server = createServer({ allowHalfOpen: true });
+  readonly #control = createHttpServer();
+  readonly #targetPort: number;
+  readonly #connections = new Set<ProxiedConnection>();
+  readonly #bytes = { to_target: 0, to_client: 0 };
+  #accepted = 0;
+  #port: number;
+  #controlPort = 0;
+  #delayMs = 0;
+  #cut: ProxyCut | undefined;
+  #cutsLeft = 0;
+
+  constructor(options: TcpProxyOptions) {
+    this.#port = options.port ?? 0;
+    this.#targetPort = options.targetPort;
+    this.#server.on("connection", (client) => this.#onConnection(client));
+    this.#control.on("request", (request, response) => {
+      const url = new URL(request.url ?? "/", this.controlUrl);
+      void this.#serveControl({ request, response, url });
+    });
+  }
+
+  /** Listening port of the proxy. */
+  get port(): number {
+    return this.#port;
+  }
+
+  get url(): string {
+    return `http://127.0.0.1:${this.#port}`;
+  }
+
+  get controlUrl(): string {
+    return `http://127.0.0.1:${this.#controlPort}`;
+  }
+
+  /** Counts since the start; `established` is the present number. */
+  get stats(): object {
+    return {
+      accepted: this.#accepted,
+      established: this.#connections.size,
+      bytes_to_target: this.#bytes.to_target,
+      bytes_to_client: this.#bytes.to_client,
+    };
+  }
+
+  async start(): Promise<void> {
+    this.#port = await listenOnLoopback(this.#server, this.#port);
+    this.#controlPort = await listenOnLoopback(this.#control);
+  }
+
+  async dispose(): Promise<void> {
+    await this.setAccepting(false);
+    this.resetConnections();
+    await closeServer(this.#control);
+  }
+
+  setDelay(delayMs: number): void {
+    this.#delayMs = delayMs;
+  }
+
+  /** Resets each of the next new connections after a number of bytes. */
+  cutNext(cut: ProxyCut, connections = 1): void {
+    this.#cut = cut;
+    this.#cutsLeft = connections;
+  }
+
+  resetConnections(): void {
+    for (const connection of this.#connections) {
+      connection.reset();
+    }
+  }
+
+  /** Silences the connections established now for good; new ones work. */
+  silenceConnections(direction: SilentDirection): void {
+    for (const connection of this.#connections) {
+      connection.silence(direction);
+    }
+  }
+
+  /** Opens or closes the listening port; established connections stay. */
+  async setAccepting(accepting: boolean): Promise<void> {
+    if (accepting === this.#server.listening) {
+      return;
+    }
+    if (accepting) {
+      await listenOnLoopback(this.#server, this.#port);
+    } else {
+      // The callback of close waits for established connections to end.
+      this.#server.close();
+    }
+  }
+
+  async setFaults(faults: TcpProxyFaults): Promise<void> {
+    const parsed = TcpProxyFaultsSchema.parse(faults);
+    this.#delayMs = parsed.delay_ms ?? this.#delayMs;
+    if (parsed.cut) {
+      const { after_bytes, direction, next_connections } = parsed.cut;
+      this.cutNext({ afterBytes: after_bytes, direction }, next_connections);
+    }
+    if (parsed.silence) {
+      this.silenceConnections(parsed.silence);
+    }
+    if (parsed.reset) {
+      this.resetConnections();
+    }
+    if (parsed.accepting !== undefined) {
+      await this.setAccepting(parsed.accepting);
+    }
+  }
+
+  #onConnection(client: Socket): void {
+    this.#accepted += 1;
+    const target = connect({
+      host: "127.0.0.1",
+      port: this.#targetPort,
+      allowHalfOpen: true,
+    });
+    const connection = new ProxiedConnection(client, target, this.#takeCut(), {
+      delayMs: () => this.#delayMs,
+      onBytes: (direction, bytes) => {
+        this.#bytes[direction] += bytes;
+      },
+      onClosed: (closed) => this.#connections.delete(closed),
+    });
+    this.#connections.add(connection);
+  }
+
+  #takeCut(): ProxyCut | undefined {
+    if (this.#cutsLeft === 0) {
+      return undefined;
+    }
+    this.#cutsLeft -= 1;
+    return this.#cut;
+  }
+
+  async #serveControl(exchange: Exchange): Promise<void> {
+    try {
+      const { request, url } = exchange;
+      if (url.pathname === "/faults" && request.method === "POST") {
+        await this.setFaults(await readJson(request) as TcpProxyFaults);
+        sendJson(exchange, 200, {});
+      } else if (url.pathname === "/stats") {
+        sendJson(exchange, 200, this.stats);
+      } else {
+        throw new HttpStatusError(404, `No resource ${url.pathname}`);
+      }
+    } catch (error) {
+      sendError(exchange, error);
+    }
+  }
+}
