Test the contract of every stand-in

A silenced connection must hide the end of its source as well: Node reports the end of a paused socket that has no unread data, so the proxy forwarded it and the peer noticed the fault at once.

--- a/packages/stand-ins/src/proxied_direction.ts
+++ b/packages/stand-ins/src/proxied_direction.ts
@@ -31,7 +31,7 @@
     this.#bytesLeft = maxBytes;
     this.#hooks = hooks;
     source.on("data", (data: Buffer) => this.#onData(data));
-    source.on("end", () => this.#later(() => this.#target.end()));
+    source.on("end", () => this.#onEnd());
     source.on("error", () => {});
     source.on("close", (hadError) => this.#onClose(hadError));
     target.on("drain", () => this.#resume());
@@ -84,6 +84,13 @@
     }
   }
 
+  #onEnd(): void {
+    // Node reports the end of a socket without unread data even when paused.
+    if (!this.#silent) {
+      this.#later(() => this.#target.end());
+    }
+  }
+
   #onClose(hadError: boolean): void {
     if (this.#silent) {
       return;
--- /dev/null
+++ b/packages/stand-ins/src/tcp_proxy_test.ts
@@ -0,0 +1,145 @@
+import { once } from "node:events";
+import { connect, createServer, type Socket } from "node:net";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { listenOnLoopback } from "./listen.js";
+import { TcpProxy, type TcpProxyFaults } from "./tcp_proxy.js";
+
+/** Polls with a limit that a busy machine does not reach. */
+function waitFor(check: () => unknown): Promise<unknown> {
+  return vi.waitFor(check, { timeout: 30_000 });
+}
+
+/** What one end of a connection has received and whether it has ended. */
+class Peer {
+  readonly socket: Socket;
+  received = "";
+  ended = false;
+
+  constructor(socket: Socket) {
+    this.socket = socket;
+    socket.on("data", (data) => this.received += data.toString());
+    socket.on("error", () => {});
+    socket.on("end", () => this.ended = true);
+    socket.on("close", () => this.ended = true);
+  }
+}
+
+const target = createServer(
+  { allowHalfOpen: true },
+  (socket) => accepted.push(new Peer(socket)),
+);
+let accepted: Peer[] = [];
+let clients: Peer[] = [];
+let proxy: TcpProxy;
+
+beforeEach(async () => {
+  accepted = [];
+  clients = [];
+  proxy = new TcpProxy({ targetPort: await listenOnLoopback(target) });
+  await proxy.start();
+});
+afterEach(async () => {
+  clients.forEach((peer) => peer.socket.destroy());
+  accepted.forEach((peer) => peer.socket.destroy());
+  await proxy.dispose();
+  target.close();
+});
+
+/** A connected pair: the client and the target's end of its connection. */
+async function open(): Promise<[Peer, Peer]> {
+  const socket = connect(proxy.port, "127.0.0.1");
+  const client = new Peer(socket);
+  clients.push(client);
+  await once(socket, "connect");
+  await waitFor(() => expect(accepted).toHaveLength(clients.length));
+  return [client, accepted[accepted.length - 1]];
+}
+
+async function expectReceived(peer: Peer, text: string): Promise<void> {
+  await waitFor(() => expect(peer.received).toBe(text));
+}
+
+async function setFaults(faults: TcpProxyFaults): Promise<void> {
+  const response = await fetch(`${proxy.controlUrl}/faults`, {
+    method: "POST",
+    body: JSON.stringify(faults),
+  });
+  expect(response.status).toBe(200);
+}
+
+describe("TcpProxy", () => {
+  it("forwards both directions and the end of each", async () => {
+    const [client, server] = await open();
+    client.socket.end("ask");
+    await expectReceived(server, "ask");
+    await waitFor(() => expect(server.ended).toBe(true));
+    server.socket.end("answer");
+    await expectReceived(client, "answer");
+    await waitFor(() => expect(client.ended).toBe(true));
+  });
+
+  describe("silence", () => {
+    it("silences one direction of established connections only", async () => {
+      const [client, server] = await open();
+      await setFaults({ silence: "to_target" });
+      client.socket.write("lost");
+      // These were sent later, so data that is not lost arrives before them.
+      server.socket.write("heard");
+      await expectReceived(client, "heard");
+      const [newClient, newServer] = await open();
+      newClient.socket.write("new");
+      await expectReceived(newServer, "new");
+      expect(server.received).toBe("");
+    });
+
+    it("hides the end of a silent connection from its peer", async () => {
+      const [client, server] = await open();
+      await setFaults({ silence: "both" });
+      client.socket.destroy();
+      const [newClient, newServer] = await open();
+      newClient.socket.destroy();
+      await waitFor(() => expect(newServer.ended).toBe(true));
+      expect(server.ended).toBe(false);
+    });
+  });
+
+  it("cuts the next connection after N bytes and no other", async () => {
+    await setFaults({ cut: { after_bytes: 4 } });
+    const [client, server] = await open();
+    server.socket.write("half-way");
+    await expectReceived(client, "half");
+    await waitFor(() => expect(client.ended && server.ended).toBe(true));
+    const [next, nextServer] = await open();
+    nextServer.socket.write("half-way");
+    await expectReceived(next, "half-way");
+  });
+
+  it("resets established connections at both ends", async () => {
+    const [client, server] = await open();
+    await setFaults({ reset: true });
+    await waitFor(() => expect(client.ended && server.ended).toBe(true));
+  });
+
+  it("keeps the order of data when the delay becomes shorter", async () => {
+    const [client, server] = await open();
+    await setFaults({ delay_ms: 50 });
+    client.socket.write("first ");
+    // A round trip gives the proxy the time to read the first part.
+    await fetch(`${proxy.controlUrl}/stats`);
+    await setFaults({ delay_ms: 0 });
+    client.socket.write("second");
+    await expectReceived(server, "first second");
+  });
+
+  it("stops accepting without touching established connections", async () => {
+    const [client, server] = await open();
+    await setFaults({ accepting: false });
+    const refused = connect(proxy.port, "127.0.0.1");
+    const [error] = await once(refused, "error");
+    expect(error).toMatchObject({ code: "ECONNREFUSED" });
+    client.socket.write("still here");
+    await expectReceived(server, "still here");
+    await setFaults({ accepting: true });
+    await open();
+  });
+});
