Add execution records of keyed calls and their host

A claim id of the sidecar decides whether a record that is read back belongs to an attempt, because a router may send an attempt id twice.

--- /dev/null
+++ b/packages/core/src/execution/keyed_call_machine.ts
@@ -0,0 +1,410 @@
+import {
+  assign,
+  initialTransition,
+  setup,
+  type SnapshotFrom,
+  transition,
+} from "xstate";
+import type { Millis } from "../clock.js";
+import type { StoredObject } from "../store/object_store.js";
+import type { Outcome, StoredAnswer } from "../wire/messages.js";
+import {
+  type CallRefusal,
+  CANCELLED,
+  refuseRepeat,
+  START_WINDOW_PASSED,
+  STORE_UNAVAILABLE,
+} from "./call_refusal.js";
+import {
+  type ExecutionRecord,
+  finishRecord,
+  parseExecutionRecord,
+  type StartedRecord,
+} from "./execution_record.js";
+
+/** One keyed attempt that a sidecar is about to run. */
+export interface KeyedCallInput {
+  /** Key of the execution record. */
+  readonly key: string;
+  readonly record: StartedRecord;
+  /** Monotonic time after which the call must not start any more. */
+  readonly startByMs: Millis;
+}
+
+interface EventTime {
+  readonly nowMs: Millis;
+  readonly wallMs: Millis;
+}
+
+export type KeyedCallEvent =
+  & EventTime
+  & (
+    | { readonly type: "created"; readonly version: number }
+    | {
+      readonly type: "create_conflicted" | "record_read";
+      readonly current: StoredObject | undefined;
+    }
+    | {
+      readonly type:
+        | "create_unknown"
+        | "create_unavailable"
+        | "read_unavailable"
+        | "updated"
+        | "update_conflicted"
+        | "update_unknown"
+        | "update_unavailable"
+        | "wake"
+        /** The attempt is no longer wanted; it must not start. */
+        | "cancel";
+    }
+    | { readonly type: "call_finished"; readonly answer: StoredAnswer }
+    | { readonly type: "call_failed"; readonly outcome: Outcome }
+  );
+
+/** What the host does; the result comes back as an event. */
+export type KeyedCallEffect =
+  | {
+    readonly type: "create_record";
+    readonly key: string;
+    readonly record: ExecutionRecord;
+  }
+  | { readonly type: "read_record"; readonly key: string }
+  | {
+    readonly type: "update_record";
+    readonly key: string;
+    readonly record: ExecutionRecord;
+    readonly ifVersion: number;
+  }
+  /** Starts a record removal; it has no result for this machine. */
+  | {
+    readonly type: "remove_record";
+    readonly key: string;
+    readonly claimId: string;
+    readonly expiresAtMs: Millis;
+  }
+  | { readonly type: "start_call" }
+  | ({ readonly type: "refuse_call" } & CallRefusal)
+  | { readonly type: "wake_after"; readonly delayMs: Millis };
+
+interface KeyedCallContext extends KeyedCallInput {
+  readonly creates: number;
+  readonly failedReads: number;
+  /** Whether a create of this claim may still take effect, or has. */
+  readonly mayExist: boolean;
+  readonly version: number;
+  readonly answer: StoredAnswer | undefined;
+  readonly updates: number;
+}
+
+/** A create is repeated only after its record was read as absent. */
+const MAX_CREATES = 3;
+
+/** The second read goes over another connection than one that went silent. */
+const MAX_FAILED_READS = 2;
+
+const MIN_UPDATE_DELAY_MS: Millis = 500;
+const MAX_UPDATE_DELAY_MS: Millis = 30_000;
+
+/**
+ * Updates with these delays go on for about 10 minutes, after which repeats
+ * are answered `unknown` whether or not the answer becomes known.
+ */
+const MAX_UPDATES = 25;
+
+function currentOf(event: KeyedCallEvent): StoredObject | undefined {
+  return event.type === "create_conflicted" || event.type === "record_read"
+    ? event.current
+    : undefined;
+}
+
+/**
+ * Whether the event shows a record of this claim. Before a create with an
+ * unknown outcome, no record can be of this claim.
+ */
+function isOwn(context: KeyedCallContext, event: KeyedCallEvent): boolean {
+  const record = parseExecutionRecord(currentOf(event)?.value);
+  return context.mayExist && record?.state === "started" &&
+    record.claimId === context.record.claimId;
+}
+
+function refuse(refusal: CallRefusal) {
+  const params: KeyedCallEffect = { type: "refuse_call", ...refusal };
+  return { type: "effect", params } as const;
+}
+
+/**
+ * States of one keyed attempt, from the claim of its key to the recorded
+ * answer (design section 3.7).
+ *
+ * The call starts only after this claim was confirmed: by the answer to a
+ * create, or by a record that carries its claim id after a create whose
+ * outcome was unknown. No state that refuses has a way back to `running`, so a
+ * create that takes effect after the refusal cannot lead to a run; its record
+ * is removed. A refused attempt is answered before its record is removed.
+ */
+const keyedCallMachine = setup({
+  types: {
+    context: {} as KeyedCallContext,
+    events: {} as KeyedCallEvent,
+    input: {} as KeyedCallInput,
+  },
+  actions: {
+    effect: (_context, _effect: KeyedCallEffect) => {},
+    noteUnknownCreate: assign({ mayExist: true }),
+    noteVersion: assign({
+      version: ({ context, event }) =>
+        event.type === "created"
+          ? event.version
+          : currentOf(event)?.version ?? context.version,
+    }),
+    noteFailedRead: assign({
+      failedReads: ({ context }) => context.failedReads + 1,
+    }),
+    noteAnswer: assign({
+      answer: ({ event }) =>
+        event.type === "call_finished" ? event.answer : undefined,
+    }),
+  },
+  guards: {
+    isInStartWindow: ({ context, event }) => event.nowMs <= context.startByMs,
+    isOwnInStartWindow: ({ context, event }) =>
+      isOwn(context, event) && event.nowMs <= context.startByMs,
+    isOwn: ({ context, event }) => isOwn(context, event),
+    isAbsent: ({ event }) => currentOf(event) === undefined,
+    mayCreateAgain: ({ context, event }) =>
+      currentOf(event) === undefined && context.creates < MAX_CREATES,
+    mayReadAgain: ({ context }) => context.failedReads + 1 < MAX_FAILED_READS,
+    mayExist: ({ context }) => context.mayExist,
+    mayUpdateAgain: ({ context }) => context.updates < MAX_UPDATES,
+    didNotRun: ({ event }) =>
+      event.type === "call_failed" && event.outcome === "not-run",
+  },
+}).createMachine({
+  context: ({ input }) => ({
+    ...input,
+    creates: 0,
+    failedReads: 0,
+    mayExist: false,
+    version: 0,
+    answer: undefined,
+    updates: 0,
+  }),
+  initial: "creating",
+  states: {
+    creating: {
+      entry: [
+        {
+          type: "effect",
+          params: ({ context }) => ({
+            type: "create_record",
+            key: context.key,
+            record: context.record,
+          }),
+        },
+        assign({ creates: ({ context }) => context.creates + 1 }),
+      ],
+      on: {
+        created: [
+          {
+            guard: "isInStartWindow",
+            target: "running",
+            actions: "noteVersion",
+          },
+          { target: "late" },
+        ],
+        create_conflicted: [
+          {
+            guard: "isOwnInStartWindow",
+            target: "running",
+            actions: "noteVersion",
+          },
+          { guard: "isOwn", target: "late" },
+          { guard: "isAbsent", target: "readingBack" },
+          { target: "conflict" },
+        ],
+        create_unknown: {
+          target: "readingBack",
+          actions: "noteUnknownCreate",
+        },
+        create_unavailable: { target: "storeUnavailable" },
+        cancel: { target: "cancelledWhileCreating" },
+      },
+    },
+    readingBack: {
+      entry: {
+        type: "effect",
+        params: ({ context }) => ({ type: "read_record", key: context.key }),
+      },
+      on: {
+        record_read: [
+          {
+            guard: "isOwnInStartWindow",
+            target: "running",
+            actions: "noteVersion",
+          },
+          { guard: "isOwn", target: "late" },
+          { guard: "mayCreateAgain", target: "creating" },
+          { guard: "isAbsent", target: "storeUnavailable" },
+          { target: "conflict" },
+        ],
+        read_unavailable: [
+          {
+            guard: "mayReadAgain",
+            target: "readingBack",
+            reenter: true,
+            actions: "noteFailedRead",
+          },
+          { target: "storeUnavailable" },
+        ],
+        cancel: { target: "cancelled" },
+      },
+    },
+    running: {
+      entry: { type: "effect", params: { type: "start_call" } },
+      on: {
+        call_finished: { target: "finishing", actions: "noteAnswer" },
+        call_failed: [
+          { guard: "didNotRun", target: "removing" },
+          // The record stays, so that no repeat can run the call again.
+          { target: "done" },
+        ],
+      },
+    },
+    finishing: {
+      entry: [
+        {
+          type: "effect",
+          params: ({ context }) => ({
+            type: "update_record",
+            key: context.key,
+            record: context.answer === undefined
+              ? context.record
+              : finishRecord(context.record, context.answer),
+            ifVersion: context.version,
+          }),
+        },
+        assign({ updates: ({ context }) => context.updates + 1 }),
+      ],
+      on: {
+        updated: { target: "done" },
+        // After a lost answer, this is the effect of the earlier update.
+        update_conflicted: { target: "done" },
+        update_unknown: [
+          { guard: "mayUpdateAgain", target: "waitingToFinish" },
+          { target: "done" },
+        ],
+        update_unavailable: [
+          { guard: "mayUpdateAgain", target: "waitingToFinish" },
+          { target: "done" },
+        ],
+      },
+    },
+    waitingToFinish: {
+      entry: {
+        type: "effect",
+        params: ({ context }) => ({
+          type: "wake_after",
+          delayMs: Math.min(
+            MAX_UPDATE_DELAY_MS,
+            MIN_UPDATE_DELAY_MS * 2 ** (context.updates - 1),
+          ),
+        }),
+      },
+      on: { wake: { target: "finishing" } },
+    },
+    conflict: {
+      entry: {
+        type: "effect",
+        params: ({ context, event }) => ({
+          type: "refuse_call",
+          ...refuseRepeat(
+            currentOf(event)?.value,
+            context.record.fingerprint,
+            event.wallMs,
+          ),
+        }),
+      },
+      // A delayed create of this claim cannot replace the record it met.
+      always: { target: "done" },
+    },
+    storeUnavailable: {
+      entry: refuse(STORE_UNAVAILABLE),
+      always: { target: "removingIfAny" },
+    },
+    cancelled: {
+      entry: refuse(CANCELLED),
+      always: { target: "removingIfAny" },
+    },
+    late: {
+      entry: refuse(START_WINDOW_PASSED),
+      always: { target: "removing" },
+    },
+    /** Answered at once; the removal must not overtake the pending create. */
+    cancelledWhileCreating: {
+      entry: refuse(CANCELLED),
+      on: {
+        created: { target: "removing" },
+        create_unknown: { target: "removing" },
+        create_conflicted: { target: "removingIfAny" },
+        create_unavailable: { target: "removingIfAny" },
+      },
+    },
+    removingIfAny: {
+      always: [
+        { guard: "mayExist", target: "removing" },
+        { target: "done" },
+      ],
+    },
+    removing: {
+      entry: {
+        type: "effect",
+        params: ({ context }) => ({
+          type: "remove_record",
+          key: context.key,
+          claimId: context.record.claimId,
+          expiresAtMs: context.record.expiresAtMs,
+        }),
+      },
+      always: { target: "done" },
+    },
+    done: { type: "final" },
+  },
+});
+
+export type KeyedCallSnapshot = SnapshotFrom<typeof keyedCallMachine>;
+
+/** Result of one step: the next state and what the host has to do. */
+export interface KeyedCallStep {
+  readonly snapshot: KeyedCallSnapshot;
+  readonly effects: KeyedCallEffect[];
+  /** No event has an effect any more. */
+  readonly done: boolean;
+}
+
+/** Starts a keyed attempt. */
+export function startKeyedCall(input: KeyedCallInput): KeyedCallStep {
+  return toStep(initialTransition(keyedCallMachine, input));
+}
+
+/** Applies one event; events that the state does not expect are ignored. */
+export function stepKeyedCall(
+  snapshot: KeyedCallSnapshot,
+  event: KeyedCallEvent,
+): KeyedCallStep {
+  return toStep(transition(keyedCallMachine, snapshot, event));
+}
+
+function toStep(
+  [snapshot, actions]: readonly [
+    KeyedCallSnapshot,
+    readonly { readonly type: string; readonly params: unknown }[],
+  ],
+): KeyedCallStep {
+  return {
+    snapshot,
+    effects: actions
+      .filter((action) => action.type === "effect")
+      .map((action) => action.params as KeyedCallEffect),
+    done: snapshot.status === "done",
+  };
+}
--- /dev/null
+++ b/packages/core/src/execution/record_removal.ts
@@ -0,0 +1,194 @@
+import {
+  assign,
+  initialTransition,
+  setup,
+  type SnapshotFrom,
+  transition,
+} from "xstate";
+import type { Millis } from "../clock.js";
+import type { StoredObject } from "../store/object_store.js";
+import { parseExecutionRecord } from "./execution_record.js";
+
+/** The record of a claim whose call never started. */
+export interface RecordRemovalInput {
+  readonly key: string;
+  readonly claimId: string;
+  /** Wall-clock time from which the sweep deletes the record anyway. */
+  readonly expiresAtMs: Millis;
+}
+
+export type RecordRemovalEvent =
+  & { readonly wallMs: Millis }
+  & (
+    | {
+      readonly type: "record_read";
+      readonly current: StoredObject | undefined;
+    }
+    | {
+      readonly type:
+        | "read_unavailable"
+        | "deleted"
+        | "delete_conflicted"
+        | "delete_unknown"
+        | "delete_unavailable"
+        | "wake";
+    }
+  );
+
+export type RecordRemovalEffect =
+  | { readonly type: "read_record"; readonly key: string }
+  | {
+    readonly type: "delete_record";
+    readonly key: string;
+    readonly ifVersion: number;
+  }
+  | { readonly type: "wake_after"; readonly delayMs: Millis };
+
+interface RecordRemovalContext extends RecordRemovalInput {
+  readonly version: number;
+  readonly absentReads: number;
+  readonly waits: number;
+}
+
+/**
+ * Reads in a row that must find the record absent. A delayed create can take
+ * effect after the first ones; with the delays below they span 30 s.
+ */
+const ABSENT_READS = 4;
+
+const MIN_DELAY_MS: Millis = 1_000;
+const MAX_DELAY_MS: Millis = 60_000;
+const DELAY_FACTOR = 3;
+
+/**
+ * Deletes the record of a claim whose call never started, so that the caller's
+ * next try can run, and goes on until the store answers.
+ *
+ * Only a record with this claim id is deleted, and only at the version that
+ * was read; versions rise across a deletion, so a delayed delete cannot meet a
+ * later record. A create that takes effect after the last read leaves a record of
+ * a call that never ran; repeats are then answered `unknown` until it expires.
+ */
+const recordRemovalMachine = setup({
+  types: {
+    context: {} as RecordRemovalContext,
+    events: {} as RecordRemovalEvent,
+    input: {} as RecordRemovalInput,
+  },
+  actions: {
+    effect: (_context, _effect: RecordRemovalEffect) => {},
+    noteRecord: assign({
+      version: ({ event }) =>
+        event.type === "record_read" ? event.current?.version ?? 0 : 0,
+      absentReads: 0,
+    }),
+    noteAbsent: assign({
+      absentReads: ({ context }) => context.absentReads + 1,
+    }),
+  },
+  guards: {
+    isOwn: ({ context, event }) =>
+      event.type === "record_read" &&
+      parseExecutionRecord(event.current?.value)?.claimId === context.claimId,
+    isOther: ({ event }) =>
+      event.type === "record_read" && event.current !== undefined,
+    isLastAbsentRead: ({ context }) => context.absentReads + 1 >= ABSENT_READS,
+    isExpired: ({ context, event }) => event.wallMs >= context.expiresAtMs,
+  },
+}).createMachine({
+  context: ({ input }) => ({ ...input, version: 0, absentReads: 0, waits: 0 }),
+  initial: "reading",
+  states: {
+    reading: {
+      entry: {
+        type: "effect",
+        params: ({ context }) => ({ type: "read_record", key: context.key }),
+      },
+      on: {
+        record_read: [
+          { guard: "isOwn", target: "deleting", actions: "noteRecord" },
+          // A delayed create of this claim cannot replace another record.
+          { guard: "isOther", target: "done" },
+          { guard: "isLastAbsentRead", target: "done" },
+          { target: "waiting", actions: "noteAbsent" },
+        ],
+        read_unavailable: { target: "waiting" },
+      },
+    },
+    deleting: {
+      entry: {
+        type: "effect",
+        params: ({ context }) => ({
+          type: "delete_record",
+          key: context.key,
+          ifVersion: context.version,
+        }),
+      },
+      on: {
+        deleted: { target: "waiting" },
+        delete_conflicted: { target: "waiting" },
+        delete_unknown: { target: "waiting" },
+        delete_unavailable: { target: "waiting" },
+      },
+    },
+    waiting: {
+      entry: [
+        {
+          type: "effect",
+          params: ({ context }) => ({
+            type: "wake_after",
+            delayMs: Math.min(
+              MAX_DELAY_MS,
+              MIN_DELAY_MS * DELAY_FACTOR ** context.waits,
+            ),
+          }),
+        },
+        assign({ waits: ({ context }) => context.waits + 1 }),
+      ],
+      on: {
+        wake: [
+          { guard: "isExpired", target: "done" },
+          { target: "reading" },
+        ],
+      },
+    },
+    done: { type: "final" },
+  },
+});
+
+export type RecordRemovalSnapshot = SnapshotFrom<typeof recordRemovalMachine>;
+
+export interface RecordRemovalStep {
+  readonly snapshot: RecordRemovalSnapshot;
+  readonly effects: RecordRemovalEffect[];
+  readonly done: boolean;
+}
+
+export function startRecordRemoval(
+  input: RecordRemovalInput,
+): RecordRemovalStep {
+  return toStep(initialTransition(recordRemovalMachine, input));
+}
+
+/** Applies one event; events that the state does not expect are ignored. */
+export function stepRecordRemoval(
+  snapshot: RecordRemovalSnapshot,
+  event: RecordRemovalEvent,
+): RecordRemovalStep {
+  return toStep(transition(recordRemovalMachine, snapshot, event));
+}
+
+function toStep(
+  [snapshot, actions]: readonly [
+    RecordRemovalSnapshot,
+    readonly { readonly type: string; readonly params: unknown }[],
+  ],
+): RecordRemovalStep {
+  return {
+    snapshot,
+    effects: actions
+      .filter((action) => action.type === "effect")
+      .map((action) => action.params as RecordRemovalEffect),
+    done: snapshot.status === "done",
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/execution/call_pacer.ts
@@ -0,0 +1,58 @@
+import { type Clock, TokenBucket } from "@anvildeal/core";
+import { TimerSet } from "./timer_set.js";
+
+/**
+ * Runs tasks one after another at a limited rate.
+ *
+ * Background calls must leave the object store to the calls that a caller
+ * waits for, most of all when it has just come back from an outage.
+ */
+export class CallPacer {
+  readonly #clock: Clock;
+  readonly #bucket: TokenBucket;
+  readonly #timers = new TimerSet();
+  readonly #tasks: (() => Promise<void>)[] = [];
+  #running = false;
+  #disposed = false;
+
+  constructor(clock: Clock, callsPerS: number, burstCalls: number) {
+    this.#clock = clock;
+    this.#bucket = new TokenBucket(callsPerS, burstCalls, clock.nowMs());
+  }
+
+  /** Adds a task that makes one call and does not reject. */
+  add(task: () => Promise<void>): void {
+    this.#tasks.push(task);
+    this.#next();
+  }
+
+  dispose(): void {
+    this.#disposed = true;
+    this.#tasks.length = 0;
+    this.#timers.dispose();
+  }
+
+  #next(): void {
+    if (this.#running || this.#disposed || this.#tasks.length === 0) {
+      return;
+    }
+    this.#running = true;
+    const waitMs = this.#bucket.waitMs(1, this.#clock.nowMs());
+    if (waitMs > 0) {
+      this.#timers.after(waitMs, () => this.#resume());
+      return;
+    }
+    void this.#runFirst();
+  }
+
+  #resume(): void {
+    this.#running = false;
+    this.#next();
+  }
+
+  async #runFirst(): Promise<void> {
+    this.#bucket.tryTake(1, this.#clock.nowMs());
+    await this.#tasks.shift()?.();
+    this.#resume();
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/execution/execution_host.ts
@@ -0,0 +1,220 @@
+import { createHash, randomUUID } from "node:crypto";
+import {
+  type CallRefusal,
+  type Clock,
+  executionRecordKey,
+  type KeyedCallEffect,
+  type KeyedCallEvent,
+  type KeyedCallSnapshot,
+  type KeyedCallStep,
+  type Millis,
+  type ObjectStore,
+  type Outcome,
+  RECORD_RETENTION_MS,
+  startKeyedCall,
+  stepKeyedCall,
+  StoreConflictError,
+  type StoredAnswer,
+  StoreUnknownOutcomeError,
+} from "@anvildeal/core";
+import { OwnRecordExpiry } from "./own_record_expiry.js";
+import { RecordRemover } from "./record_remover.js";
+import { TimerSet } from "./timer_set.js";
+
+/** A keyed attempt that the sidecar wants to run. */
+export interface KeyedCallRequest {
+  readonly attemptId: string;
+  readonly account: string;
+  readonly idempotencyKey: string;
+  /** Digest of method, path and body. */
+  readonly fingerprint: string;
+  /** Monotonic time after which the call must not start any more. */
+  readonly startByMs: Millis;
+}
+
+/** Exactly one of the two methods is called, once, for each attempt. */
+export interface KeyedCallListener {
+  /** The key is claimed; the call must be started at once. */
+  startCall(): void;
+  /** The attempt does not run and never will. */
+  refuseCall(refusal: CallRefusal): void;
+}
+
+/** What the sidecar reports of an attempt. Late reports have no effect. */
+export interface KeyedCallHandle {
+  /** The attempt is no longer wanted; ignored once it has started. */
+  cancel(): void;
+  /** The call has ended; the answer is recorded for repeats. */
+  finished(answer: StoredAnswer): void;
+  /** The call has ended without an answer. */
+  failed(outcome: Outcome): void;
+}
+
+export interface ExecutionHostOptions {
+  readonly store: ObjectStore;
+  readonly clock: Clock;
+  readonly endpointId: string;
+  /** Called when removals are given up because too many are pending. */
+  readonly onRemovalDropped?: (key: string) => void;
+}
+
+type WithoutTime<E> = E extends unknown ? Omit<E, "nowMs" | "wallMs"> : never;
+
+/** An event before the host adds the time. */
+type KeyedCallReport = WithoutTime<KeyedCallEvent>;
+
+/** Runs the effects of keyed attempts on an object store. */
+export class ExecutionHost {
+  readonly #store: ObjectStore;
+  readonly #clock: Clock;
+  readonly #endpointId: string;
+  readonly #timers = new TimerSet();
+  readonly #remover: RecordRemover;
+  readonly #ownRecords: OwnRecordExpiry;
+  #disposed = false;
+
+  constructor(options: ExecutionHostOptions) {
+    const { clock, endpointId, onRemovalDropped, store } = options;
+    this.#store = store;
+    this.#clock = clock;
+    this.#endpointId = endpointId;
+    this.#remover = new RecordRemover({
+      store,
+      clock,
+      ...(onRemovalDropped === undefined ? {} : { onRemovalDropped }),
+    });
+    this.#ownRecords = new OwnRecordExpiry({ store, clock });
+  }
+
+  /** Records of refused attempts that are still to be removed. */
+  get pendingRemovals(): number {
+    return this.#remover.pending;
+  }
+
+  /** Claims the key of an attempt; the listener is told the result. */
+  begin(
+    request: KeyedCallRequest,
+    listener: KeyedCallListener,
+  ): KeyedCallHandle {
+    const wallMs = this.#clock.wallMs();
+    const { account, attemptId, fingerprint, idempotencyKey } = request;
+    const step = startKeyedCall({
+      key: executionRecordKey(account, idempotencyKey, sha256Hex),
+      record: {
+        state: "started",
+        attemptId,
+        claimId: randomUUID(),
+        fingerprint,
+        endpointId: this.#endpointId,
+        startedAtMs: wallMs,
+        expiresAtMs: wallMs + RECORD_RETENTION_MS,
+      },
+      startByMs: request.startByMs,
+    });
+    let snapshot: KeyedCallSnapshot;
+    const apply = (next: KeyedCallStep) => {
+      snapshot = next.snapshot;
+      for (const effect of next.effects) {
+        void this.#run(effect, listener, report);
+      }
+    };
+    const report = (event: KeyedCallReport) => {
+      if (this.#disposed) {
+        return;
+      }
+      apply(stepKeyedCall(snapshot, {
+        ...event,
+        nowMs: this.#clock.nowMs(),
+        wallMs: this.#clock.wallMs(),
+      }));
+    };
+    apply(step);
+    return {
+      cancel: () => report({ type: "cancel" }),
+      finished: (answer) => report({ type: "call_finished", answer }),
+      failed: (outcome) => report({ type: "call_failed", outcome }),
+    };
+  }
+
+  /** Stops all work; records of attempts in progress stay as they are. */
+  dispose(): void {
+    this.#disposed = true;
+    this.#timers.dispose();
+    this.#remover.dispose();
+    this.#ownRecords.dispose();
+  }
+
+  async #run(
+    effect: KeyedCallEffect,
+    listener: KeyedCallListener,
+    report: (event: KeyedCallReport) => void,
+  ): Promise<void> {
+    switch (effect.type) {
+      case "create_record":
+        return report(await this.#create(effect));
+      case "read_record":
+        return report(await this.#read(effect.key));
+      case "update_record":
+        return report(await this.#update(effect));
+      case "remove_record":
+        return this.#remover.add(effect);
+      case "start_call":
+        return listener.startCall();
+      case "refuse_call": {
+        const { type: _type, ...refusal } = effect;
+        return listener.refuseCall(refusal);
+      }
+      case "wake_after":
+        return this.#timers.after(
+          effect.delayMs,
+          () => report({ type: "wake" }),
+        );
+    }
+  }
+
+  async #create(
+    effect: Extract<KeyedCallEffect, { type: "create_record" }>,
+  ): Promise<KeyedCallReport> {
+    try {
+      const version = await this.#store.create(effect.key, effect.record);
+      return { type: "created", version };
+    } catch (error) {
+      if (error instanceof StoreConflictError) {
+        return { type: "create_conflicted", current: error.current };
+      }
+      return error instanceof StoreUnknownOutcomeError
+        ? { type: "create_unknown" }
+        : { type: "create_unavailable" };
+    }
+  }
+
+  async #read(key: string): Promise<KeyedCallReport> {
+    try {
+      return { type: "record_read", current: await this.#store.get(key) };
+    } catch {
+      return { type: "read_unavailable" };
+    }
+  }
+
+  async #update(
+    effect: Extract<KeyedCallEffect, { type: "update_record" }>,
+  ): Promise<KeyedCallReport> {
+    const { ifVersion, key, record } = effect;
+    try {
+      const version = await this.#store.update(key, record, ifVersion);
+      this.#ownRecords.add({ key, version, expiresAtMs: record.expiresAtMs });
+      return { type: "updated" };
+    } catch (error) {
+      if (error instanceof StoreConflictError) {
+        return { type: "update_conflicted" };
+      }
+      return error instanceof StoreUnknownOutcomeError
+        ? { type: "update_unknown" }
+        : { type: "update_unavailable" };
+    }
+  }
+}
+
+function sha256Hex(content: string): string {
+  return createHash("sha256").update(content).digest("hex");
+}
--- /dev/null
+++ b/packages/daemon/src/execution/index.ts
@@ -0,0 +1,2 @@
+export * from "./execution_host.js";
+export * from "./record_sweeper.js";
--- /dev/null
+++ b/packages/daemon/src/execution/own_record_expiry.ts
@@ -0,0 +1,82 @@
+import {
+  type Clock,
+  isRecordExpired,
+  type Millis,
+  type ObjectStore,
+} from "@anvildeal/core";
+import { CallPacer } from "./call_pacer.js";
+import { TimerSet } from "./timer_set.js";
+
+/** A finished record that this process wrote. */
+export interface OwnRecord {
+  readonly key: string;
+  readonly version: number;
+  readonly expiresAtMs: Millis;
+}
+
+export interface OwnRecordExpiryOptions {
+  readonly store: ObjectStore;
+  readonly clock: Clock;
+  readonly checkIntervalMs?: Millis;
+}
+
+/** Records beyond this are left to the sweep; each takes about 150 bytes. */
+const MAX_OWN_RECORDS = 20_000;
+
+const CHECK_INTERVAL_MS: Millis = 60_000;
+
+/** A sidecar at the two-year size writes 0.02 records/s. */
+const DELETES_PER_S = 1;
+
+/**
+ * Deletes the records of this process when they expire, without a read.
+ *
+ * A delete that fails is left to the sweep.
+ */
+export class OwnRecordExpiry {
+  readonly #store: ObjectStore;
+  readonly #clock: Clock;
+  readonly #pacer: CallPacer;
+  readonly #timers = new TimerSet();
+  readonly #checkIntervalMs: Millis;
+  /** Oldest first: all records are kept for the same time. */
+  #records: OwnRecord[] = [];
+
+  constructor(options: OwnRecordExpiryOptions) {
+    this.#store = options.store;
+    this.#clock = options.clock;
+    this.#checkIntervalMs = options.checkIntervalMs ?? CHECK_INTERVAL_MS;
+    this.#pacer = new CallPacer(options.clock, DELETES_PER_S, DELETES_PER_S);
+    this.#scheduleCheck();
+  }
+
+  add(record: OwnRecord): void {
+    if (this.#records.length < MAX_OWN_RECORDS) {
+      this.#records.push(record);
+    }
+  }
+
+  dispose(): void {
+    this.#pacer.dispose();
+    this.#timers.dispose();
+  }
+
+  #scheduleCheck(): void {
+    this.#timers.after(this.#checkIntervalMs, () => {
+      this.#deleteExpired();
+      this.#scheduleCheck();
+    });
+  }
+
+  #deleteExpired(): void {
+    const wallMs = this.#clock.wallMs();
+    const firstKept = this.#records.findIndex(
+      ({ expiresAtMs }) => !isRecordExpired(expiresAtMs, wallMs),
+    );
+    const count = firstKept < 0 ? this.#records.length : firstKept;
+    const expired = this.#records.splice(0, count);
+    for (const { key, version } of expired) {
+      this.#pacer.add(() => this.#store.delete(key, version).catch(() => {}));
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/execution/record_remover.ts
@@ -0,0 +1,126 @@
+import {
+  type Clock,
+  type ObjectStore,
+  type RecordRemovalEffect,
+  type RecordRemovalEvent,
+  type RecordRemovalInput,
+  type RecordRemovalSnapshot,
+  type RecordRemovalStep,
+  startRecordRemoval,
+  stepRecordRemoval,
+  StoreConflictError,
+  StoreUnknownOutcomeError,
+} from "@anvildeal/core";
+import { CallPacer } from "./call_pacer.js";
+import { TimerSet } from "./timer_set.js";
+
+export interface RecordRemoverOptions {
+  readonly store: ObjectStore;
+  readonly clock: Clock;
+  readonly onRemovalDropped?: (key: string) => void;
+}
+
+/** Pending removals beyond this are left to the sweep. */
+const MAX_PENDING_REMOVALS = 10_000;
+
+/**
+ * At the two-year size, 2,900 sidecars that all have removals pending after an
+ * outage make 1,450 calls/s of the 2,000 reads/s that the store sustains.
+ */
+const CALLS_PER_S = 0.5;
+const BURST_CALLS = 20;
+
+type RemovalResult = RecordRemovalEvent extends infer E
+  ? E extends unknown ? Omit<E, "wallMs"> : never
+  : never;
+
+/** Removes the records of attempts that were refused. */
+export class RecordRemover {
+  readonly #options: RecordRemoverOptions;
+  readonly #pacer: CallPacer;
+  readonly #timers = new TimerSet();
+  #pending = 0;
+  #disposed = false;
+
+  constructor(options: RecordRemoverOptions) {
+    this.#options = options;
+    this.#pacer = new CallPacer(options.clock, CALLS_PER_S, BURST_CALLS);
+  }
+
+  get pending(): number {
+    return this.#pending;
+  }
+
+  add(input: RecordRemovalInput): void {
+    if (this.#pending >= MAX_PENDING_REMOVALS) {
+      this.#options.onRemovalDropped?.(input.key);
+      return;
+    }
+    this.#pending++;
+    let snapshot: RecordRemovalSnapshot;
+    const apply = (step: RecordRemovalStep) => {
+      snapshot = step.snapshot;
+      if (step.done) {
+        this.#pending--;
+      }
+      for (const effect of step.effects) {
+        this.#run(effect, report);
+      }
+    };
+    const report = (result: RemovalResult) => {
+      if (!this.#disposed) {
+        const wallMs = this.#options.clock.wallMs();
+        apply(stepRecordRemoval(snapshot, { ...result, wallMs }));
+      }
+    };
+    apply(startRecordRemoval(input));
+  }
+
+  dispose(): void {
+    this.#disposed = true;
+    this.#pacer.dispose();
+    this.#timers.dispose();
+  }
+
+  #run(
+    effect: RecordRemovalEffect,
+    report: (result: RemovalResult) => void,
+  ): void {
+    switch (effect.type) {
+      case "read_record":
+        this.#pacer.add(async () => report(await this.#read(effect.key)));
+        break;
+      case "delete_record":
+        this.#pacer.add(async () =>
+          report(await this.#delete(effect.key, effect.ifVersion))
+        );
+        break;
+      case "wake_after":
+        this.#timers.after(effect.delayMs, () => report({ type: "wake" }));
+        break;
+    }
+  }
+
+  async #read(key: string): Promise<RemovalResult> {
+    try {
+      const current = await this.#options.store.get(key);
+      return { type: "record_read", current };
+    } catch {
+      return { type: "read_unavailable" };
+    }
+  }
+
+  async #delete(key: string, ifVersion: number): Promise<RemovalResult> {
+    try {
+      await this.#options.store.delete(key, ifVersion);
+      return { type: "deleted" };
+    } catch (error) {
+      if (error instanceof StoreConflictError) {
+        return { type: "delete_conflicted" };
+      }
+      return error instanceof StoreUnknownOutcomeError
+        ? { type: "delete_unknown" }
+        : { type: "delete_unavailable" };
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/execution/record_sweeper.ts
@@ -0,0 +1,150 @@
+import {
+  type Clock,
+  EXECUTION_RECORD_PREFIX,
+  expiredRecords,
+  type Millis,
+  type ObjectStore,
+  type StoredObject,
+} from "@anvildeal/core";
+import { CallPacer } from "./call_pacer.js";
+import { TimerSet } from "./timer_set.js";
+
+export interface RecordSweeperOptions {
+  readonly store: ObjectStore;
+  readonly clock: Clock;
+  /** Records in one page. */
+  readonly pageRecords?: number;
+  /** Calls that list or delete. */
+  readonly callsPerS?: number;
+  /** Pause after the last page. */
+  readonly restMs?: Millis;
+}
+
+/** Numbers since the start. */
+export interface SweepCounters {
+  readonly pages: number;
+  readonly deleted: number;
+  /** Calls that failed; a later pass repeats their work. */
+  readonly failed: number;
+}
+
+/** With 64 KB answers in base64, a page stays below 5 MB. */
+const PAGE_RECORDS = 50;
+
+/**
+ * At the two-year size the sidecars delete their own records, so a pass over
+ * the rest may take hours.
+ */
+const CALLS_PER_S = 5;
+
+const REST_MS: Millis = 60_000;
+
+/**
+ * Deletes expired records in small pages at a limited rate.
+ *
+ * Two routers that both believe to be elected do no harm: each delete holds
+ * only for the version that was listed.
+ */
+export class RecordSweeper {
+  readonly #store: ObjectStore;
+  readonly #clock: Clock;
+  readonly #pageRecords: number;
+  readonly #restMs: Millis;
+  readonly #pacer: CallPacer;
+  readonly #timers = new TimerSet();
+  readonly #counters = { pages: 0, deleted: 0, failed: 0 };
+  #elected = false;
+  #sweeping = false;
+  #disposed = false;
+  /** Last key that was listed. */
+  #cursor = EXECUTION_RECORD_PREFIX;
+
+  constructor(options: RecordSweeperOptions) {
+    this.#store = options.store;
+    this.#clock = options.clock;
+    this.#pageRecords = options.pageRecords ?? PAGE_RECORDS;
+    this.#restMs = options.restMs ?? REST_MS;
+    const callsPerS = options.callsPerS ?? CALLS_PER_S;
+    this.#pacer = new CallPacer(options.clock, callsPerS, 1);
+  }
+
+  get counters(): SweepCounters {
+    return { ...this.#counters };
+  }
+
+  /** Says whether this router is the one that sweeps. */
+  setElected(elected: boolean): void {
+    this.#elected = elected;
+    if (elected && !this.#sweeping && !this.#disposed) {
+      this.#sweeping = true;
+      this.#sweepPage();
+    }
+  }
+
+  dispose(): void {
+    this.#disposed = true;
+    this.#pacer.dispose();
+    this.#timers.dispose();
+  }
+
+  #sweepPage(): void {
+    if (!this.#elected) {
+      this.#sweeping = false;
+      return;
+    }
+    this.#pacer.add(async () => {
+      const page = await this.#list();
+      if (this.#disposed) {
+        return;
+      }
+      for (const { key, version } of this.#expiredOf(page)) {
+        this.#pacer.add(() => this.#delete(key, version));
+      }
+      this.#goOn(page);
+    });
+  }
+
+  /** Lists the next page; undefined when the store does not answer. */
+  async #list(): Promise<StoredObject[] | undefined> {
+    try {
+      const page = await this.#store.list(EXECUTION_RECORD_PREFIX, {
+        limit: this.#pageRecords,
+        after: this.#cursor,
+      });
+      this.#counters.pages++;
+      return page;
+    } catch {
+      this.#counters.failed++;
+      return undefined;
+    }
+  }
+
+  #expiredOf(page: readonly StoredObject[] | undefined): StoredObject[] {
+    return expiredRecords(page ?? [], this.#clock.wallMs());
+  }
+
+  #goOn(page: readonly StoredObject[] | undefined): void {
+    const last = page?.at(-1)?.key;
+    if (last !== undefined && page?.length === this.#pageRecords) {
+      this.#cursor = last;
+      this.#sweepPage();
+      return;
+    }
+    if (page !== undefined) {
+      this.#cursor = EXECUTION_RECORD_PREFIX;
+    }
+    this.#timers.after(this.#restMs, () => this.#sweepPage());
+  }
+
+  async #delete(key: string, version: number): Promise<void> {
+    if (!this.#elected) {
+      return;
+    }
+    try {
+      await this.#store.delete(key, version);
+      this.#counters.deleted++;
+    } catch {
+      this.#counters.failed++;
+    }
+  }
+}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,2 +1,3 @@
+export * from "./execution/index.js";
 export * from "./store/index.js";
 export * from "./system_clock.js";
--- a/packages/daemon/src/store/http_exchange.ts
+++ b/packages/daemon/src/store/http_exchange.ts
@@ -52,6 +52,8 @@
   #status = 0;
   #bodyBytes = 0;
   #headBytes = 0;
+  #framingBytes = 0;
+  #isChunked = false;
   #settled = false;
 
   constructor(request: HttpRequest, options: HttpExchangeOptions) {
@@ -64,9 +66,9 @@
     return this.#controller === undefined ? 0 : requestBytes(this.#request);
   }
 
-  /** Bytes of the response received so far, without chunk framing. */
+  /** Bytes of the response on the wire that were received so far. */
   get receivedBytes(): number {
-    return this.#headBytes + this.#bodyBytes;
+    return this.#headBytes + this.#framingBytes + this.#bodyBytes;
   }
 
   /** Rejects with {@link HttpExchangeError} only. Can be called once. */
@@ -131,8 +133,9 @@
         }
         this.#controller = controller;
       },
-      onResponseStart: (controller, status, _headers, statusMessage = "") => {
+      onResponseStart: (controller, status, headers, statusMessage = "") => {
         this.#status = status;
+        this.#isChunked = headers["transfer-encoding"] === "chunked";
         this.#headBytes += responseHeadBytes(
           statusMessage,
           controller.rawHeaders,
@@ -141,16 +144,29 @@
       onResponseData: (_controller, chunk) => {
         this.#body.push(chunk);
         this.#bodyBytes += chunk.length;
+        if (this.#isChunked) {
+          this.#framingBytes += chunk.length.toString(16).length +
+            CHUNK_LINE_ENDS_BYTES;
+        }
         if (this.#bodyBytes > this.#options.maxResponseBytes) {
           fail("The answer exceeds the size limit");
         }
       },
-      onResponseEnd: succeed,
+      onResponseEnd: () => {
+        this.#framingBytes += this.#isChunked ? LAST_CHUNK_BYTES : 0;
+        succeed();
+      },
       onResponseError: (_controller, cause) => fail(cause.message, cause),
     };
   }
 }
 
+/** Line ends after the size and after the data of a chunk. */
+const CHUNK_LINE_ENDS_BYTES = 4;
+
+/** "0" and two line ends. */
+const LAST_CHUNK_BYTES = 5;
+
 /** Size of the head and body that undici writes for an HTTP/1.1 request. */
 function requestBytes(request: HttpRequest): number {
   const host = new URL(request.origin).host;
--- a/packages/daemon/src/store/http_object_store.ts
+++ b/packages/daemon/src/store/http_object_store.ts
@@ -31,7 +31,7 @@
 export interface StoreCall {
   readonly kind: StoreCallKind;
   readonly outcome: "ok" | "conflict" | "unavailable" | "unknown";
-  /** Bytes of HTTP head and body; TCP and chunk framing are not counted. */
+  /** Bytes of HTTP on the wire; headers of TCP and IP are not counted. */
   readonly sentBytes: number;
   readonly receivedBytes: number;
 }
