--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,5 +7,6 @@
 export * from "./placement/index.js";
 export * from "./router/index.js";
 export * from "./sidecar/index.js";
+export * from "./execution/index.js";
 export * from "./store/index.js";
 export * from "./wire/index.js";
