Add the reducer that distributes the configuration

Two watchers in each failure domain, pushes and comparisons replace one watch per process, whose count the object API could not carry at the two-year size.

--- /dev/null
+++ b/packages/core/src/config_sync/config_objects.ts
@@ -0,0 +1,27 @@
+import { z } from "zod";
+
+/** Key of the pointer to the accepted version. */
+export const ACTIVE_KEY = "config/active";
+
+/** Value of `config/active`. */
+export const ActivePointerSchema = z.object({
+  version: z.int().positive(),
+  /** Digest of the manifest, as computed by `manifestDigest`. */
+  digest: z.string(),
+});
+export type ActivePointer = z.infer<typeof ActivePointerSchema>;
+
+/** Value of `config/versions/<n>`, without the fields of its history. */
+export const VersionObjectSchema = z.object({
+  version: z.int().positive(),
+  manifest: z.record(z.string(), z.string()),
+});
+
+export function versionKey(version: number): string {
+  return `config/versions/${version}`;
+}
+
+/** The value below this key is the section's content as a JSON string. */
+export function sectionKey(digest: string): string {
+  return `config/sections/${digest}`;
+}
--- /dev/null
+++ b/packages/core/src/config_sync/index.ts
@@ -0,0 +1,11 @@
+export * from "./config_objects.js";
+export * from "./config_sync_event.js";
+export {
+  type ConfigSyncOptions,
+  type ConfigSyncState,
+  createConfigSyncState,
+  highestKnownVersion,
+  isServing,
+  versionInForce,
+} from "./config_sync_state.js";
+export * from "./reduce_config_sync.js";
--- /dev/null
+++ b/packages/core/src/config_sync/reduce_config_sync_test.ts
@@ -0,0 +1,374 @@
+import { beforeEach, describe, expect, it } from "vitest";
+import { type Bundle, BundleSchema } from "../config/bundle_schema.js";
+import { manifestDigest, splitBundle } from "../config/config_sections.js";
+import type { Message } from "../wire/messages.js";
+import {
+  ACTIVE_KEY,
+  type ConfigSyncEffect,
+  type ConfigSyncEvent,
+  type ConfigSyncOptions,
+  type ConfigSyncState,
+  createConfigSyncState,
+  highestKnownVersion,
+  isServing,
+  reduceConfigSync,
+  sectionKey,
+  versionInForce,
+  versionKey,
+} from "./index.js";
+
+type EventInput = ConfigSyncEvent extends infer E
+  ? E extends ConfigSyncEvent ? Omit<E, "nowMs"> : never
+  : never;
+type EffectOf<T extends ConfigSyncEffect["type"]> = Extract<
+  ConfigSyncEffect,
+  { type: T }
+>;
+
+/** Short and not cryptographic; the reducer only compares its results. */
+function digest(content: string): string {
+  let hash = 7;
+  for (const char of content) {
+    hash = (Math.imul(hash, 31) + char.charCodeAt(0)) >>> 0;
+  }
+  return hash.toString(16).padStart(8, "0").repeat(3);
+}
+
+/** Version n has one pool and two accounts, of which one has weight n. */
+function bundleOf(version: number): Bundle {
+  const keyHash = (digit: string) => digit.repeat(64);
+  return BundleSchema.parse({
+    accounts: [
+      { name: "wiki", key_hashes: [keyHash("a")], weight: version },
+      { name: "grants", key_hashes: [keyHash("b")] },
+    ],
+    pools: [{ name: "chat", kind: "model", models: ["m"] }],
+  });
+}
+
+function contentOf(version: number) {
+  const { manifest, sections } = splitBundle(bundleOf(version), digest);
+  return { manifest, sections, digest: manifestDigest(manifest, digest) };
+}
+
+function stateMessage(version: number): Message & { type: "config_state" } {
+  const { manifest, sections } = contentOf(version);
+  return {
+    type: "config_state",
+    configVersion: version,
+    manifest: { ...manifest },
+    sections: { ...sections },
+  };
+}
+
+function storeObjects(version: number): Map<string, unknown> {
+  const content = contentOf(version);
+  const objects = new Map<string, unknown>([
+    [ACTIVE_KEY, { version, digest: content.digest }],
+    [versionKey(version), { version, manifest: content.manifest }],
+  ]);
+  for (const [name, text] of Object.entries(content.sections)) {
+    objects.set(sectionKey(name), text);
+  }
+  return objects;
+}
+
+/** The pointer's object version equals the number that it names. */
+function versioned(value: unknown) {
+  const { version } = value as { version?: number };
+  return { version: version ?? 1, value };
+}
+
+describe("reduceConfigSync", () => {
+  let state: ConfigSyncState;
+
+  const create = (options: Partial<ConfigSyncOptions> = {}) => {
+    state = createConfigSyncState({
+      role: "router",
+      seed: 1,
+      digest,
+      watchMode: "elected",
+      ...options,
+    });
+  };
+  const at = (nowMs: number, input: EventInput): ConfigSyncEffect[] =>
+    reduceConfigSync(state, { ...input, nowMs } as ConfigSyncEvent);
+  const receive = (
+    nowMs: number,
+    peerId: string,
+    message: Message & { type: "config_query" | "config_state" },
+  ) => at(nowMs, { type: "message_received", peerId, message });
+  const tick = (nowMs: number, peerIds: string[] = []) =>
+    at(nowMs, { type: "tick", peerIds });
+  const only = <T extends ConfigSyncEffect["type"]>(
+    effects: ConfigSyncEffect[],
+    type: T,
+  ) => effects.filter((effect): effect is EffectOf<T> => effect.type === type);
+  /** Answers reads from the objects until no read is left. */
+  const serveReads = (
+    nowMs: number,
+    effects: ConfigSyncEffect[],
+    objects: Map<string, unknown>,
+  ): ConfigSyncEffect[] => {
+    const all = [...effects];
+    for (const effect of all) {
+      if (effect.type === "read_objects") {
+        const found = effect.keys.filter((key) => objects.has(key)).map((key) =>
+          [key, versioned(objects.get(key))] as const
+        );
+        const { requestId } = effect;
+        all.push(...at(nowMs, {
+          type: "objects_read",
+          requestId,
+          objects: new Map(found),
+        }));
+      }
+    }
+    return all;
+  };
+  const startAt = (version: number) => {
+    const effects = at(0, { type: "started", seedPeerIds: [] });
+    serveReads(0, effects, storeObjects(version));
+    expect(versionInForce(state)).toBe(version);
+  };
+
+  beforeEach(() => create());
+
+  describe("while it starts", () => {
+    it("reads the accepted version from the store", () => {
+      const effects = serveReads(
+        0,
+        at(0, { type: "started", seedPeerIds: [] }),
+        storeObjects(3),
+      );
+      expect(only(effects, "apply")).toMatchObject([
+        { version: 3, bundle: bundleOf(3) },
+      ]);
+      expect(isServing(state)).toBe(true);
+    });
+
+    it("serves nothing until a peer names a version when the store fails", () => {
+      const started = at(0, { type: "started", seedPeerIds: ["p1", "p2"] });
+      expect(only(started, "send").map((effect) => effect.peerId).sort())
+        .toEqual(["p1", "p2"]);
+      const [read] = only(started, "read_objects");
+      at(1, { type: "read_failed", requestId: read!.requestId });
+      const empty = { type: "config_state", configVersion: 0 } as const;
+      receive(2, "p1", empty);
+      receive(2, "p2", empty);
+      tick(900);
+      expect(isServing(state)).toBe(false);
+    });
+
+    it("takes the highest version of the answers, not the first", () => {
+      at(0, { type: "started", seedPeerIds: ["p1", "p2", "p3"] });
+      receive(1, "p1", { type: "config_state", configVersion: 4 });
+      const effects = receive(2, "p2", {
+        type: "config_state",
+        configVersion: 5,
+      });
+      expect(only(effects, "send")).toEqual([]);
+      const [query] = only(tick(600), "send");
+      expect(query).toMatchObject({
+        peerId: "p2",
+        message: { type: "config_query", wantContent: true },
+      });
+      receive(601, "p2", stateMessage(5));
+      expect(versionInForce(state)).toBe(5);
+    });
+
+    it("asks again while no peer answers", () => {
+      at(0, { type: "started", seedPeerIds: ["p1"] });
+      expect(only(tick(500), "send")).toHaveLength(0);
+      expect(only(tick(1000), "send")).toHaveLength(1);
+    });
+  });
+
+  describe("with a newer version", () => {
+    beforeEach(() => startAt(1));
+
+    it("fetches only changed sections from the peer that told it", () => {
+      const [query] = only(
+        at(10, { type: "version_hinted", peerId: "p1", configVersion: 2 }),
+        "send",
+      );
+      expect(query).toMatchObject({ peerId: "p1" });
+      const held = (query!.message as Message & { type: "config_query" })
+        .haveSections;
+      expect(held).toHaveLength(Object.keys(contentOf(1).sections).length);
+
+      const other = createConfigSyncState(state.options);
+      const own = state;
+      state = other;
+      startAt(2);
+      const [answer] = only(
+        receive(
+          11,
+          "self",
+          query!.message as Message & {
+            type: "config_query";
+          },
+        ),
+        "send",
+      );
+      state = own;
+      const message = answer!.message as Message & { type: "config_state" };
+      expect(Object.keys(message.sections!)).toHaveLength(1);
+      expect(only(receive(12, "p1", message), "apply"))
+        .toMatchObject([{ version: 2, bundle: bundleOf(2) }]);
+    });
+
+    it("asks another peer, then the store, when the first is silent", () => {
+      tick(0, ["p1", "p2"]);
+      at(10, { type: "version_hinted", peerId: "p1", configVersion: 2 });
+      const second = tick(1010, ["p1", "p2"]);
+      expect(
+        only(second, "send").filter((effect) =>
+          effect.message.type === "config_query" && effect.message.wantContent
+        ),
+      ).toMatchObject([{ peerId: "p2" }]);
+      const reads = tick(2010, ["p1", "p2"]);
+      serveReads(2011, reads, storeObjects(2));
+      expect(versionInForce(state)).toBe(2);
+    });
+
+    it("passes the new version on to four peers", () => {
+      tick(0, ["p1", "p2", "p3", "p4", "p5", "p6"]);
+      const effects = receive(10, "p1", stateMessage(2));
+      const pushes = only(effects, "send");
+      expect(pushes).toHaveLength(4);
+      expect(pushes[0]!.message)
+        .toEqual({ type: "config_state", configVersion: 2 });
+    });
+
+    it("rejects a section that does not match its digest", () => {
+      const message = stateMessage(2);
+      const changed = Object.keys(message.sections!).find((name) =>
+        !(name in contentOf(1).sections)
+      )!;
+      message.sections![changed] = "[]";
+      const effects = receive(10, "p1", message);
+      expect(effects).toContainEqual({
+        type: "count",
+        counter: "digest_mismatch",
+        amount: 1,
+      });
+      expect(versionInForce(state)).toBe(1);
+    });
+
+    it("stays on its version when a newer one cannot be read", () => {
+      const content = "[{}]";
+      const effects = receive(10, "p1", {
+        type: "config_state",
+        configVersion: 2,
+        manifest: { pools: digest(content) },
+        sections: { [digest(content)]: content },
+      });
+      expect(only(effects, "apply")).toEqual([]);
+      expect(versionInForce(state)).toBe(1);
+      receive(20, "p1", stateMessage(3));
+      expect(versionInForce(state)).toBe(3);
+    });
+
+    it("never goes back, whatever arrives late or after a pause", () => {
+      receive(10, "p1", stateMessage(5));
+      receive(20, "p2", stateMessage(4));
+      at(1e7, { type: "version_hinted", peerId: "p2", configVersion: 4 });
+      receive(1e7, "p2", stateMessage(4));
+      expect(versionInForce(state)).toBe(5);
+      expect(highestKnownVersion(state)).toBe(5);
+    });
+
+    it("rejects a manifest that differs from the accepted digest", () => {
+      at(10, { type: "election_changed", elected: true });
+      const effects = at(11, {
+        type: "watch_returned",
+        watchId: state.watch.activeId!,
+        object: { version: 2, value: { version: 2, digest: "other" } },
+      });
+      const served = serveReads(12, effects, storeObjects(2));
+      expect(only(served, "apply")).toEqual([]);
+      receive(13, "p1", stateMessage(2));
+      expect(versionInForce(state)).toBe(1);
+    });
+  });
+
+  describe("with the store", () => {
+    it("watches only while elected", () => {
+      startAt(1);
+      expect(only(tick(100), "start_watch")).toEqual([]);
+      const [watch] = only(
+        at(200, { type: "election_changed", elected: true }),
+        "start_watch",
+      );
+      expect(watch).toMatchObject({ key: ACTIVE_KEY, afterVersion: 1 });
+      expect(at(300, { type: "election_changed", elected: false }))
+        .toContainEqual({ type: "stop_watch", watchId: watch!.watchId });
+      at(400, {
+        type: "watch_returned",
+        watchId: watch!.watchId,
+        object: { version: 2, value: { version: 2, digest: "" } },
+      });
+      expect(highestKnownVersion(state)).toBe(1);
+    });
+
+    it("always watches with that setting, but not in a sidecar", () => {
+      create({ watchMode: "always" });
+      const started = at(0, { type: "started", seedPeerIds: [] });
+      expect(only(started, "start_watch")).toHaveLength(1);
+      create({ watchMode: "always", role: "sidecar" });
+      const sidecar = at(0, { type: "started", seedPeerIds: [] });
+      expect(only(sidecar, "start_watch")).toHaveLength(0);
+    });
+
+    it("starts a failed watch again after a growing delay", () => {
+      create({ watchMode: "always" });
+      at(0, { type: "started", seedPeerIds: [] });
+      const delays: number[] = [];
+      for (let nowMs = 0, since = 0; delays.length < 3; nowMs += 50) {
+        if (nowMs === since) {
+          at(nowMs, { type: "watch_failed", watchId: state.watch.activeId! });
+        } else if (only(tick(nowMs), "start_watch").length > 0) {
+          delays.push(nowMs - since);
+          since = nowMs + 50;
+        }
+      }
+      expect(delays[0]).toBeGreaterThanOrEqual(500);
+      expect(delays[1]).toBeGreaterThan(delays[0]!);
+      expect(delays[2]).toBeGreaterThan(delays[1]!);
+    });
+
+    it("reads the pointer itself after 5 s without news", () => {
+      startAt(1);
+      at(3000, { type: "version_hinted", peerId: "p1", configVersion: 1 });
+      expect(only(tick(7900), "read_objects")).toEqual([]);
+      expect(only(tick(10_100), "read_objects"))
+        .toMatchObject([{ keys: [ACTIVE_KEY] }]);
+    });
+
+    it("compares versions with two random peers each second", () => {
+      startAt(1);
+      const peers = ["p1", "p2", "p3", "p4"];
+      expect(only(tick(0, peers), "send")).toHaveLength(2);
+      expect(only(tick(500, peers), "send")).toHaveLength(0);
+      expect(only(tick(1000, peers), "send")).toHaveLength(2);
+    });
+
+    it("discards the answer to a read that has been given up", () => {
+      const [read] = only(
+        at(0, { type: "started", seedPeerIds: [] }),
+        "read_objects",
+      );
+      tick(3000);
+      at(3001, {
+        type: "objects_read",
+        requestId: read!.requestId,
+        objects: new Map([[ACTIVE_KEY, {
+          version: 1,
+          value: { version: 1, digest: "" },
+        }]]),
+      });
+      expect(highestKnownVersion(state)).toBe(0);
+    });
+  });
+});
