--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -2,6 +2,7 @@
 export * from "./clock.js";
 export * from "./config/index.js";
 export * from "./log_events.js";
+export * from "./config_sync/index.js";
 export * from "./membership/index.js";
 export * from "./metric_names.js";
 export * from "./placement/index.js";
