--- a/packages/core/src/config/bundle_check.ts
+++ b/packages/core/src/config/bundle_check.ts
@@ -1,184 +1,172 @@
 import type { z } from "zod";
-import { type Bundle, BundleSchema } from "./bundle_schema.js";
+import {
+  AccountSchema,
+  type Bundle,
+  BundleSchema,
+  ObjectiveSchema,
+  PoolSchema,
+  ServiceSchema,
+} from "./bundle_schema.js";
+import { BUNDLE_KINDS, type BundleKind } from "./bundle_diff.js";
+import { findRuleIssues } from "./bundle_rules.js";
 import { ConfigError, type ConfigIssue } from "./config_error.js";
+import { issuesOf } from "./schema_issues.js";
 
-/** Longest excerpt of a rejected value in an error message. */
-const MAX_EXCERPT_CHARS = 60;
+/** One parsed file of a bundle that is spread over several files. */
+export interface BundleFile {
+  readonly file: string;
+  readonly bundle: unknown;
+}
+
+/** Where an item of the bundle was written. */
+export interface ItemPlace {
+  readonly file: string;
+  /** Path of the item in its file, for example `accounts.0`. */
+  readonly key: string;
+}
 
-/** Keys whose values are never repeated in an error message. */
-const SECRET_KEY = /key|secret|token_hash/;
+/** Items by kind; items that do not match their schema are left out. */
+export type PlacedItems = {
+  readonly [K in BundleKind]: readonly PlacedItem<Bundle[K][number]>[];
+};
+
+export interface PlacedItem<T> extends ItemPlace {
+  readonly item: T;
+}
 
 /**
- * Checks a parsed bundle as a whole: schema, references and duplicates.
+ * Checks a parsed bundle as a whole: schema, references, limits, duplicates.
  *
  * Throws {@link ConfigError} with every mistake found, not only the first.
  */
 export function checkBundle(value: unknown, file: string): Bundle {
-  const parsed = BundleSchema.safeParse(value);
+  return checkBundleFiles([{ file, bundle: value }]);
+}
+
+/** Like {@link checkBundle} for a bundle that is spread over files. */
+export function checkBundleFiles(files: readonly BundleFile[]): Bundle {
+  const merged = mergeFiles(files);
+  const parsed = BundleSchema.safeParse(merged.bundle);
+  const issues = [...merged.issues];
   if (!parsed.success) {
-    throw new ConfigError(issuesOf(parsed.error, value, file));
+    const placed = issuesOf(parsed.error, merged.bundle, "(bundle)");
+    issues.push(...placed.map((issue) => relocate(issue, merged, files)));
   }
-  const issues = [
-    ...findDuplicates(parsed.data, file),
-    ...findDanglingReferences(parsed.data, file),
-    ...findInconsistencies(parsed.data, file),
-  ];
-  if (issues.length > 0) {
+  const names = namesOf(merged.bundle);
+  issues.push(...findRuleIssues(placeItems(merged), names));
+  if (issues.length > 0 || !parsed.success) {
     throw new ConfigError(issues);
   }
   return parsed.data;
 }
 
-/** Turns the issues of a zod error into lines with file, key and value. */
-export function issuesOf(
-  error: z.ZodError,
-  value: unknown,
-  file: string,
-): ConfigIssue[] {
-  return error.issues.map((issue) => {
-    const key = issue.path.map(String).join(".");
-    return {
-      file,
-      key: key === "" ? "(top level)" : key,
-      found: excerptAt(value, issue.path, key),
-      allowed: issue.message,
-    };
-  });
+interface MergedBundle {
+  readonly bundle: Record<BundleKind, unknown[]>;
+  readonly places: Record<BundleKind, ItemPlace[]>;
+  readonly issues: ConfigIssue[];
 }
 
-function excerptAt(
-  value: unknown,
-  path: readonly PropertyKey[],
-  key: string,
-): string {
-  let current: unknown = value;
-  for (const step of path) {
-    if (current === null || typeof current !== "object") {
-      return "nothing";
+function mergeFiles(files: readonly BundleFile[]): MergedBundle {
+  const merged: MergedBundle = {
+    bundle: { accounts: [], pools: [], services: [], objectives: [] },
+    places: { accounts: [], pools: [], services: [], objectives: [] },
+    issues: [],
+  };
+  for (const { file, bundle } of files) {
+    if (bundle === null || typeof bundle !== "object") {
+      merged.issues.push(
+        topLevelIssue(file, "(top level)", bundle, "must be a table of keys"),
+      );
+      continue;
+    }
+    for (const [key, items] of Object.entries(bundle)) {
+      mergeKey(merged, file, key, items);
     }
-    current = (current as Record<PropertyKey, unknown>)[step];
   }
-  if (current === undefined) {
-    return "nothing";
+  return merged;
+}
+
+function mergeKey(
+  merged: MergedBundle,
+  file: string,
+  key: string,
+  items: unknown,
+): void {
+  const kind = BUNDLE_KINDS.find((kind) => kind === key);
+  if (kind === undefined) {
+    const allowed = `is not a known key; allowed: ${BUNDLE_KINDS.join(", ")}`;
+    merged.issues.push(topLevelIssue(file, key, items, allowed));
+    return;
   }
-  if (SECRET_KEY.test(key)) {
-    return "a value that is not shown";
+  if (!Array.isArray(items)) {
+    merged.issues.push(
+      topLevelIssue(file, key, items, `must be a list, written [[${key}]]`),
+    );
+    return;
   }
-  return (JSON.stringify(current) ?? String(current)).slice(
-    0,
-    MAX_EXCERPT_CHARS,
-  );
+  items.forEach((item, index) => {
+    merged.bundle[kind].push(item);
+    merged.places[kind].push({ file, key: `${kind}.${index}` });
+  });
 }
 
-function findDuplicates(bundle: Bundle, file: string): ConfigIssue[] {
-  const issues: ConfigIssue[] = [];
-  const check = (kind: string, field: string, values: string[]) => {
-    const seen = new Map<string, number>();
-    values.forEach((value, index) => {
-      const first = seen.get(value);
-      if (first === undefined) {
-        seen.set(value, index);
-        return;
-      }
-      issues.push({
-        file,
-        key: `${kind}.${index}.${field}`,
-        found: SECRET_KEY.test(field) ? "a duplicate" : JSON.stringify(value),
-        allowed: `must differ from ${kind}.${first}.${field}`,
-      });
-    });
-  };
-  check("accounts", "name", bundle.accounts.map((account) => account.name));
-  check("pools", "name", bundle.pools.map((pool) => pool.name));
-  check("services", "name", bundle.services.map((service) => service.name));
-  check("objectives", "name", bundle.objectives.map((slo) => slo.name));
-  check(
-    "accounts",
-    "key_hashes",
-    bundle.accounts.flatMap((account) => account.key_hashes),
-  );
-  check("pools", "models", bundle.pools.flatMap((pool) => pool.models));
-  return issues;
+function topLevelIssue(
+  file: string,
+  key: string,
+  value: unknown,
+  allowed: string,
+): ConfigIssue {
+  const found = Array.isArray(value)
+    ? "a list"
+    : `a value of type ${typeof value}`;
+  return { file, key, found, allowed };
 }
 
-function findDanglingReferences(bundle: Bundle, file: string): ConfigIssue[] {
-  const issues: ConfigIssue[] = [];
-  const pools = new Set(bundle.pools.map((pool) => pool.name));
-  const services = new Set(bundle.services.map((service) => service.name));
-  const accounts = new Set(bundle.accounts.map((account) => account.name));
-  const need = (
-    names: Set<string>,
-    name: string,
-    key: string,
-    kind: string,
-  ) => {
-    if (!names.has(name)) {
-      issues.push({
-        file,
-        key,
-        found: JSON.stringify(name),
-        allowed: `must name one of the ${kind}: ${summarize(names)}`,
-      });
-    }
-  };
-  bundle.accounts.forEach((account, a) => {
-    account.pools.forEach((name, i) =>
-      need(pools, name, `accounts.${a}.pools.${i}`, "pools")
-    );
-    account.services.forEach((name, i) =>
-      need(services, name, `accounts.${a}.services.${i}`, "services")
-    );
-    account.routes.forEach((route, i) =>
-      need(
-        services,
-        route.service,
-        `accounts.${a}.routes.${i}.service`,
-        "services",
-      )
-    );
-  });
-  bundle.services.forEach((service, i) =>
-    need(pools, service.pool, `services.${i}.pool`, "pools")
-  );
-  bundle.objectives.forEach((slo, i) => {
-    if (slo.account !== undefined) {
-      need(accounts, slo.account, `objectives.${i}.account`, "accounts");
-    }
-    if (slo.pool !== undefined) {
-      need(pools, slo.pool, `objectives.${i}.pool`, "pools");
-    }
-  });
-  return issues;
+/** Turns the place of an issue in the merged bundle into that in its file. */
+function relocate(
+  issue: ConfigIssue,
+  merged: MergedBundle,
+  files: readonly BundleFile[],
+): ConfigIssue {
+  const [kind, index, ...rest] = issue.key.split(".");
+  const places = merged.places[kind as BundleKind] as ItemPlace[] | undefined;
+  const place = places?.[Number(index)];
+  if (place === undefined) {
+    const file = files.map((source) => source.file).join(", ");
+    return { ...issue, file: file || "(no file)" };
+  }
+  const key = [place.key, ...rest].join(".");
+  return { ...issue, file: place.file, key };
 }
 
-function findInconsistencies(bundle: Bundle, file: string): ConfigIssue[] {
-  const issues: ConfigIssue[] = [];
-  const kinds = new Map(bundle.pools.map((pool) => [pool.name, pool.kind]));
-  bundle.pools.forEach((pool, i) => {
-    if (pool.kind === "model" && pool.models.length === 0) {
-      issues.push({
-        file,
-        key: `pools.${i}.models`,
-        found: "no model",
-        allowed: "a pool of kind 'model' must name at least one model",
-      });
-    }
-  });
-  bundle.services.forEach((service, i) => {
-    if (kinds.get(service.pool) === "model") {
-      issues.push({
-        file,
-        key: `services.${i}.pool`,
-        found: JSON.stringify(service.pool),
-        allowed: "must name a pool of kind 'service'",
-      });
-    }
-  });
-  return issues;
+/** Names of all items, also of those with mistakes in other keys. */
+function namesOf(
+  bundle: Record<BundleKind, unknown[]>,
+): Record<BundleKind, Set<string>> {
+  const names = (kind: BundleKind) =>
+    new Set(
+      bundle[kind]
+        .map((item) => (item as { name?: unknown } | null)?.name)
+        .filter((name) => typeof name === "string"),
+    );
+  return {
+    accounts: names("accounts"),
+    pools: names("pools"),
+    services: names("services"),
+    objectives: names("objectives"),
+  };
 }
 
-function summarize(names: Set<string>): string {
-  const MAX_NAMES = 8;
-  const listed = [...names].slice(0, MAX_NAMES).join(", ");
-  return names.size > MAX_NAMES ? `${listed}, ...` : listed || "(none)";
+function placeItems(merged: MergedBundle): PlacedItems {
+  const place = <T>(kind: BundleKind, schema: z.ZodType<T>) =>
+    merged.places[kind].flatMap((place, index) => {
+      const parsed = schema.safeParse(merged.bundle[kind][index]);
+      return parsed.success ? [{ ...place, item: parsed.data }] : [];
+    });
+  return {
+    accounts: place("accounts", AccountSchema),
+    pools: place("pools", PoolSchema),
+    services: place("services", ServiceSchema),
+    objectives: place("objectives", ObjectiveSchema),
+  };
 }
--- /dev/null
+++ b/packages/core/src/config/bundle_diff.ts
@@ -0,0 +1,207 @@
+import type { Account, Bundle } from "./bundle_schema.js";
+
+/** Kinds of items in a bundle, in the order in which they are shown. */
+export const BUNDLE_KINDS = [
+  "accounts",
+  "pools",
+  "services",
+  "objectives",
+] as const;
+export type BundleKind = typeof BUNDLE_KINDS[number];
+
+/** One key of a changed item; absent values are undefined. */
+export interface FieldChange {
+  readonly key: string;
+  readonly before: unknown;
+  readonly after: unknown;
+}
+
+export interface ItemChange {
+  readonly kind: BundleKind;
+  readonly name: string;
+  readonly change: "added" | "removed" | "changed";
+  /** Empty unless `change` is "changed". */
+  readonly fields: readonly FieldChange[];
+}
+
+/** What a change touches. Traffic is measured, or estimated from limits. */
+export interface BundleEffect {
+  /** Accounts that changed or that may use a changed pool or service. */
+  readonly accounts: readonly string[];
+  /** Pools that changed or that a changed account or service uses. */
+  readonly pools: readonly string[];
+  readonly services: readonly string[];
+  /** Share of the traffic that comes from `accounts`, 0 to 1. */
+  readonly traffic_share: number;
+  readonly traffic_basis: "measured" | "configured_limits";
+}
+
+export interface BundleDiff {
+  readonly changes: readonly ItemChange[];
+  readonly effect: BundleEffect;
+}
+
+/** Requests per second by account name. */
+export type AccountTraffic = ReadonlyMap<string, number>;
+
+/**
+ * Compares two bundles by item name and key.
+ *
+ * `before` is undefined when no version is in force. Without measured
+ * `traffic`, the share is estimated from `max_requests_per_s`.
+ */
+export function diffBundles(
+  before: Bundle | undefined,
+  after: Bundle,
+  traffic?: AccountTraffic,
+): BundleDiff {
+  const old = before ??
+    { accounts: [], pools: [], services: [], objectives: [] };
+  const changes = BUNDLE_KINDS.flatMap((kind) =>
+    diffItems(kind, old[kind], after[kind])
+  );
+  return { changes, effect: effectOf(changes, old, after, traffic) };
+}
+
+interface NamedItem {
+  readonly name: string;
+}
+
+function diffItems(
+  kind: BundleKind,
+  before: readonly NamedItem[],
+  after: readonly NamedItem[],
+): ItemChange[] {
+  const old = new Map(before.map((item) => [item.name, item]));
+  const names = new Set(after.map((item) => item.name));
+  const changes: ItemChange[] = [];
+  for (const item of after) {
+    const previous = old.get(item.name);
+    if (previous === undefined) {
+      changes.push({ kind, name: item.name, change: "added", fields: [] });
+      continue;
+    }
+    const fields = diffFields(previous, item);
+    if (fields.length > 0) {
+      changes.push({ kind, name: item.name, change: "changed", fields });
+    }
+  }
+  for (const item of before) {
+    if (!names.has(item.name)) {
+      changes.push({ kind, name: item.name, change: "removed", fields: [] });
+    }
+  }
+  return changes.sort((a, b) => a.name < b.name ? -1 : 1);
+}
+
+function diffFields(before: NamedItem, after: NamedItem): FieldChange[] {
+  const old = before as unknown as Record<string, unknown>;
+  const now = after as unknown as Record<string, unknown>;
+  const keys = [...new Set([...Object.keys(old), ...Object.keys(now)])].sort();
+  return keys
+    .filter((key) => JSON.stringify(old[key]) !== JSON.stringify(now[key]))
+    .map((key) => ({ key, before: old[key], after: now[key] }));
+}
+
+function effectOf(
+  changes: readonly ItemChange[],
+  before: Bundle,
+  after: Bundle,
+  traffic: AccountTraffic | undefined,
+): BundleEffect {
+  const changed = (kind: BundleKind) =>
+    new Set(changes.filter((c) => c.kind === kind).map((c) => c.name));
+  const changedAccounts = changed("accounts");
+  const pools = changed("pools");
+  const services = changed("services");
+  const bundles = [before, after];
+  for (const service of bundles.flatMap((bundle) => bundle.services)) {
+    if (pools.has(service.pool)) {
+      services.add(service.name);
+    } else if (services.has(service.name)) {
+      pools.add(service.pool);
+    }
+  }
+  const all = bundles.flatMap((bundle) => bundle.accounts);
+  const usesChanged = (account: Account) =>
+    account.pools.some((pool) => pools.has(pool)) ||
+    account.services.some((service) => services.has(service));
+  const accounts = new Set(
+    all.filter((a) => changedAccounts.has(a.name) || usesChanged(a))
+      .map((a) => a.name),
+  );
+  for (const account of all) {
+    if (changedAccounts.has(account.name)) {
+      account.pools.forEach((pool) => pools.add(pool));
+    }
+  }
+  return {
+    accounts: [...accounts].sort(),
+    pools: [...pools].sort(),
+    services: [...services].sort(),
+    ...trafficShare(accounts, all, traffic),
+  };
+}
+
+function trafficShare(
+  touched: ReadonlySet<string>,
+  accounts: readonly Account[],
+  traffic: AccountTraffic | undefined,
+): Pick<BundleEffect, "traffic_share" | "traffic_basis"> {
+  const measured = traffic !== undefined && traffic.size > 0;
+  const rates = measured
+    ? traffic
+    : new Map(accounts.map((a) => [a.name, a.max_requests_per_s]));
+  let total = 0;
+  let share = 0;
+  for (const [name, rate] of rates) {
+    total += rate;
+    share += touched.has(name) ? rate : 0;
+  }
+  return {
+    traffic_share: total === 0 ? 0 : share / total,
+    traffic_basis: measured ? "measured" : "configured_limits",
+  };
+}
+
+/** Formats a difference for a terminal, one line per changed key. */
+export function formatBundleDiff(diff: BundleDiff): string[] {
+  if (diff.changes.length === 0) {
+    return ["no changes"];
+  }
+  const SIGN = { added: "+", removed: "-", changed: "~" } as const;
+  const lines = diff.changes.flatMap((item) => [
+    `${SIGN[item.change]} ${item.kind} ${item.name}`,
+    ...item.fields.map((field) =>
+      `    ${field.key}: ${show(field.before)} -> ${show(field.after)}`
+    ),
+  ]);
+  const { effect } = diff;
+  const percent = (effect.traffic_share * 100).toFixed(1);
+  const basis = effect.traffic_basis === "measured"
+    ? "measured"
+    : "estimated from max_requests_per_s";
+  return [
+    ...lines,
+    `accounts touched: ${listNames(effect.accounts)}`,
+    `pools touched: ${listNames(effect.pools)}`,
+    `services touched: ${listNames(effect.services)}`,
+    `share of traffic: ${percent}% (${basis})`,
+  ];
+}
+
+function listNames(names: readonly string[]): string {
+  const MAX_NAMES = 20;
+  if (names.length === 0) {
+    return "none";
+  }
+  const rest = names.length - MAX_NAMES;
+  const listed = names.slice(0, MAX_NAMES).join(", ");
+  return `${names.length} (${listed}${rest > 0 ? `, ${rest} more` : ""})`;
+}
+
+function show(value: unknown): string {
+  // Whole key hashes would fill the line; a prefix is enough to compare.
+  const text = JSON.stringify(value) ?? "(absent)";
+  return text.replaceAll(/"([0-9a-f]{8})[0-9a-f]{56}"/g, '"$1..."');
+}
--- /dev/null
+++ b/packages/core/src/config/config_objects.ts
@@ -0,0 +1,121 @@
+import { z } from "zod";
+import { NameSchema } from "./bundle_schema.js";
+
+/** Largest value that the object API stores, in bytes of its JSON text. */
+export const MAX_OBJECT_BYTES = 1_000_000;
+
+/** Keys of the configuration in the object API. */
+export const ConfigKey = {
+  active: "config/active",
+  operators: "config/operators",
+  proposalPrefix: "config/proposals/",
+  section: (digest: string) => `config/sections/${digest}`,
+  version: (version: number) => `config/versions/${version}`,
+  proposal: (id: string) => `config/proposals/${id}`,
+} as const;
+
+/** A SHA-256 digest in hexadecimal digits. */
+export const DigestSchema = z.string().regex(
+  /^[0-9a-f]{64}$/,
+  "expected a SHA-256 digest in 64 hexadecimal digits",
+);
+
+/** Section name to digest; the content is at `config/sections/<digest>`. */
+export const ManifestSchema = z.record(z.string(), DigestSchema);
+
+/** Value of `config/active`: the version in force on the whole fleet. */
+export const ActivePointerSchema = z.object({
+  version: z.int().positive(),
+  digest: DigestSchema,
+});
+export type ActivePointer = z.infer<typeof ActivePointerSchema>;
+
+const wallMs = z.int().nonnegative();
+
+/** Approval of one exact content by an operator other than the proposer. */
+export const SignOffSchema = z.object({
+  id: z.string(),
+  proposal_id: z.string(),
+  digest: DigestSchema,
+  by: NameSchema,
+  at_ms: wallMs,
+});
+export type SignOff = z.infer<typeof SignOffSchema>;
+
+/** Value of `config/proposals/<id>`. */
+export const ProposalSchema = z.object({
+  id: z.string(),
+  kind: z.enum(["change", "revert"]),
+  /** The version whose content a revert brings back. */
+  reverts_to_version: z.int().positive().optional(),
+  note: z.string(),
+  digest: DigestSchema,
+  manifest: ManifestSchema,
+  /** Version in force when proposed; 0 before the first activation. */
+  based_on_version: z.int().nonnegative(),
+  proposed_by: NameSchema,
+  proposed_at_ms: wallMs,
+  sign_off: SignOffSchema.optional(),
+});
+export type Proposal = z.infer<typeof ProposalSchema>;
+
+/**
+ * Value of `config/versions/<n>`. It is accepted only once `config/active`
+ * has reached its number; until then a later activation may replace it.
+ */
+export const ConfigVersionSchema = z.object({
+  version: z.int().positive(),
+  digest: DigestSchema,
+  manifest: ManifestSchema,
+  /** Tells apart the activations that compete for one number. */
+  activation_id: z.string(),
+  proposal_id: z.string(),
+  kind: z.enum(["change", "revert"]),
+  reverts_to_version: z.int().positive().optional(),
+  note: z.string(),
+  based_on_version: z.int().nonnegative(),
+  proposed_by: NameSchema,
+  proposed_at_ms: wallMs,
+  approved_by: NameSchema,
+  approved_at_ms: wallMs,
+  activated_by: NameSchema,
+  activated_at_ms: wallMs,
+});
+export type ConfigVersion = z.infer<typeof ConfigVersionSchema>;
+
+/** What an operator may do; `admin` includes all others. */
+export const OperatorRoleSchema = z.enum([
+  "viewer",
+  "proposer",
+  "approver",
+  "activator",
+  "admin",
+]);
+export type OperatorRole = z.infer<typeof OperatorRoleSchema>;
+
+export const OperatorSchema = z.strictObject({
+  name: NameSchema,
+  /** SHA-256 of the operator's key. The key itself is stored nowhere. */
+  key_hash: DigestSchema,
+  roles: z.array(OperatorRoleSchema).min(1),
+});
+export type Operator = z.infer<typeof OperatorSchema>;
+
+/** Value of `config/operators`. */
+export const OperatorsSchema = z.strictObject({
+  operators: z.array(OperatorSchema).max(1000),
+}).superRefine(({ operators }, context) => {
+  operators.forEach((operator, index) => {
+    for (const field of ["name", "key_hash"] as const) {
+      const first = operators.findIndex((o) => o[field] === operator[field]);
+      if (first !== index) {
+        context.addIssue({
+          code: "custom",
+          path: ["operators", index, field],
+          message: `must differ from operators.${first}.${field}`,
+        });
+      }
+    }
+  });
+});
+export type Operators = z.infer<typeof OperatorsSchema>;
--- a/packages/core/src/config/config_sections.ts
+++ b/packages/core/src/config/config_sections.ts
@@ -1,4 +1,6 @@
 import { type Bundle, BundleSchema } from "./bundle_schema.js";
+import { ConfigError } from "./config_error.js";
+import { MAX_OBJECT_BYTES } from "./config_objects.js";
 
 /**
  * Number of sections that the accounts are spread over. A change to one of
@@ -18,7 +20,11 @@
   readonly sections: Readonly<Record<string, string>>;
 }
 
-/** Splits a bundle into immutable sections addressed by their digest. */
+/**
+ * Splits a bundle into immutable sections addressed by their digest.
+ *
+ * Throws {@link ConfigError} for sections that the object API cannot hold.
+ */
 export function splitBundle(
   bundle: Bundle,
   digest: DigestFunction,
@@ -43,9 +49,31 @@
     manifest[name] = hash;
     sections[hash] = content;
   }
+  refuseOversized(manifest, sections);
   return { manifest, sections };
 }
 
+function refuseOversized(
+  manifest: Manifest,
+  sections: Readonly<Record<string, string>>,
+): void {
+  const encoder = new TextEncoder();
+  const issues = Object.entries(manifest).flatMap(([name, hash]) => {
+    // Sections are stored as JSON strings, so the escapes count as well.
+    const stored = JSON.stringify(sections[hash]);
+    const bytes = encoder.encode(stored).length;
+    return bytes <= MAX_OBJECT_BYTES ? [] : [{
+      file: "(bundle)",
+      key: name,
+      found: `${bytes} bytes`,
+      allowed: `a section must be at most ${MAX_OBJECT_BYTES} bytes`,
+    }];
+  });
+  if (issues.length > 0) {
+    throw new ConfigError(issues);
+  }
+}
+
 /**
  * Puts a bundle together again. Returns undefined while a section is missing.
  *
--- /dev/null
+++ b/packages/core/src/config/schema_issues.ts
@@ -0,0 +1,64 @@
+import type { z } from "zod";
+import type { ConfigIssue } from "./config_error.js";
+
+/** Longest excerpt of a rejected value in an error message. */
+const MAX_EXCERPT_CHARS = 60;
+
+/** Keys whose values are never repeated in an error message. */
+const SECRET_KEY = /key|secret|token_hash/;
+
+/** Turns the issues of a zod error into lines with file, key and value. */
+export function issuesOf(
+  error: z.ZodError,
+  value: unknown,
+  file: string,
+): ConfigIssue[] {
+  return error.issues.flatMap((issue) => {
+    const paths = issue.code === "unrecognized_keys"
+      ? issue.keys.map((key) => [...issue.path, key])
+      : [issue.path];
+    const allowed = issue.code === "unrecognized_keys"
+      ? "is not a known key"
+      : issue.message;
+    return paths.map((path) => issueAt(path, value, file, allowed));
+  });
+}
+
+function issueAt(
+  path: readonly PropertyKey[],
+  value: unknown,
+  file: string,
+  allowed: string,
+): ConfigIssue {
+  const key = path.map(String).join(".");
+  return {
+    file,
+    key: key === "" ? "(top level)" : key,
+    found: excerptAt(value, path, key),
+    allowed,
+  };
+}
+
+function excerptAt(
+  value: unknown,
+  path: readonly PropertyKey[],
+  key: string,
+): string {
+  let current: unknown = value;
+  for (const step of path) {
+    if (current === null || typeof current !== "object") {
+      return "nothing";
+    }
+    current = (current as Record<PropertyKey, unknown>)[step];
+  }
+  if (current === undefined) {
+    return "nothing";
+  }
+  if (SECRET_KEY.test(key)) {
+    return "a value that is not shown";
+  }
+  const hideSecrets = (name: string, inner: unknown) =>
+    SECRET_KEY.test(name) ? "(not shown)" : inner;
+  const text = JSON.stringify(current, hideSecrets) ?? String(current);
+  return text.slice(0, MAX_EXCERPT_CHARS);
+}
--- /dev/null
+++ b/packages/daemon/src/admin/activation_service.ts
@@ -0,0 +1,324 @@
+import { randomUUID } from "node:crypto";
+import {
+  type ActivePointer,
+  type Clock,
+  ConfigKey,
+  type ConfigVersion,
+  type Operator,
+  type Proposal,
+  StoreConflictError,
+  type StoredObject,
+  StoreUnknownOutcomeError,
+} from "@anvildeal/core";
+import { AdminError, conflict } from "./admin_error.js";
+import type { ConfigRepository, Versioned } from "./config_repository.js";
+import { hasRole, type OperatorDirectory } from "./operator_directory.js";
+import {
+  describeInForce,
+  type ProposalService,
+  refuseOtherDigest,
+} from "./proposal_service.js";
+import { writeResolved } from "./resolved_write.js";
+
+/**
+ * An activation is a few store calls long. A version record that is older
+ * than this and was not accepted belongs to an interrupted activation.
+ */
+const INTERRUPTED_AFTER_MS = 10_000;
+/** Attempts to move the version of `config/active` past other activations. */
+const MAX_FENCE_ATTEMPTS = 5;
+
+/**
+ * Makes a signed-off proposal the version in force.
+ *
+ * The record `config/versions/<n>` is written first, then `config/active` is
+ * moved to it. Only the writer of the record may move the pointer: whoever
+ * replaces the record of an interrupted activation first rewrites the pointer
+ * unchanged, so that a late update of the interrupted one fails.
+ */
+export class ActivationService {
+  constructor(
+    private readonly repository: ConfigRepository,
+    private readonly proposals: ProposalService,
+    private readonly operators: OperatorDirectory,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Throws `AdminError` 409 naming the other change when it came first. */
+  async activate(
+    id: string,
+    digest: string,
+    by: Operator,
+  ): Promise<ConfigVersion> {
+    const { value: proposal } = await this.proposals.get(id);
+    refuseOtherDigest(proposal, digest);
+    await this.#checkSignOff(proposal);
+    // Fails when a section or the manifest is not what was signed off.
+    await this.repository.readBundle(proposal.manifest, proposal.digest);
+    const active = await this.repository.readActive();
+    if ((active?.value.version ?? 0) !== proposal.based_on_version) {
+      throw await this.#supersededBy(proposal);
+    }
+    const record = this.#newRecord(proposal, by);
+    return active === undefined
+      ? this.#activateFirst(record)
+      : this.#activateNext(record, active);
+  }
+
+  /** Accepted versions, newest first, below `before` when it is given. */
+  async history(limit: number, before?: number): Promise<ConfigVersion[]> {
+    const active = await this.repository.readActive();
+    let next = active?.value.version ?? 0;
+    if (before !== undefined && before <= next) {
+      const start = await this.repository.readVersion(before);
+      next = start?.value.based_on_version ?? before - 1;
+    }
+    const versions: ConfigVersion[] = [];
+    // Numbers that interrupted first activations took were never accepted;
+    // following the base of each version passes over them.
+    while (next > 0 && versions.length < limit) {
+      const found = await this.repository.readVersion(next);
+      if (found === undefined) {
+        break;
+      }
+      versions.push(found.value);
+      next = found.value.based_on_version;
+    }
+    return versions;
+  }
+
+  async #checkSignOff(proposal: Proposal): Promise<void> {
+    const signOff = proposal.sign_off;
+    if (signOff === undefined) {
+      throw notSignedOff(`Proposal ${proposal.id} is not signed off yet.`);
+    }
+    const { operators } = await this.operators.read();
+    const signer = operators.find((operator) => operator.name === signOff.by);
+    if (signer === undefined || !hasRole(signer, ["approver"])) {
+      throw notSignedOff(`${signOff.by} may not sign off any more.`);
+    }
+    if (signOff.by === proposal.proposed_by) {
+      throw notSignedOff("The sign-off is by the proposer.");
+    }
+    const sameContent = signOff.digest === proposal.digest &&
+      signOff.proposal_id === proposal.id;
+    if (!sameContent) {
+      throw notSignedOff(
+        `The sign-off is for digest ${signOff.digest} of proposal ` +
+          `${signOff.proposal_id}, not for this content.`,
+      );
+    }
+  }
+
+  #newRecord(proposal: Proposal, by: Operator): ConfigVersion {
+    const signOff = proposal.sign_off as NonNullable<Proposal["sign_off"]>;
+    return {
+      version: proposal.based_on_version + 1,
+      digest: proposal.digest,
+      manifest: proposal.manifest,
+      activation_id: randomUUID(),
+      proposal_id: proposal.id,
+      kind: proposal.kind,
+      ...(proposal.reverts_to_version === undefined
+        ? {}
+        : { reverts_to_version: proposal.reverts_to_version }),
+      note: proposal.note,
+      based_on_version: proposal.based_on_version,
+      proposed_by: proposal.proposed_by,
+      proposed_at_ms: proposal.proposed_at_ms,
+      approved_by: signOff.by,
+      approved_at_ms: signOff.at_ms,
+      activated_by: by.name,
+      activated_at_ms: Math.floor(this.clock.wallMs()),
+    };
+  }
+
+  /**
+   * There is no pointer to fence an interrupted activation with, so the first
+   * activation passes over the numbers that interrupted ones have taken.
+   */
+  async #activateFirst(first: ConfigVersion): Promise<ConfigVersion> {
+    for (let version = 1;; version++) {
+      const record = { ...first, version };
+      const holder = await this.#createRecord(record);
+      if (holder === undefined) {
+        await this.#movePointer(record, undefined);
+        return record;
+      }
+      this.#refuseWhileInProgress(holder.value, record);
+    }
+  }
+
+  async #activateNext(
+    record: ConfigVersion,
+    active: Versioned<ActivePointer>,
+  ): Promise<ConfigVersion> {
+    const holder = await this.#createRecord(record);
+    if (holder === undefined) {
+      await this.#movePointer(record, active.objectVersion);
+      return record;
+    }
+    this.#refuseWhileInProgress(holder.value, record);
+    const fencedVersion = await this.#fence(record, active);
+    const latest = await this.repository.readVersion(record.version);
+    await this.#writeRecord(record, latest?.objectVersion);
+    await this.#movePointer(record, fencedVersion);
+    return record;
+  }
+
+  /** Returns the record that holds the number, or undefined once created. */
+  async #createRecord(
+    record: ConfigVersion,
+  ): Promise<Versioned<ConfigVersion> | undefined> {
+    try {
+      await this.#writeOwnRecord(record, undefined);
+      return undefined;
+    } catch (error) {
+      if (!(error instanceof StoreConflictError)) {
+        throw error;
+      }
+      const holder = await this.repository.readVersion(record.version);
+      if (holder === undefined) {
+        throw error;
+      }
+      return holder;
+    }
+  }
+
+  async #writeRecord(
+    record: ConfigVersion,
+    ifVersion: number | undefined,
+  ): Promise<void> {
+    try {
+      await this.#writeOwnRecord(record, ifVersion);
+    } catch (error) {
+      throw error instanceof StoreConflictError
+        ? await this.#lostTo(record)
+        : error;
+    }
+  }
+
+  #writeOwnRecord(
+    record: ConfigVersion,
+    ifVersion: number | undefined,
+  ): Promise<void> {
+    return writeResolved(this.repository.store, {
+      key: ConfigKey.version(record.version),
+      value: record,
+      ifVersion,
+      isOurs: ({ value }) => isActivation(value, record),
+      adviceIfUnknown: "The change is not in force; activate it again.",
+    });
+  }
+
+  /** Rewrites the pointer unchanged; only a known success counts. */
+  async #fence(
+    record: ConfigVersion,
+    active: Versioned<ActivePointer>,
+  ): Promise<number> {
+    let current = active;
+    for (let attempt = 0; attempt < MAX_FENCE_ATTEMPTS; attempt++) {
+      try {
+        return await this.repository.store.update(
+          ConfigKey.active,
+          current.value,
+          current.objectVersion,
+        );
+      } catch (error) {
+        const retry = error instanceof StoreConflictError ||
+          error instanceof StoreUnknownOutcomeError;
+        if (!retry) {
+          throw error;
+        }
+      }
+      const latest = await this.repository.readActive();
+      if (latest?.value.version !== record.based_on_version) {
+        throw await this.#lostTo(record);
+      }
+      current = latest;
+    }
+    throw conflict("Other activations are under way; activate again.");
+  }
+
+  async #movePointer(
+    record: ConfigVersion,
+    ifVersion: number | undefined,
+  ): Promise<void> {
+    const { version, digest } = record;
+    try {
+      await writeResolved(this.repository.store, {
+        key: ConfigKey.active,
+        value: { version, digest },
+        ifVersion,
+        isOurs: (found) => this.#pointsTo(found, record),
+        adviceIfUnknown: `Look for version ${version} in the history; if its ` +
+          `activation_id is ${record.activation_id}, the change was accepted. ` +
+          "If the version is missing, activate the proposal again.",
+      });
+    } catch (error) {
+      throw error instanceof StoreConflictError
+        ? await this.#lostTo(record)
+        : error;
+    }
+  }
+
+  /** Whether the pointer has reached the version of this activation. */
+  async #pointsTo(
+    found: StoredObject,
+    record: ConfigVersion,
+  ): Promise<boolean> {
+    const pointer = found.value as ActivePointer;
+    if (pointer.version < record.version) {
+      return false;
+    }
+    const accepted = await this.repository.readVersion(record.version);
+    return accepted !== undefined && isActivation(accepted.value, record);
+  }
+
+  #refuseWhileInProgress(holder: ConfigVersion, record: ConfigVersion): void {
+    const ageMs = this.clock.wallMs() - holder.activated_at_ms;
+    const sameProposal = holder.proposal_id === record.proposal_id &&
+      holder.activated_by === record.activated_by;
+    if (ageMs < INTERRUPTED_AFTER_MS && !sameProposal) {
+      throw conflict(
+        `Proposal ${holder.proposal_id} is being activated by ` +
+          `${holder.activated_by} as version ${holder.version}.`,
+      );
+    }
+  }
+
+  async #supersededBy(proposal: Proposal): Promise<AdminError> {
+    const inForce = await this.repository.readInForce();
+    return conflict(
+      inForce?.proposal_id === proposal.id
+        ? `Proposal ${proposal.id} is in force already as version ` +
+          `${inForce.version}, activated by ${inForce.activated_by}.`
+        : `Proposal ${proposal.id} is based on version ` +
+          `${proposal.based_on_version}, but ${describeInForce(inForce)}. ` +
+          "Propose the change again on top of it.",
+    );
+  }
+
+  async #lostTo(record: ConfigVersion): Promise<AdminError> {
+    const inForce = await this.repository.readInForce();
+    if ((inForce?.version ?? 0) >= record.version) {
+      return conflict(
+        `Another activation came first: ${describeInForce(inForce)}.`,
+      );
+    }
+    const holder = await this.repository.readVersion(record.version);
+    return conflict(
+      `Proposal ${holder?.value.proposal_id} is being activated by ` +
+        `${holder?.value.activated_by} as version ${record.version}.`,
+    );
+  }
+}
+
+function isActivation(value: unknown, record: ConfigVersion): boolean {
+  const found = value as ConfigVersion | null;
+  return found?.activation_id === record.activation_id;
+}
+
+function notSignedOff(message: string): AdminError {
+  return new AdminError(409, "not_signed_off", message);
+}
--- /dev/null
+++ b/packages/daemon/src/admin/admin_error.ts
@@ -0,0 +1,46 @@
+import type { ConfigIssue } from "@anvildeal/core";
+
+/** Codes of the error answers; documented in docs/api.md. */
+export type AdminErrorCode =
+  | "bad_request"
+  | "unauthorized"
+  | "client_key"
+  | "forbidden"
+  | "own_sign_off"
+  | "not_found"
+  | "method_not_allowed"
+  | "conflict"
+  | "digest_mismatch"
+  | "not_signed_off"
+  | "too_large"
+  | "invalid_bundle"
+  | "corrupt_store"
+  | "store_unavailable"
+  | "outcome_unknown"
+  | "endpoint_unreachable"
+  | "internal";
+
+/** A call was refused; becomes the body of the answer. */
+export class AdminError extends Error {
+  override readonly name = "AdminError";
+  readonly status: number;
+  readonly code: AdminErrorCode;
+  readonly issues: readonly ConfigIssue[] | undefined;
+
+  constructor(
+    status: number,
+    code: AdminErrorCode,
+    message: string,
+    issues?: readonly ConfigIssue[],
+  ) {
+    super(message);
+    this.status = status;
+    this.code = code;
+    this.issues = issues;
+  }
+}
+
+/** A call lost against another change, which the message names. */
+export function conflict(message: string): AdminError {
+  return new AdminError(409, "conflict", message);
+}
--- /dev/null
+++ b/packages/daemon/src/admin/admin_fixture.ts
@@ -0,0 +1,160 @@
+import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { type AccountTraffic, Clock, type OperatorRole } from "@anvildeal/core";
+import { AdminApi } from "./admin_api.js";
+import type { AdminLogEvent } from "./admin_log.js";
+import type { DrainResult } from "./admin_services.js";
+import { sha256Hex } from "./digest.js";
+import { MemoryObjectStore } from "./memory_object_store.js";
+
+/** Clock for tests that stands still until it is moved. */
+export class ManualClock extends Clock {
+  timeMs = 1_700_000_000_000;
+
+  nowMs(): number {
+    return this.timeMs;
+  }
+
+  wallMs(): number {
+    return this.timeMs;
+  }
+}
+
+/** Operators of the fixture; their keys are `<name>-key`. */
+const OPERATORS: Record<string, OperatorRole[]> = {
+  paula: ["proposer"],
+  peter: ["proposer", "approver"],
+  anna: ["approver"],
+  arne: ["approver", "activator"],
+  vera: ["viewer"],
+  root: ["admin"],
+};
+
+export const CLIENT_KEY = "client-account-key";
+
+export interface AdminAnswer {
+  readonly status: number;
+  // Tests assert on the parts they need.
+  // oxlint-disable-next-line no-explicit-any
+  readonly body: any;
+}
+
+/** A real HTTP server with an `AdminApi` over a store in memory, for tests. */
+export class AdminFixture {
+  readonly store = new MemoryObjectStore();
+  readonly clock = new ManualClock();
+  readonly logs: AdminLogEvent[] = [];
+  drainResult: DrainResult = "draining";
+  traffic: AccountTraffic | undefined;
+  url = "";
+  readonly #servers: Server[] = [];
+
+  async start(maxBundleBytes?: number): Promise<this> {
+    this.url = await this.startServer(maxBundleBytes);
+    const operators = Object.entries(OPERATORS).map(([name, roles]) => ({
+      name,
+      roles,
+      key_hash: sha256Hex(`${name}-key`),
+    }));
+    await this.store.create("config/operators", { operators });
+    return this;
+  }
+
+  /** Starts another `AdminApi` over the same store, as on another router. */
+  async startServer(maxBundleBytes?: number): Promise<string> {
+    const api = new AdminApi({
+      store: this.store,
+      clock: this.clock,
+      log: (event) => this.logs.push(event),
+      fleet: {
+        status: () => ({ endpoints: 12 }),
+        traffic: () => this.traffic,
+      },
+      explain: {
+        explain: async (id) =>
+          id === "r-1" ? { request_id: id, endpoint: "e-1" } : undefined,
+      },
+      drain: async (id) => id === "e-1" ? this.drainResult : "unknown_endpoint",
+      reports: {
+        report: async (name) =>
+          name === "burn"
+            ? { rows: [{ objective: "fast", burn: 0.5 }] }
+            : undefined,
+      },
+      clientKeys: { has: (hash) => hash === sha256Hex(CLIENT_KEY) },
+    }, maxBundleBytes === undefined ? {} : { maxBundleBytes });
+    const server = createServer((request, response) => {
+      void api.handle(request, response);
+    });
+    this.#servers.push(server);
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", () => resolve())
+    );
+    const { port } = server.address() as AddressInfo;
+    return `http://127.0.0.1:${port}`;
+  }
+
+  async dispose(): Promise<void> {
+    for (const server of this.#servers) {
+      server.closeAllConnections();
+      await new Promise((resolve) => server.close(resolve));
+    }
+  }
+
+  /** Calls as an operator; an object as body is sent as JSON. */
+  async call(
+    operator: string,
+    method: string,
+    path: string,
+    body?: unknown,
+    url = this.url,
+  ): Promise<AdminAnswer> {
+    const response = await fetch(`${url}/admin/v1${path}`, {
+      method,
+      headers: { authorization: `Bearer ${operator}-key` },
+      ...(body === undefined ? {} : {
+        body: typeof body === "string" ? body : JSON.stringify(body),
+      }),
+    });
+    return { status: response.status, body: await response.json() };
+  }
+
+  /** Proposes a bundle as paula and signs it off as anna. */
+  async proposeSigned(
+    weight = 1,
+  ): Promise<{ id: string; digest: string }> {
+    const { body } = await this.call("paula", "POST", "/proposals", {
+      files: [{ file: "bundle.toml", bundle: sampleBundle(weight) }],
+      note: `weight ${weight}`,
+    });
+    const { id, digest } = body;
+    await this.call("anna", "POST", `/proposals/${id}/sign-off`, { digest });
+    return { id, digest };
+  }
+
+  activate(
+    { id, digest }: { id: string; digest: string },
+    url = this.url,
+  ): Promise<AdminAnswer> {
+    const path = `/proposals/${id}/activate`;
+    return this.call("arne", "POST", path, { digest }, url);
+  }
+
+  /** Refuses every call to the store. */
+  stopStore(): void {
+    this.store.fault = () => "unavailable";
+  }
+}
+
+/** A valid bundle; the weight of its first account makes contents differ. */
+export function sampleBundle(weight = 1): Record<string, unknown> {
+  const account = (name: string) => ({
+    name,
+    key_hashes: [sha256Hex(name)],
+    pools: ["chat"],
+  });
+  return {
+    accounts: [{ ...account("wiki"), weight }, account("portal")],
+    pools: [{ name: "chat", kind: "model", models: ["m-1"] }],
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/admin/admin_services.ts
@@ -0,0 +1,39 @@
+import type { AccountTraffic, Clock, ObjectStore } from "@anvildeal/core";
+import type { AdminLogEvent } from "./admin_log.js";
+
+export interface FleetStatusSource {
+  /** What this router knows of the fleet, as JSON with snake_case keys. */
+  status(): unknown;
+  /** Measured requests per second by account, or undefined without any. */
+  traffic(): AccountTraffic | undefined;
+}
+
+export interface ExplainSource {
+  /** How a request was placed and answered; undefined when not recorded. */
+  explain(requestId: string): Promise<unknown>;
+}
+
+export type DrainResult = "draining" | "unknown_endpoint" | "unreachable";
+
+export interface ReportSource {
+  /** A report as JSON, or undefined when there is none of that name. */
+  report(name: string): Promise<unknown>;
+}
+
+export interface ClientKeys {
+  /** Whether a client account uses the key with this SHA-256 hash. */
+  has(keyHash: string): boolean;
+}
+
+/** What the administration API needs from its host. */
+export interface AdminServices {
+  readonly store: ObjectStore;
+  readonly clock: Clock;
+  readonly log: (event: AdminLogEvent) => void;
+  readonly fleet: FleetStatusSource;
+  readonly explain: ExplainSource;
+  /** Asks an endpoint to drain; `by` is the operator, for its log. */
+  readonly drain: (endpointId: string, by: string) => Promise<DrainResult>;
+  readonly reports: ReportSource;
+  readonly clientKeys: ClientKeys;
+}
--- /dev/null
+++ b/packages/daemon/src/admin/config_repository.ts
@@ -0,0 +1,190 @@
+import {
+  type ActivePointer,
+  ActivePointerSchema,
+  type Bundle,
+  ConfigKey,
+  type ConfigVersion,
+  ConfigVersionSchema,
+  joinBundle,
+  type Manifest,
+  manifestDigest,
+  type ObjectStore,
+  type Operators,
+  OperatorsSchema,
+  type Proposal,
+  ProposalSchema,
+  type SectionedBundle,
+  type StoredObject,
+} from "@anvildeal/core";
+import { z } from "zod";
+import { AdminError } from "./admin_error.js";
+import { sha256Hex } from "./digest.js";
+import { writeResolved } from "./resolved_write.js";
+
+/** Limit of section text kept in memory, in characters. */
+const MAX_CACHED_CHARS = 32_000_000;
+/** Section reads and writes in flight at once, so as not to flood the store. */
+const MAX_PARALLEL_CALLS = 8;
+
+/** A value of the store with the version that its next update must name. */
+export interface Versioned<T> {
+  readonly value: T;
+  readonly objectVersion: number;
+}
+
+/** Reads and writes the configuration objects; every value is checked. */
+export class ConfigRepository {
+  /** Sections never change, so a cached one is never out of date. */
+  readonly #sections = new Map<string, string>();
+  #cachedChars = 0;
+
+  constructor(readonly store: ObjectStore) {}
+
+  readActive(): Promise<Versioned<ActivePointer> | undefined> {
+    return this.#read(ConfigKey.active, ActivePointerSchema);
+  }
+
+  readVersion(version: number): Promise<Versioned<ConfigVersion> | undefined> {
+    return this.#read(ConfigKey.version(version), ConfigVersionSchema);
+  }
+
+  readOperators(): Promise<Versioned<Operators> | undefined> {
+    return this.#read(ConfigKey.operators, OperatorsSchema);
+  }
+
+  readProposal(id: string): Promise<Versioned<Proposal> | undefined> {
+    return this.#read(ConfigKey.proposal(id), ProposalSchema);
+  }
+
+  /** The proposals in key order, which is newest first. */
+  async listProposals(limit: number, afterId?: string): Promise<Proposal[]> {
+    const prefix = ConfigKey.proposalPrefix;
+    const objects = await this.store.list(prefix, {
+      limit,
+      ...(afterId === undefined ? {} : { after: prefix + afterId }),
+    });
+    return objects.map((object) => parseStored(ProposalSchema, object).value);
+  }
+
+  /** The accepted version in force, or undefined before the first one. */
+  async readInForce(): Promise<ConfigVersion | undefined> {
+    const active = await this.readActive();
+    if (active === undefined) {
+      return undefined;
+    }
+    const version = await this.readVersion(active.value.version);
+    if (version?.value.digest !== active.value.digest) {
+      throw corrupt(
+        ConfigKey.version(active.value.version),
+        `does not have the digest that ${ConfigKey.active} names`,
+      );
+    }
+    return version.value;
+  }
+
+  /** Reads the content of a manifest and checks it against `digest`. */
+  async readBundle(manifest: Manifest, digest: string): Promise<Bundle> {
+    if (manifestDigest(manifest, sha256Hex) !== digest) {
+      throw corrupt("manifest", `does not match its digest ${digest}`);
+    }
+    const hashes = Object.values(manifest);
+    const texts = await inParallel(hashes, (hash) => this.#readSection(hash));
+    const sections = Object.fromEntries(
+      hashes.map((hash, index) => [hash, texts[index]]),
+    );
+    try {
+      return joinBundle(manifest, sections, sha256Hex) as Bundle;
+    } catch (error) {
+      throw corrupt("section", String(error));
+    }
+  }
+
+  /** Stores the sections that the manifest in force does not have yet. */
+  async writeSections(
+    sectioned: SectionedBundle,
+    inForce: Manifest | undefined,
+  ): Promise<void> {
+    const held = new Set(Object.values(inForce ?? {}));
+    const missing = Object.entries(sectioned.sections)
+      .filter(([hash]) => !held.has(hash));
+    await inParallel(missing, async ([hash, content]) => {
+      await writeResolved(this.store, {
+        key: ConfigKey.section(hash),
+        value: content,
+        ifVersion: undefined,
+        isOurs: (found) => found.value === content,
+        adviceIfUnknown: "Nothing was proposed; propose again.",
+      });
+      this.#remember(hash, content);
+    });
+  }
+
+  async #readSection(hash: string): Promise<string> {
+    const cached = this.#sections.get(hash);
+    if (cached !== undefined) {
+      return cached;
+    }
+    const key = ConfigKey.section(hash);
+    const section = await this.#read(key, z.string());
+    if (section === undefined || sha256Hex(section.value) !== hash) {
+      throw corrupt(key, "is missing or does not match its digest");
+    }
+    this.#remember(hash, section.value);
+    return section.value;
+  }
+
+  #remember(hash: string, content: string): void {
+    if (this.#sections.has(hash)) {
+      return;
+    }
+    this.#sections.set(hash, content);
+    this.#cachedChars += content.length;
+    for (const [oldest, text] of this.#sections) {
+      if (this.#cachedChars <= MAX_CACHED_CHARS) {
+        return;
+      }
+      this.#sections.delete(oldest);
+      this.#cachedChars -= text.length;
+    }
+  }
+
+  async #read<T>(
+    key: string,
+    schema: z.ZodType<T>,
+  ): Promise<Versioned<T> | undefined> {
+    const object = await this.store.get(key);
+    return object === undefined ? undefined : parseStored(schema, object);
+  }
+}
+
+/** Checks a stored value against its schema. */
+export function parseStored<T>(
+  schema: z.ZodType<T>,
+  object: StoredObject,
+): Versioned<T> {
+  const parsed = schema.safeParse(object.value);
+  if (!parsed.success) {
+    throw corrupt(object.key, z.prettifyError(parsed.error));
+  }
+  return { value: parsed.data, objectVersion: object.version };
+}
+
+function corrupt(key: string, reason: string): AdminError {
+  return new AdminError(
+    500,
+    "corrupt_store",
+    `The stored object ${key} is not valid: ${reason}`,
+  );
+}
+
+async function inParallel<T, R>(
+  items: readonly T[],
+  run: (item: T) => Promise<R>,
+): Promise<R[]> {
+  const results: R[] = [];
+  for (let start = 0; start < items.length; start += MAX_PARALLEL_CALLS) {
+    const batch = items.slice(start, start + MAX_PARALLEL_CALLS);
+    results.push(...await Promise.all(batch.map(run)));
+  }
+  return results;
+}
--- /dev/null
+++ b/packages/daemon/src/admin/memory_object_store.ts
@@ -0,0 +1,106 @@
+import {
+  type ListOptions,
+  ObjectStore,
+  StoreConflictError,
+  type StoredObject,
+  StoreUnavailableError,
+  StoreUnknownOutcomeError,
+  type WatchOptions,
+} from "@anvildeal/core";
+
+/** What happens to the next matching call. */
+export type StoreFault =
+  /** The call is refused before it has an effect. */
+  | "unavailable"
+  /** A write takes effect and its answer is lost. */
+  | "answer_lost"
+  /** A write has no effect and its answer is lost. */
+  | "write_lost";
+
+/**
+ * Object store in memory for tests, with the semantics of docs/design.md
+ * section 9: versions that rise with each write to a key and conditions.
+ * Faults are set from outside.
+ */
+export class MemoryObjectStore extends ObjectStore {
+  readonly #objects = new Map<string, StoredObject>();
+  /** Kept over deletes, because versions of a key rise with each write. */
+  readonly #lastVersions = new Map<string, number>();
+  /** Called before each call; returns the fault to apply, if any. */
+  fault: (
+    operation: "read" | "write",
+    key: string,
+  ) => StoreFault | undefined = () => undefined;
+
+  async get(key: string): Promise<StoredObject | undefined> {
+    this.#failRead(key);
+    return structuredClone(this.#objects.get(key));
+  }
+
+  async create(key: string, value: unknown): Promise<number> {
+    return this.#write(key, value, undefined);
+  }
+
+  async update(
+    key: string,
+    value: unknown,
+    ifVersion: number,
+  ): Promise<number> {
+    return this.#write(key, value, ifVersion);
+  }
+
+  async delete(key: string, ifVersion: number): Promise<void> {
+    this.#write(key, undefined, ifVersion);
+  }
+
+  async list(
+    prefix: string,
+    { limit, after = "" }: ListOptions,
+  ): Promise<StoredObject[]> {
+    this.#failRead(prefix);
+    return [...this.#objects.values()]
+      .filter(({ key }) => key.startsWith(prefix) && key > after)
+      .sort((a, b) => a.key < b.key ? -1 : 1)
+      .slice(0, limit);
+  }
+
+  /** Answers at once; the administration API does not watch. */
+  async watch(
+    key: string,
+    { afterVersion }: WatchOptions,
+  ): Promise<StoredObject | undefined> {
+    const object = await this.get(key);
+    return object && object.version > afterVersion ? object : undefined;
+  }
+
+  #failRead(key: string): void {
+    if (this.fault("read", key) !== undefined) {
+      throw new StoreUnavailableError("The store is down");
+    }
+  }
+
+  #write(key: string, value: unknown, ifVersion: number | undefined): number {
+    const fault = this.fault("write", key);
+    if (fault === "unavailable") {
+      throw new StoreUnavailableError("The store is down");
+    }
+    if (fault === "write_lost") {
+      throw new StoreUnknownOutcomeError("The answer was lost");
+    }
+    const current = this.#objects.get(key);
+    if (current?.version !== ifVersion) {
+      throw new StoreConflictError(key, structuredClone(current));
+    }
+    const version = (this.#lastVersions.get(key) ?? 0) + 1;
+    this.#lastVersions.set(key, version);
+    if (value === undefined) {
+      this.#objects.delete(key);
+    } else {
+      this.#objects.set(key, { key, version, value: structuredClone(value) });
+    }
+    if (fault === "answer_lost") {
+      throw new StoreUnknownOutcomeError("The answer was lost");
+    }
+    return version;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/admin/operator_directory.ts
@@ -0,0 +1,100 @@
+import { timingSafeEqual } from "node:crypto";
+import {
+  type Operator,
+  type OperatorRole,
+  type Operators,
+  StoreError,
+} from "@anvildeal/core";
+import { AdminError } from "./admin_error.js";
+import type { ClientKeys } from "./admin_services.js";
+import type { ConfigRepository } from "./config_repository.js";
+import { sha256Hex } from "./digest.js";
+
+const BEARER = /^Bearer ([\x21-\x7e]{1,512})$/i;
+
+/** Finds the operator of a request by the hash of the bearer token. */
+export class OperatorDirectory {
+  #lastRead: Operators | undefined;
+
+  constructor(
+    private readonly repository: ConfigRepository,
+    private readonly clientKeys: ClientKeys,
+    private readonly onStale: () => void,
+  ) {}
+
+  /**
+   * Throws `AdminError` 401 without a known key, 403 for the key of a client
+   * account. With `allowStale`, the operators read last are used while the
+   * store is down, so that calls that do not need the store keep working.
+   */
+  async authenticate(
+    authorization: string | undefined,
+    allowStale: boolean,
+  ): Promise<Operator> {
+    const token = BEARER.exec(authorization ?? "")?.[1];
+    if (token === undefined) {
+      throw unauthorized("A bearer token with an operator key is required.");
+    }
+    const keyHash = sha256Hex(token);
+    if (this.clientKeys.has(keyHash)) {
+      throw new AdminError(
+        403,
+        "client_key",
+        "The key of a client account gives no access to administration.",
+      );
+    }
+    const operator = findByHash(await this.#operators(allowStale), keyHash);
+    if (operator === undefined) {
+      throw unauthorized("The key belongs to no operator.");
+    }
+    return operator;
+  }
+
+  /** The operators as stored now. */
+  async read(): Promise<Operators> {
+    const stored = await this.repository.readOperators();
+    this.#lastRead = stored?.value ?? { operators: [] };
+    return this.#lastRead;
+  }
+
+  async #operators(allowStale: boolean): Promise<Operators> {
+    try {
+      return await this.read();
+    } catch (error) {
+      const usable = allowStale && error instanceof StoreError;
+      if (!usable || this.#lastRead === undefined) {
+        throw error;
+      }
+      this.onStale();
+      return this.#lastRead;
+    }
+  }
+}
+
+/** Whether an operator holds one of the roles; `admin` holds them all. */
+export function hasRole(
+  operator: Operator,
+  allowed: readonly OperatorRole[],
+): boolean {
+  return operator.roles.includes("admin") ||
+    operator.roles.some((role) => allowed.includes(role));
+}
+
+/** Compares with every operator so that the time tells nothing. */
+function findByHash(
+  { operators }: Operators,
+  keyHash: string,
+): Operator | undefined {
+  const wanted = Buffer.from(keyHash, "hex");
+  let found: Operator | undefined;
+  for (const operator of operators) {
+    if (timingSafeEqual(Buffer.from(operator.key_hash, "hex"), wanted)) {
+      found = operator;
+    }
+  }
+  return found;
+}
+
+function unauthorized(message: string): AdminError {
+  return new AdminError(401, "unauthorized", message);
+}
--- /dev/null
+++ b/packages/daemon/src/admin/resolved_write.ts
@@ -0,0 +1,119 @@
+import { setTimeout as delay } from "node:timers/promises";
+import {
+  type ObjectStore,
+  StoreConflictError,
+  type StoredObject,
+  StoreError,
+  StoreUnknownOutcomeError,
+} from "@anvildeal/core";
+import { AdminError } from "./admin_error.js";
+
+/** Waits between the attempts to learn what became of a write. */
+const RESOLVE_DELAYS_MS = [20, 100, 400] as const;
+
+export interface ConditionalWrite {
+  readonly key: string;
+  readonly value: unknown;
+  /** Version to replace; undefined creates the object. */
+  readonly ifVersion: number | undefined;
+  /** Whether the object found at the key shows that this write applied. */
+  readonly isOurs: (found: StoredObject) => boolean | Promise<boolean>;
+  /** What the caller should do when the outcome stays unknown. */
+  readonly adviceIfUnknown: string;
+}
+
+/**
+ * Performs a conditional write and resolves a lost answer by reading back.
+ *
+ * Repeating the write is safe: its condition lets it apply at most once.
+ * Throws `StoreConflictError` when another write came first,
+ * `StoreUnavailableError` when nothing was written, and `AdminError`
+ * `outcome_unknown` when the store does not tell.
+ */
+export async function writeResolved(
+  store: ObjectStore,
+  write: ConditionalWrite,
+): Promise<void> {
+  let mayHaveApplied = false;
+  for (let attempt = 0;; attempt++) {
+    try {
+      await writeOnce(store, write);
+      return;
+    } catch (error) {
+      if (error instanceof StoreConflictError) {
+        await resolveConflict(error, write, mayHaveApplied);
+        return;
+      }
+      if (!(error instanceof StoreError)) {
+        throw error;
+      }
+      mayHaveApplied ||= error instanceof StoreUnknownOutcomeError;
+      if (!mayHaveApplied) {
+        throw error;
+      }
+    }
+    if (attempt === RESOLVE_DELAYS_MS.length) {
+      throw unknownOutcome(write);
+    }
+    await delay(RESOLVE_DELAYS_MS[attempt]);
+    if (await isApplied(store, write)) {
+      return;
+    }
+  }
+}
+
+async function writeOnce(
+  store: ObjectStore,
+  { key, value, ifVersion }: ConditionalWrite,
+): Promise<void> {
+  if (ifVersion === undefined) {
+    await store.create(key, value);
+  } else {
+    await store.update(key, value, ifVersion);
+  }
+}
+
+async function isApplied(
+  store: ObjectStore,
+  write: ConditionalWrite,
+): Promise<boolean> {
+  try {
+    const found = await store.get(write.key);
+    return found !== undefined && await write.isOurs(found);
+  } catch (error) {
+    if (error instanceof StoreError) {
+      return false;
+    }
+    throw error;
+  }
+}
+
+/** Returns when the conflict was caused by an earlier attempt of the write. */
+async function resolveConflict(
+  error: StoreConflictError,
+  write: ConditionalWrite,
+  mayHaveApplied: boolean,
+): Promise<void> {
+  try {
+    if (error.current !== undefined && await write.isOurs(error.current)) {
+      return;
+    }
+  } catch (readError) {
+    if (readError instanceof StoreError && mayHaveApplied) {
+      throw unknownOutcome(write);
+    }
+    if (!(readError instanceof StoreError)) {
+      throw readError;
+    }
+  }
+  throw error;
+}
+
+function unknownOutcome(write: ConditionalWrite): AdminError {
+  return new AdminError(
+    504,
+    "outcome_unknown",
+    `The answer to the write of ${write.key} was lost and the object API ` +
+      `cannot be read, so the outcome is unknown. ${write.adviceIfUnknown}`,
+  );
+}
