Add the anvildeal command and test the administration API

The tests over a real HTTP server found that a paused first activation took a number that was passed over for an accepted one; acceptance is now checked against the base of the next version.

--- /dev/null
+++ b/packages/cli/src/admin_client.ts
@@ -0,0 +1,128 @@
+import type { ConfigIssue } from "@anvildeal/core";
+import { request } from "undici";
+import { z } from "zod";
+import { CliError, usageError } from "./cli_error.js";
+import { ExitCode } from "./exit_code.js";
+
+/** Covers the read-backs that a router makes after a lost answer. */
+const TIMEOUT_MS = 30_000;
+
+const ErrorSchema = z.object({
+  error: z.object({
+    code: z.string(),
+    message: z.string(),
+    issues: z.array(z.object({
+      file: z.string(),
+      key: z.string(),
+      found: z.string(),
+      allowed: z.string(),
+    })).optional(),
+  }),
+});
+
+/** Calls the administration API of a router. */
+export class AdminClient {
+  constructor(
+    private readonly baseUrl: string,
+    private readonly key: string,
+  ) {}
+
+  /** Throws {@link CliError} with the exit code for what went wrong. */
+  get(path: string): Promise<unknown> {
+    return this.#call("GET", path, undefined);
+  }
+
+  post(path: string, body: unknown): Promise<unknown> {
+    return this.#call("POST", path, JSON.stringify(body));
+  }
+
+  async #call(
+    method: "GET" | "POST",
+    path: string,
+    body: string | undefined,
+  ): Promise<unknown> {
+    const { status, text } = await this.#send(method, path, body);
+    const value = parseJson(text);
+    if (status >= 200 && status < 300 && value !== undefined) {
+      return value;
+    }
+    const parsed = ErrorSchema.safeParse(value);
+    if (!parsed.success) {
+      throw new CliError(
+        ExitCode.failed,
+        "bad_answer",
+        `${this.baseUrl} answered ${status} with something other than the ` +
+          "administration API's JSON. Check the URL.",
+      );
+    }
+    const { code, message, issues } = parsed.data.error;
+    throw new CliError(
+      exitCodeOf(status),
+      code,
+      message,
+      issues as
+        | ConfigIssue[]
+        | undefined,
+    );
+  }
+
+  async #send(
+    method: "GET" | "POST",
+    path: string,
+    body: string | undefined,
+  ): Promise<{ status: number; text: string }> {
+    const url = new URL(`/admin/v1${path}`, this.baseUrl);
+    try {
+      const answer = await request(url, {
+        method,
+        headers: {
+          authorization: `Bearer ${this.key}`,
+          "content-type": "application/json",
+        },
+        body: body ?? null,
+        headersTimeout: TIMEOUT_MS,
+        bodyTimeout: TIMEOUT_MS,
+      });
+      return { status: answer.statusCode, text: await answer.body.text() };
+    } catch (error) {
+      const doubt = method === "POST"
+        ? " The call may have taken effect; look before you repeat it."
+        : "";
+      throw new CliError(
+        ExitCode.unreachable,
+        "unreachable",
+        `No answer from ${this.baseUrl}: ${(error as Error).message}.${doubt}`,
+      );
+    }
+  }
+}
+
+/** Checks the address so that a mistake is not reported as an outage. */
+export function checkAdminUrl(url: string): string {
+  if (!/^https?:\/\//.test(url) || !URL.canParse(url)) {
+    throw usageError(`"${url}" is not a URL such as http://127.0.0.1:9000`);
+  }
+  return url;
+}
+
+function exitCodeOf(status: number): ExitCode {
+  switch (status) {
+    case 401:
+    case 403:
+      return ExitCode.refused;
+    case 409:
+      return ExitCode.conflict;
+    case 503:
+      return ExitCode.unreachable;
+    default:
+      return ExitCode.failed;
+  }
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/cli/src/bundle_files.ts
@@ -0,0 +1,61 @@
+import { readdir, readFile, stat } from "node:fs/promises";
+import { join } from "node:path";
+import type { BundleFile, ConfigIssue } from "@anvildeal/core";
+import { parse, TomlError } from "smol-toml";
+import { CliError, usageError } from "./cli_error.js";
+import { ExitCode } from "./exit_code.js";
+
+/**
+ * Reads a bundle from TOML files; a directory stands for its `*.toml` files.
+ *
+ * Throws {@link CliError} that lists the syntax errors of all files.
+ */
+export async function readBundleFiles(
+  paths: readonly string[],
+): Promise<BundleFile[]> {
+  if (paths.length === 0) {
+    throw usageError("Name the TOML files of the bundle, or their directory.");
+  }
+  const files: BundleFile[] = [];
+  const issues: ConfigIssue[] = [];
+  for (const file of (await Promise.all(paths.map(expand))).flat()) {
+    const text = await readFile(file, "utf8");
+    try {
+      files.push({ file, bundle: parse(text) });
+    } catch (error) {
+      if (!(error instanceof TomlError)) {
+        throw error;
+      }
+      issues.push(syntaxIssue(file, error));
+    }
+  }
+  if (issues.length > 0) {
+    const message = "The bundle is not valid TOML.";
+    throw new CliError(ExitCode.failed, "invalid_bundle", message, issues);
+  }
+  return files;
+}
+
+async function expand(path: string): Promise<string[]> {
+  const found = await stat(path).catch(() => undefined);
+  if (found === undefined) {
+    throw usageError(`There is no file ${path}.`);
+  }
+  if (!found.isDirectory()) {
+    return [path];
+  }
+  const names = (await readdir(path)).filter((name) => name.endsWith(".toml"));
+  if (names.length === 0) {
+    throw usageError(`There are no TOML files in ${path}.`);
+  }
+  return names.sort().map((name) => join(path, name));
+}
+
+function syntaxIssue(file: string, error: TomlError): ConfigIssue {
+  return {
+    file,
+    key: `line ${error.line}, column ${error.column}`,
+    found: "a syntax error",
+    allowed: error.message.split("\n")[0],
+  };
+}
--- /dev/null
+++ b/packages/cli/src/fleet_commands.ts
@@ -0,0 +1,71 @@
+import type { Command } from "./command.js";
+import { formatTable } from "./table.js";
+
+const status: Command = {
+  name: "status",
+  usage: "",
+  description: "Show what the router knows of the fleet",
+  options: [],
+  async run(context) {
+    const json = await context.client().get("/status");
+    return { json, text: indented(json) };
+  },
+};
+
+const explain: Command = {
+  name: "explain",
+  usage: "<request-id>",
+  description: "Explain how a request was placed and answered",
+  options: [],
+  async run(context, [requestId]) {
+    const path = `/explain/${encodeURIComponent(requestId)}`;
+    const json = await context.client().get(path);
+    return { json, text: indented(json) };
+  },
+};
+
+const drain: Command = {
+  name: "drain",
+  usage: "<endpoint>",
+  description: "Let an endpoint finish its work and accept no more",
+  options: [{ flags: "--yes", description: "Do not ask for confirmation" }],
+  async run(context, [endpoint]) {
+    const client = context.client();
+    await context.confirm(`Drain endpoint ${endpoint}?`);
+    const path = `/drain/${encodeURIComponent(endpoint)}`;
+    const json = await client.post(path, {});
+    return { json, text: `endpoint ${endpoint} is draining` };
+  },
+};
+
+const report: Command = {
+  name: "report",
+  usage: "<name>",
+  description: "Print a report, such as 'burn'",
+  options: [],
+  async run(context, [name]) {
+    const path = `/report/${encodeURIComponent(name)}`;
+    const json = await context.client().get(path);
+    const rows = rowsOf(json);
+    return { json, text: rows ? formatTable(rows) : indented(json) };
+  },
+};
+
+export const FLEET_COMMANDS: readonly Command[] = [
+  status,
+  explain,
+  drain,
+  report,
+];
+
+/** The rows of a report, if it has any. */
+function rowsOf(json: unknown): Record<string, unknown>[] | undefined {
+  const rows = (json as { rows?: unknown } | null)?.rows;
+  const isTable = Array.isArray(rows) && rows.length > 0 &&
+    rows.every((row) => row !== null && typeof row === "object");
+  return isTable ? rows as Record<string, unknown>[] : undefined;
+}
+
+function indented(json: unknown): string {
+  return JSON.stringify(json, null, 2);
+}
--- a/packages/daemon/src/admin/activation_service.ts
+++ b/packages/daemon/src/admin/activation_service.ts
@@ -262,17 +262,17 @@
     }
   }
 
-  /** Whether the pointer has reached the version of this activation. */
+  /** Whether the pointer is at, or has passed through, this activation. */
   async #pointsTo(
     found: StoredObject,
     record: ConfigVersion,
   ): Promise<boolean> {
     const pointer = found.value as ActivePointer;
-    if (pointer.version < record.version) {
-      return false;
-    }
-    const accepted = await this.repository.readVersion(record.version);
-    return accepted !== undefined && isActivation(accepted.value, record);
+    const stored = await this.repository.readAccepted(
+      record.version,
+      pointer.version,
+    );
+    return stored !== undefined && isActivation(stored, record);
   }
 
   #refuseWhileInProgress(holder: ConfigVersion, record: ConfigVersion): void {
--- a/packages/daemon/src/admin/admin_api.ts
+++ b/packages/daemon/src/admin/admin_api.ts
@@ -265,10 +265,9 @@
     if (error.status === 401) {
       response.setHeader("WWW-Authenticate", "Bearer");
     }
-    if (!request.complete) {
-      // The rest of the body is not read, so the connection cannot be reused.
-      response.setHeader("Connection", "close");
-    }
+    // Discards what is left of the body; closing the connection instead could
+    // take the answer away from a caller that is still sending.
+    request.resume();
     const { code, message, issues } = error;
     const body = { code, message, ...(issues === undefined ? {} : { issues }) };
     send(response, error.status, { error: body });
--- a/packages/daemon/src/admin/admin_api_test.ts
+++ b/packages/daemon/src/admin/admin_api_test.ts
@@ -1,15 +1,49 @@
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
-import { AdminFixture } from "./admin_fixture.js";
+import { AdminFixture, CLIENT_KEY, sampleBundle } from "./admin_fixture.js";
+import type { StoreFault } from "./memory_object_store.js";
+import { sha256Hex } from "./digest.js";
 
 describe("AdminApi", () => {
   let admin: AdminFixture;
 
   beforeEach(async () => {
-    admin = await new AdminFixture().start();
+    admin = await new AdminFixture().start(64 * 1024);
   });
 
   afterEach(() => admin.dispose());
 
+  async function activateNew(weight: number): Promise<number> {
+    return (await admin.activate(await admin.proposeSigned(weight))).body
+      .version;
+  }
+
+  async function accepted(): Promise<number[]> {
+    const { body } = await admin.call("vera", "GET", "/history");
+    return body.versions.map((entry: { version: number }) => entry.version);
+  }
+
+  /** Applies `fault` to the first write of a key that starts with `prefix`. */
+  function failFirstWrite(prefix: string, fault: StoreFault): void {
+    let done = false;
+    admin.store.fault = (operation, key) => {
+      if (done || operation === "read" || !key.startsWith(prefix)) {
+        return undefined;
+      }
+      done = true;
+      return fault;
+    };
+  }
+
+  /** Overwrites a stored object as somebody with access to the store could. */
+  async function tamper(
+    key: string,
+    change: (value: Record<string, unknown>) => Record<string, unknown>,
+  ): Promise<void> {
+    const found = (await admin.store.get(key))!;
+    const value = change(found.value as Record<string, unknown>);
+    await admin.store.update(key, value, found.version);
+  }
+
   describe("the way of a change", () => {
     it("is proposed, signed off, activated and listed with who", async () => {
       const first = await admin.proposeSigned(1);
@@ -29,6 +63,435 @@
           activated_at_ms: admin.clock.timeMs,
         },
       ]);
+      expect((await admin.store.get("config/active"))?.value)
+        .toEqual({ version: 2, digest: second.digest });
+    });
+
+    it("lists the newest proposal first and pages to older ones", async () => {
+      const older = await admin.proposeSigned(1);
+      admin.clock.timeMs += 1;
+      const newer = await admin.proposeSigned(2);
+      const { body } = await admin.call("vera", "GET", "/proposals?limit=1");
+      expect(body.proposals).toMatchObject([{ id: newer.id }]);
+      const next = await admin.call(
+        "vera",
+        "GET",
+        `/proposals?after=${newer.id}`,
+      );
+      expect(next.body.proposals).toMatchObject([{ id: older.id }]);
+    });
+
+    it("reviews against the version in force with measured traffic", async () => {
+      await activateNew(1);
+      const { id } = await admin.proposeSigned(3);
+      admin.traffic = new Map([["wiki", 30], ["portal", 10]]);
+      const { body } = await admin.call(
+        "anna",
+        "GET",
+        `/proposals/${id}/review`,
+      );
+      expect(body.in_force_version).toBe(1);
+      expect(body.diff.changes).toEqual([{
+        kind: "accounts",
+        name: "wiki",
+        change: "changed",
+        fields: [{ key: "weight", before: 1, after: 3 }],
+      }]);
+      expect(body.diff.effect).toMatchObject({
+        accounts: ["wiki"],
+        traffic_share: 0.75,
+        traffic_basis: "measured",
+      });
+    });
+
+    it("reports three mistakes in two files at once", async () => {
+      const bundle = sampleBundle() as Record<string, object[]>;
+      const { status, body } = await admin.call("paula", "POST", "/proposals", {
+        files: [
+          { file: "pools.toml", bundle: { pools: [{ name: "chat" }] } },
+          {
+            file: "accounts.toml",
+            bundle: {
+              accounts: [
+                { ...bundle.accounts[0], weight: -1 },
+                { ...bundle.accounts[1], pools: ["chat", "missing"] },
+              ],
+            },
+          },
+        ],
+      });
+      expect(status).toBe(400);
+      expect(body.error.code).toBe("invalid_bundle");
+      const places = body.error.issues.map(
+        (issue: { file: string; key: string }) => `${issue.file} ${issue.key}`,
+      );
+      expect(places).toEqual([
+        "accounts.toml accounts.0.weight",
+        "pools.toml pools.0.kind",
+        "accounts.toml accounts.1.pools.1",
+      ]);
+    });
+  });
+
+  describe("sign-off", () => {
+    it("is refused for the operator's own proposal", async () => {
+      const { body } = await admin.call("peter", "POST", "/proposals", {
+        files: [{ file: "b.toml", bundle: sampleBundle() }],
+      });
+      const path = `/proposals/${body.id}/sign-off`;
+      const { digest } = body;
+      const own = await admin.call("peter", "POST", path, { digest });
+      expect([own.status, own.body.error.code]).toEqual([403, "own_sign_off"]);
+      expect((await admin.activate(body)).body.error.code)
+        .toBe("not_signed_off");
+    });
+
+    it("is refused for the digest of other content", async () => {
+      const first = await admin.proposeSigned(1);
+      const { body } = await admin.call("paula", "POST", "/proposals", {
+        files: [{ file: "b.toml", bundle: sampleBundle(2) }],
+      });
+      const { status } = await admin.call(
+        "anna",
+        "POST",
+        `/proposals/${body.id}/sign-off`,
+        { digest: first.digest },
+      );
+      expect(status).toBe(409);
+    });
+
+    it("does not count when replayed on another proposal", async () => {
+      const signed = await admin.proposeSigned(1);
+      const { body: other } = await admin.call("paula", "POST", "/proposals", {
+        files: [{ file: "b.toml", bundle: sampleBundle(2) }],
+      });
+      const source = (await admin.store.get(`config/proposals/${signed.id}`))!;
+      const { sign_off } = source.value as { sign_off: object };
+      const key = `config/proposals/${other.id}`;
+      await tamper(key, (value) => ({ ...value, sign_off }));
+      const answer = await admin.activate(other);
+      expect(answer.body.error.code).toBe("not_signed_off");
+      expect(await accepted()).toEqual([]);
+    });
+
+    it("does not cover content that was changed afterwards", async () => {
+      const signed = await admin.proposeSigned(1);
+      const { body: other } = await admin.call("paula", "POST", "/proposals", {
+        files: [{ file: "b.toml", bundle: sampleBundle(2) }],
+      });
+      const { manifest, digest } = other;
+      const key = `config/proposals/${signed.id}`;
+      await tamper(key, (value) => ({ ...value, manifest }));
+      expect((await admin.activate(signed)).body.error.code)
+        .toBe("corrupt_store");
+      await tamper(key, (value) => ({ ...value, manifest, digest }));
+      expect((await admin.activate(signed)).body.error.code)
+        .toBe("digest_mismatch");
+      expect((await admin.activate({ id: signed.id, digest })).body.error.code)
+        .toBe("not_signed_off");
+      expect(await accepted()).toEqual([]);
+    });
+
+    it("lapses when the signer loses the role", async () => {
+      const signed = await admin.proposeSigned(1);
+      await tamper("config/operators", ({ operators }) => ({
+        operators: (operators as { name: string }[])
+          .filter(({ name }) => name !== "anna"),
+      }));
+      expect((await admin.activate(signed)).body.error.code)
+        .toBe("not_signed_off");
+    });
+  });
+
+  describe("races", () => {
+    it("let one of two activations win and name it to the other", async () => {
+      await activateNew(1);
+      const proposals = [
+        await admin.proposeSigned(2),
+        await admin.proposeSigned(3),
+      ];
+      const otherRouter = await admin.startServer();
+      const answers = await Promise.all([
+        admin.activate(proposals[0]),
+        admin.activate(proposals[1], otherRouter),
+      ]);
+      expect(answers.map(({ status }) => status).sort()).toEqual([200, 409]);
+      const winner = answers.findIndex(({ status }) => status === 200);
+      expect(answers[1 - winner].body.error.message)
+        .toContain(proposals[winner].id);
+      expect(await accepted()).toEqual([2, 1]);
+    });
+
+    it("refuse a proposal whose base is no longer in force", async () => {
+      const late = await admin.proposeSigned(2);
+      const first = await admin.proposeSigned(3);
+      await admin.activate(first);
+      const { status, body } = await admin.activate(late);
+      expect(status).toBe(409);
+      expect(body.error.message).toContain(first.id);
+    });
+
+    it("name the operator who signed off first", async () => {
+      const { id, digest } = await admin.proposeSigned(1);
+      const path = `/proposals/${id}/sign-off`;
+      const second = await admin.call("arne", "POST", path, { digest });
+      expect(second.status).toBe(409);
+      expect(second.body.error.message).toContain("anna");
+    });
+
+    for (const first of [true, false]) {
+      const which = first ? "first" : "later";
+      it(`keep a paused ${which} activation from moving the pointer`, async () => {
+        if (!first) {
+          await activateNew(1);
+        }
+        const paused = await admin.proposeSigned(2);
+        const other = await admin.proposeSigned(3);
+        let held = false;
+        admin.store.fault = async (operation, key) => {
+          if (operation === "write" && key === "config/active" && !held) {
+            held = true;
+            const early = await admin.activate(other);
+            expect(early.body.error.message).toContain(paused.id);
+            admin.clock.timeMs += 60_000;
+            expect((await admin.activate(other)).status).toBe(200);
+          }
+          return undefined;
+        };
+        const answer = await admin.activate(paused);
+        expect(answer.status).toBe(409);
+        expect(answer.body.error.message).toContain(other.id);
+        const { body } = await admin.call("vera", "GET", "/history");
+        expect(body.versions[0]).toMatchObject({
+          proposal_id: other.id,
+          digest: other.digest,
+        });
+        expect(body.versions).toHaveLength(first ? 1 : 2);
+      });
+    }
+  });
+
+  describe("a lost answer", () => {
+    const writes = [
+      "config/sections/",
+      "config/proposals/",
+      "config/versions/",
+      "config/active",
+    ];
+    for (const fault of ["answer_lost", "write_lost"] as const) {
+      for (const key of writes) {
+        it(`is resolved by reading back (${fault} at ${key})`, async () => {
+          await activateNew(1);
+          failFirstWrite(key, fault);
+          const change = await admin.proposeSigned(2);
+          expect((await admin.activate(change)).body).toMatchObject({
+            version: 2,
+            digest: change.digest,
+          });
+          expect(await accepted()).toEqual([2, 1]);
+          const { body } = await admin.call("vera", "GET", "/proposals");
+          expect(body.proposals).toHaveLength(2);
+        });
+      }
+    }
+
+    it("is resolved for a sign-off", async () => {
+      const { body } = await admin.call("paula", "POST", "/proposals", {
+        files: [{ file: "b.toml", bundle: sampleBundle() }],
+      });
+      failFirstWrite("config/proposals/", "answer_lost");
+      const path = `/proposals/${body.id}/sign-off`;
+      const { digest } = body;
+      const answer = await admin.call("anna", "POST", path, { digest });
+      expect(answer.status).toBe(200);
+      expect(answer.body.sign_off.by).toBe("anna");
+    });
+
+    it("is reported as unknown while the store cannot be read", async () => {
+      const change = await admin.proposeSigned(1);
+      admin.store.fault = (operation, key) => {
+        if (operation === "read" || key !== "config/active") {
+          return undefined;
+        }
+        admin.stopStore();
+        return "answer_lost";
+      };
+      const answer = await admin.activate(change);
+      expect(answer.status).toBe(504);
+      expect(answer.body.error.code).toBe("outcome_unknown");
+      expect(answer.body.error.message).toContain("history");
+
+      admin.store.fault = () => undefined;
+      const repeated = await admin.activate(change);
+      expect(repeated.status).toBe(409);
+      expect(repeated.body.error.message).toContain("in force already");
+      expect(await accepted()).toEqual([1]);
+    });
+  });
+
+  describe("a revert", () => {
+    it("brings earlier content back as a new, higher version", async () => {
+      const first = await admin.proposeSigned(1);
+      await admin.activate(first);
+      await activateNew(2);
+      const { status, body } = await admin.call("paula", "POST", "/revert", {
+        version: 1,
+      });
+      expect(status).toBe(201);
+      expect(body.digest).toBe(first.digest);
+      expect((await admin.activate(body)).body.error.code)
+        .toBe("not_signed_off");
+      await admin.call("anna", "POST", `/proposals/${body.id}/sign-off`, {
+        digest: body.digest,
+      });
+      expect((await admin.activate(body)).body).toMatchObject({
+        version: 3,
+        digest: first.digest,
+        reverts_to_version: 1,
+      });
+    });
+
+    it("is refused for a number that was never accepted", async () => {
+      failFirstWrite("config/active", "unavailable");
+      const interrupted = await admin.proposeSigned(1);
+      expect((await admin.activate(interrupted)).status).toBe(503);
+      const other = await admin.proposeSigned(2);
+      admin.clock.timeMs += 60_000;
+      expect((await admin.activate(other)).body.version).toBe(2);
+      const answer = await admin.call("paula", "POST", "/revert", {
+        version: 1,
+      });
+      expect(answer.status).toBe(404);
+      expect(await accepted()).toEqual([2]);
+    });
+  });
+
+  describe("access", () => {
+    async function statusWith(authorization?: string): Promise<number> {
+      const headers = new Headers(
+        authorization === undefined ? [] : [["authorization", authorization]],
+      );
+      const url = `${admin.url}/admin/v1/status`;
+      return (await fetch(url, { headers })).status;
+    }
+
+    it("needs an operator's key", async () => {
+      expect(await statusWith()).toBe(401);
+      expect(await statusWith("Bearer wrong")).toBe(401);
+      expect(await statusWith("Basic vera-key")).toBe(401);
+      expect(await statusWith("Bearer vera-key")).toBe(200);
+    });
+
+    it("is refused to the key of a client account", async () => {
+      expect(await statusWith(`Bearer ${CLIENT_KEY}`)).toBe(403);
+    });
+
+    it("refuses an account that uses an operator's key", async () => {
+      const bundle = sampleBundle() as { accounts: { key_hashes: string[] }[] };
+      bundle.accounts[0].key_hashes = [sha256Hex("root-key")];
+      const answer = await admin.call("paula", "POST", "/proposals", {
+        files: [{ file: "b.toml", bundle }],
+      });
+      expect(answer.body.error.code).toBe("invalid_bundle");
+    });
+
+    const digest = "0".repeat(64);
+    const calls: [string, string, unknown][] = [
+      ["anna", "/proposals", { files: [{ file: "a", bundle: {} }] }],
+      ["anna", "/revert", { version: 1 }],
+      ["paula", "/proposals/p/sign-off", { digest }],
+      ["anna", "/proposals/p/activate", { digest }],
+      ["paula", "/drain/e-1", {}],
+    ];
+    for (const [operator, path, body] of calls) {
+      it(`needs the role for ${path}`, async () => {
+        const answer = await admin.call(operator, "POST", path, body);
+        expect([answer.status, answer.body.error.code])
+          .toEqual([403, "forbidden"]);
+      });
+    }
+
+    it("never puts a key into the log", async () => {
+      await statusWith("Bearer some-mistyped-secret");
+      expect(admin.logs).toHaveLength(1);
+      expect(JSON.stringify(admin.logs)).not.toContain("secret");
+    });
+  });
+
+  describe("input", () => {
+    it("is limited in size, announced or not", async () => {
+      const body = JSON.stringify({ note: "x".repeat(100_000) });
+      const announced = await admin.call("paula", "POST", "/proposals", body);
+      expect([announced.status, announced.body.error.code])
+        .toEqual([413, "too_large"]);
+      const chunked = await fetch(`${admin.url}/admin/v1/revert`, {
+        method: "POST",
+        headers: { authorization: "Bearer paula-key" },
+        body: new Blob([body]).stream(),
+        duplex: "half",
+      });
+      expect(chunked.status).toBe(413);
+    });
+
+    it("that is malformed is answered with all issues", async () => {
+      const answer = await admin.call("paula", "POST", "/revert", {
+        version: "one",
+        note: 7,
+        other: true,
+      });
+      expect(answer.status).toBe(400);
+      const keys = answer.body.error.issues.map(
+        (issue: { key: string }) => issue.key,
+      );
+      expect(keys.sort()).toEqual(["note", "other", "version"]);
+      const notJson = await admin.call("paula", "POST", "/revert", "{");
+      expect([notJson.status, notJson.body.error.code])
+        .toEqual([400, "bad_request"]);
+      const query = await admin.call("vera", "GET", "/history?limit=0&x=1");
+      expect(query.body.error.issues).toHaveLength(2);
+    });
+
+    it("for an unknown path or method gets 404 or 405", async () => {
+      expect((await admin.call("vera", "GET", "/nothing")).status).toBe(404);
+      expect((await admin.call("vera", "POST", "/history")).status).toBe(405);
+      expect((await admin.call("vera", "GET", "/proposals/none")).status)
+        .toBe(404);
+    });
+  });
+
+  describe("while the store is down", () => {
+    it("calls that need it get 503 and the others work", async () => {
+      await admin.call("root", "GET", "/status");
+      admin.stopStore();
+      const history = await admin.call("root", "GET", "/history");
+      expect([history.status, history.body.error.code])
+        .toEqual([503, "store_unavailable"]);
+      const status = await admin.call("root", "GET", "/status");
+      expect(status.body).toEqual({
+        store: "unavailable",
+        active: null,
+        fleet: { endpoints: 12 },
+      });
+      expect((await admin.call("root", "GET", "/explain/r-1")).status)
+        .toBe(200);
+      expect((await admin.call("root", "POST", "/drain/e-1", {})).status)
+        .toBe(202);
+      expect((await admin.call("root", "GET", "/report/burn")).status)
+        .toBe(200);
+    });
+  });
+
+  describe("fleet calls", () => {
+    it("tell what is unknown or unreachable", async () => {
+      expect((await admin.call("root", "GET", "/explain/r-2")).status)
+        .toBe(404);
+      expect((await admin.call("root", "GET", "/report/none")).status)
+        .toBe(404);
+      expect((await admin.call("root", "POST", "/drain/e-2", {})).status)
+        .toBe(404);
+      admin.drainResult = "unreachable";
+      const answer = await admin.call("root", "POST", "/drain/e-1", {});
+      expect(answer.body.error.code).toBe("endpoint_unreachable");
     });
   });
 });
--- a/packages/daemon/src/admin/config_repository.ts
+++ b/packages/daemon/src/admin/config_repository.ts
@@ -48,6 +48,28 @@
     return this.#read(ConfigKey.version(version), ConfigVersionSchema);
   }
 
+  /**
+   * The record of a version, if it was accepted.
+   *
+   * An interrupted first activation leaves a record below the version in
+   * force that was never accepted; no later version is based on it.
+   */
+  async readAccepted(
+    version: number,
+    inForceVersion: number,
+  ): Promise<ConfigVersion | undefined> {
+    if (version > inForceVersion) {
+      return undefined;
+    }
+    if (version < inForceVersion) {
+      const next = await this.readVersion(version + 1);
+      if (next?.value.based_on_version !== version) {
+        return undefined;
+      }
+    }
+    return (await this.readVersion(version))?.value;
+  }
+
   readOperators(): Promise<Versioned<Operators> | undefined> {
     return this.#read(ConfigKey.operators, OperatorsSchema);
   }
--- a/packages/daemon/src/admin/memory_object_store.ts
+++ b/packages/daemon/src/admin/memory_object_store.ts
@@ -26,14 +26,15 @@
   readonly #objects = new Map<string, StoredObject>();
   /** Kept over deletes, because versions of a key rise with each write. */
   readonly #lastVersions = new Map<string, number>();
-  /** Called before each call; returns the fault to apply, if any. */
+  /** Called before each call; may delay it and names the fault to apply. */
   fault: (
     operation: "read" | "write",
     key: string,
-  ) => StoreFault | undefined = () => undefined;
+  ) => StoreFault | undefined | Promise<StoreFault | undefined> = () =>
+    undefined;
 
   async get(key: string): Promise<StoredObject | undefined> {
-    this.#failRead(key);
+    await this.#failRead(key);
     return structuredClone(this.#objects.get(key));
   }
 
@@ -50,14 +51,14 @@
   }
 
   async delete(key: string, ifVersion: number): Promise<void> {
-    this.#write(key, undefined, ifVersion);
+    await this.#write(key, undefined, ifVersion);
   }
 
   async list(
     prefix: string,
     { limit, after = "" }: ListOptions,
   ): Promise<StoredObject[]> {
-    this.#failRead(prefix);
+    await this.#failRead(prefix);
     return [...this.#objects.values()]
       .filter(({ key }) => key.startsWith(prefix) && key > after)
       .sort((a, b) => a.key < b.key ? -1 : 1)
@@ -73,14 +74,18 @@
     return object && object.version > afterVersion ? object : undefined;
   }
 
-  #failRead(key: string): void {
-    if (this.fault("read", key) !== undefined) {
+  async #failRead(key: string): Promise<void> {
+    if (await this.fault("read", key) !== undefined) {
       throw new StoreUnavailableError("The store is down");
     }
   }
 
-  #write(key: string, value: unknown, ifVersion: number | undefined): number {
-    const fault = this.fault("write", key);
+  async #write(
+    key: string,
+    value: unknown,
+    ifVersion: number | undefined,
+  ): Promise<number> {
+    const fault = await this.fault("write", key);
     if (fault === "unavailable") {
       throw new StoreUnavailableError("The store is down");
     }
--- a/packages/daemon/src/admin/proposal_service.ts
+++ b/packages/daemon/src/admin/proposal_service.ts
@@ -84,7 +84,10 @@
   /** Proposes the content of an earlier version again. */
   async revert(version: number, note: string, by: Operator): Promise<Proposal> {
     const inForce = await this.repository.readInForce();
-    if (inForce === undefined || version >= inForce.version) {
+    const earlier = inForce && version < inForce.version
+      ? await this.repository.readAccepted(version, inForce.version)
+      : undefined;
+    if (inForce === undefined || earlier === undefined) {
       throw new AdminError(
         404,
         "not_found",
@@ -92,14 +95,7 @@
           `${describeInForce(inForce)}.`,
       );
     }
-    const earlier = await this.repository.readVersion(version);
-    const next = await this.repository.readVersion(version + 1);
-    // An interrupted first activation leaves a record that was not accepted;
-    // no later version is based on it.
-    if (earlier === undefined || next?.value.based_on_version !== version) {
-      throw new AdminError(404, "not_found", `Version ${version} is unknown.`);
-    }
-    const { digest, manifest } = earlier.value;
+    const { digest, manifest } = earlier;
     const bundle = await this.repository.readBundle(manifest, digest);
     refuseOperatorKeys(bundle, await this.operators.read());
     return this.#create({
--- a/packages/daemon/src/admin/request_body.ts
+++ b/packages/daemon/src/admin/request_body.ts
@@ -10,19 +10,33 @@
   if (announced > maxBytes) {
     throw tooLarge(maxBytes);
   }
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  for await (const chunk of request as AsyncIterable<Buffer>) {
-    bytes += chunk.length;
-    if (bytes > maxBytes) {
-      throw tooLarge(maxBytes);
-    }
-    chunks.push(chunk);
-  }
-  if (bytes === 0) {
-    return {};
-  }
-  return parseJson(Buffer.concat(chunks).toString("utf8"));
+  const body = await readBytes(request, maxBytes);
+  return body.length === 0 ? {} : parseJson(body.toString("utf8"));
+}
+
+/**
+ * Iterating over the request would destroy its socket on the early exit, and
+ * the answer with it; hence the listeners.
+ */
+function readBytes(
+  request: IncomingMessage,
+  maxBytes: number,
+): Promise<Buffer> {
+  return new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    request.on("data", (chunk: Buffer) => {
+      bytes += chunk.length;
+      if (bytes <= maxBytes) {
+        chunks.push(chunk);
+        return;
+      }
+      chunks.length = 0;
+      reject(tooLarge(maxBytes));
+    });
+    request.once("end", () => resolve(Buffer.concat(chunks)));
+    request.once("close", () => reject(cutOff()));
+  });
 }
 
 function parseJson(text: string): unknown {
@@ -46,3 +60,8 @@
     `The body is larger than the limit of ${maxBytes} bytes.`,
   );
 }
+
+function cutOff(): AdminError {
+  const message = "The connection closed before the whole body arrived.";
+  return new AdminError(400, "bad_request", message);
+}
