--- a/packages/core/src/config_sync/index.ts
+++ b/packages/core/src/config_sync/index.ts
@@ -1,4 +1,3 @@
-export * from "./config_objects.js";
 export * from "./config_sync_event.js";
 export {
   type ConfigSyncOptions,
--- a/packages/core/src/config_sync/reduce_config_sync_test.ts
+++ b/packages/core/src/config_sync/reduce_config_sync_test.ts
@@ -2,8 +2,8 @@
 import { type Bundle, BundleSchema } from "../config/bundle_schema.js";
 import { manifestDigest, splitBundle } from "../config/config_sections.js";
 import type { Message } from "../wire/messages.js";
+import { ACTIVE_KEY, sectionKey, versionKey } from "./config_objects.js";
 import {
-  ACTIVE_KEY,
   type ConfigSyncEffect,
   type ConfigSyncEvent,
   type ConfigSyncOptions,
@@ -12,9 +12,7 @@
   highestKnownVersion,
   isServing,
   reduceConfigSync,
-  sectionKey,
   versionInForce,
-  versionKey,
 } from "./index.js";
 
 type EventInput = ConfigSyncEvent extends infer E
--- a/packages/core/src/membership/direct_evidence.ts
+++ b/packages/core/src/membership/direct_evidence.ts
@@ -34,7 +34,9 @@
     record.row = row;
     record.listed = listed;
   }
-  if (row.role === "endpoint") {
+  if (row.role === "router") {
+    state.routerIds.add(row.instanceId);
+  } else {
     const ids = state.idsByPool.get(row.pool) ?? new Set();
     ids.add(row.instanceId);
     state.idsByPool.set(row.pool, ids);
@@ -295,6 +297,7 @@
 }
 
 function unindex(state: MembershipState, record: InstanceRecord): void {
+  state.routerIds.delete(record.row.instanceId);
   const ids = state.idsByPool.get(record.row.pool);
   ids?.delete(record.row.instanceId);
   if (ids?.size === 0) {
--- a/packages/core/src/membership/membership_queries.ts
+++ b/packages/core/src/membership/membership_queries.ts
@@ -89,13 +89,9 @@
  * not suspect, itself included once it is listed.
  */
 export function liveRouters(state: MembershipState, nowMs: Millis): string[] {
-  const ids: string[] = [];
-  for (const [id, record] of state.instances) {
-    if (record.row.role === "router" && isRouterLive(state, record, nowMs)) {
-      ids.push(id);
-    }
-  }
-  return ids;
+  return [...state.routerIds].filter((id) =>
+    isRouterLive(state, state.instances.get(id)!, nowMs)
+  );
 }
 
 /** The elected watchers of a failure domain, in rendezvous order. */
--- a/packages/core/src/membership/membership_state.ts
+++ b/packages/core/src/membership/membership_state.ts
@@ -67,6 +67,7 @@
   readonly random: RandomGenerator;
   readonly instances: Map<string, InstanceRecord>;
   readonly idsByPool: Map<string, Set<string>>;
+  readonly routerIds: Set<string>;
   readonly domains: Map<string, DomainRecord>;
   /** Version of the newest instance list applied; -1 before the first. */
   listVersion: number;
@@ -91,6 +92,7 @@
     random: xoroshiro128plus(options.seed),
     instances: new Map(),
     idsByPool: new Map(),
+    routerIds: new Set(),
     domains: new Map(),
     listVersion: -1,
     changes: [],
--- a/packages/core/src/membership/reduce_membership.ts
+++ b/packages/core/src/membership/reduce_membership.ts
@@ -41,7 +41,10 @@
   const effects: MembershipEffect[] = [];
   const { nowMs } = event;
   applyEvent(state, event, effects);
-  updateElection(state, nowMs, effects);
+  // Answers arrive with every frame; a regained router can wait for the tick.
+  if (event.type !== "answered") {
+    updateElection(state, nowMs, effects);
+  }
   if (!state.pollInFlight && nowMs >= state.nextPollMs) {
     state.pollInFlight = true;
     effects.push({ type: "poll_list" });
--- /dev/null
+++ b/packages/daemon/src/config_sync/config_sync_host.ts
@@ -0,0 +1,288 @@
+import { createHash } from "node:crypto";
+import { EventEmitter } from "node:events";
+import {
+  type Bundle,
+  type Clock,
+  type ConfigSyncEffect,
+  type ConfigSyncEvent,
+  type ConfigSyncOptions,
+  type ConfigSyncState,
+  createConfigSyncState,
+  highestKnownVersion,
+  type Manifest,
+  type MessageOf,
+  type Millis,
+  type ObjectStore,
+  reduceConfigSync,
+  type StoredObject,
+  StoreError,
+  versionInForce,
+} from "@anvildeal/core";
+import type { PeerTransport } from "./peer_transport.js";
+import type { SyncReporter } from "./sync_reporter.js";
+import type { TimerHandle, Timers } from "./timers.js";
+
+const TICK_INTERVAL_MS = 250;
+/** Objects read at once, so that a first read does not flood the store. */
+const MAX_PARALLEL_READS = 8;
+/** Added to the timeout of a watch before its connection counts as silent. */
+const WATCH_MARGIN_MS = 500;
+
+/** A configuration that has just come into force in this process. */
+export interface AppliedConfig {
+  readonly version: number;
+  readonly manifest: Manifest;
+  readonly bundle: Bundle;
+}
+
+export interface ConfigSyncHostEvents {
+  configApplied: [AppliedConfig];
+}
+
+export interface ConfigSyncHostOptions {
+  readonly role: ConfigSyncOptions["role"];
+  readonly watchMode: ConfigSyncOptions["watchMode"];
+  readonly seed: number;
+  readonly store: ObjectStore;
+  readonly transport: PeerTransport;
+  readonly clock: Clock;
+  readonly timers: Timers;
+  readonly reporter: SyncReporter;
+  /** Version of the instance list held, to compare it with peers as well. */
+  readonly listVersion?: () => number;
+}
+
+type EventInput = ConfigSyncEvent extends infer E
+  ? E extends ConfigSyncEvent ? Omit<E, "nowMs"> : never
+  : never;
+type EffectOf<T extends ConfigSyncEffect["type"]> = Extract<
+  ConfigSyncEffect,
+  { readonly type: T }
+>;
+
+type Settled<T> = { readonly ok: true; readonly value: T } | {
+  readonly ok: false;
+};
+
+/**
+ * Keeps a process on the newest accepted configuration: runs the effects of
+ * `reduceConfigSync` and emits `configApplied` for each version in force.
+ */
+export class ConfigSyncHost extends EventEmitter<ConfigSyncHostEvents> {
+  readonly #options: ConfigSyncHostOptions;
+  readonly #state: ConfigSyncState;
+  readonly #watches = new Map<number, AbortController>();
+  readonly #watchLimits = new Map<number, TimerHandle>();
+  /** Events of calls that a running effect caused wait for their turn. */
+  readonly #queue: EventInput[] = [];
+  #running = false;
+  #disposed = false;
+  #tickTimer: TimerHandle | undefined;
+  #applied: AppliedConfig | undefined;
+
+  constructor(options: ConfigSyncHostOptions) {
+    super();
+    this.#options = options;
+    this.#state = createConfigSyncState({
+      role: options.role,
+      watchMode: options.watchMode,
+      seed: options.seed,
+      digest: sha256Hex,
+    });
+  }
+
+  /** The configuration in force; undefined while the process must not serve. */
+  get applied(): AppliedConfig | undefined {
+    return this.#applied;
+  }
+
+  /** Version in force, or 0. */
+  get version(): number {
+    return versionInForce(this.#state);
+  }
+
+  /** Highest version that a peer or the store has named. */
+  get highestKnownVersion(): number {
+    return highestKnownVersion(this.#state);
+  }
+
+  /** Starts to look for a version; `seedPeerIds` are asked at once. */
+  start(seedPeerIds: readonly string[]): void {
+    this.#dispatch({ type: "started", seedPeerIds });
+    this.#scheduleTick();
+  }
+
+  handleMessage(
+    peerId: string,
+    message: MessageOf<"config_query"> | MessageOf<"config_state">,
+  ): void {
+    this.#dispatch({ type: "message_received", peerId, message });
+  }
+
+  /** Takes the version that a peer named in any other message. */
+  noteVersion(peerId: string, configVersion: number): void {
+    this.#dispatch({ type: "version_hinted", peerId, configVersion });
+  }
+
+  /** Takes the result of the election among the routers of the domain. */
+  setElected(elected: boolean): void {
+    this.#dispatch({ type: "election_changed", elected });
+  }
+
+  dispose(): void {
+    this.#disposed = true;
+    this.#tickTimer?.cancel();
+    for (const watchId of this.#watches.keys()) {
+      this.#stopWatch(watchId);
+    }
+    this.removeAllListeners();
+  }
+
+  #scheduleTick(): void {
+    if (this.#disposed) {
+      return;
+    }
+    this.#tickTimer = this.#options.timers.after(TICK_INTERVAL_MS, () => {
+      this.#dispatch({
+        type: "tick",
+        peerIds: this.#options.transport.peers(),
+        listVersion: this.#options.listVersion?.(),
+      });
+      this.#scheduleTick();
+    });
+  }
+
+  #dispatch(input: EventInput): void {
+    if (this.#disposed) {
+      return;
+    }
+    this.#queue.push(input);
+    if (this.#running) {
+      return;
+    }
+    this.#running = true;
+    try {
+      this.#drainQueue();
+    } finally {
+      this.#running = false;
+    }
+  }
+
+  #drainQueue(): void {
+    for (let next = this.#queue.shift(); next; next = this.#queue.shift()) {
+      const nowMs: Millis = this.#options.clock.nowMs();
+      const event = { ...next, nowMs } as ConfigSyncEvent;
+      for (const effect of reduceConfigSync(this.#state, event)) {
+        this.#run(effect);
+      }
+    }
+  }
+
+  #run(effect: ConfigSyncEffect): void {
+    const { reporter, transport } = this.#options;
+    switch (effect.type) {
+      case "send":
+        transport.send(effect.peerId, effect.message);
+        return;
+      case "start_watch":
+        void this.#watch(effect);
+        return;
+      case "stop_watch":
+        this.#stopWatch(effect.watchId);
+        return;
+      case "read_objects":
+        void this.#read(effect);
+        return;
+      case "apply": {
+        const { version, manifest, bundle } = effect;
+        this.#applied = { version, manifest, bundle };
+        this.emit("configApplied", this.#applied);
+        return;
+      }
+      case "log":
+        reporter.log(effect.level, effect.text);
+        return;
+      case "count":
+        reporter.count(`config_sync.${effect.counter}`, effect.amount);
+        return;
+    }
+  }
+
+  async #watch(effect: EffectOf<"start_watch">): Promise<void> {
+    const { watchId, key, afterVersion, timeoutMs } = effect;
+    const controller = new AbortController();
+    this.#watches.set(watchId, controller);
+    const limitMs = timeoutMs + WATCH_MARGIN_MS;
+    // An established connection can go silent for good without an error.
+    const limit = this.#options.timers.after(limitMs, () => {
+      this.#stopWatch(watchId);
+      this.#dispatch({ type: "watch_failed", watchId });
+    });
+    this.#watchLimits.set(watchId, limit);
+    const options = { afterVersion, timeoutMs, signal: controller.signal };
+    const result = await this.#settle(this.#options.store.watch(key, options));
+    if (controller.signal.aborted) {
+      return;
+    }
+    this.#forgetWatch(watchId);
+    this.#dispatch(
+      result.ok
+        ? { type: "watch_returned", watchId, object: result.value }
+        : { type: "watch_failed", watchId },
+    );
+  }
+
+  #stopWatch(watchId: number): void {
+    this.#watches.get(watchId)?.abort();
+    this.#forgetWatch(watchId);
+  }
+
+  #forgetWatch(watchId: number): void {
+    this.#watches.delete(watchId);
+    this.#watchLimits.get(watchId)?.cancel();
+    this.#watchLimits.delete(watchId);
+  }
+
+  async #read(effect: EffectOf<"read_objects">): Promise<void> {
+    const { requestId, keys } = effect;
+    const result = await this.#settle(this.#readAll(keys));
+    this.#dispatch(
+      result.ok
+        ? { type: "objects_read", requestId, objects: result.value }
+        : { type: "read_failed", requestId },
+    );
+  }
+
+  async #readAll(keys: readonly string[]): Promise<Map<string, StoredObject>> {
+    const objects = new Map<string, StoredObject>();
+    const rest = [...keys];
+    const readNext = async (): Promise<void> => {
+      for (let key = rest.shift(); key !== undefined; key = rest.shift()) {
+        const object = await this.#options.store.get(key);
+        if (object !== undefined) {
+          objects.set(key, object);
+        }
+      }
+    };
+    const readers = Math.min(MAX_PARALLEL_READS, keys.length);
+    await Promise.all(Array.from({ length: readers }, readNext));
+    return objects;
+  }
+
+  /** Turns a rejection into a value, so that effects never reject. */
+  async #settle<T>(promise: Promise<T>): Promise<Settled<T>> {
+    try {
+      return { ok: true, value: await promise };
+    } catch (error) {
+      // A failing store is expected; any other error is a fault of the code.
+      if (!(error instanceof StoreError) && !this.#disposed) {
+        this.#options.reporter.log("error", `object store: ${String(error)}`);
+      }
+      return { ok: false };
+    }
+  }
+}
+
+function sha256Hex(content: string): string {
+  return createHash("sha256").update(content, "utf8").digest("hex");
+}
--- /dev/null
+++ b/packages/daemon/src/config_sync/instance_list_client.ts
@@ -0,0 +1,118 @@
+import type { InstanceRow, Millis } from "@anvildeal/core";
+import { Agent, request } from "undici";
+import { z } from "zod";
+import { InstanceListError } from "./instance_list_error.js";
+import type { Timers } from "./timers.js";
+
+/** Body of `GET /instances`. */
+const InstanceListSchema = z.object({
+  version: z.number(),
+  instances: z.array(z.object({
+    instance_id: z.string().min(1).max(128),
+    role: z.enum(["router", "endpoint"]),
+    pool: z.string().max(128).default(""),
+    address: z.string().max(64),
+    failure_domain: z.string().max(128),
+    state: z.enum(["live", "leaving"]),
+  })),
+});
+
+export interface InstanceListAnswer {
+  readonly listVersion: number;
+  readonly instances: readonly InstanceRow[];
+}
+
+export interface InstanceListClientOptions {
+  /** URL without a path, such as `http://127.0.0.1:8081`. */
+  readonly url: string;
+  /** Time until a poll without a complete answer fails. */
+  readonly requestTimeoutMs: Millis;
+  readonly timers: Timers;
+}
+
+/** Client of the platform's instance list. */
+export class InstanceListClient {
+  readonly #options: InstanceListClientOptions;
+  readonly #agent = new Agent({
+    connections: 1,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+  #etag: string | undefined;
+
+  constructor(options: InstanceListClientOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Reads the list, or returns undefined when it has not changed since the
+   * last call. Rejects with {@link InstanceListError}.
+   */
+  async poll(): Promise<InstanceListAnswer | undefined> {
+    const controller = new AbortController();
+    const { timers, requestTimeoutMs } = this.#options;
+    // Aborting also closes the connection, which may have gone silent.
+    const timer = timers.after(requestTimeoutMs, () => controller.abort());
+    try {
+      return await this.#poll(controller.signal);
+    } catch (error) {
+      if (error instanceof InstanceListError) {
+        throw error;
+      }
+      const text = controller.signal.aborted
+        ? `no answer within ${requestTimeoutMs} ms`
+        : String(error);
+      throw new InstanceListError(`instance list failed: ${text}`, {
+        cause: error,
+      });
+    } finally {
+      timer.cancel();
+    }
+  }
+
+  async dispose(): Promise<void> {
+    await this.#agent.destroy();
+  }
+
+  async #poll(signal: AbortSignal): Promise<InstanceListAnswer | undefined> {
+    const headers: Record<string, string> = {};
+    if (this.#etag !== undefined) {
+      headers["if-none-match"] = this.#etag;
+    }
+    const url = new URL("/instances", this.#options.url);
+    const dispatcher = this.#agent;
+    const response = await request(url, { dispatcher, headers, signal });
+    if (response.statusCode === 304) {
+      await response.body.dump();
+      return undefined;
+    }
+    if (response.statusCode !== 200) {
+      await response.body.dump();
+      throw new InstanceListError(
+        `instance list answered ${response.statusCode}`,
+      );
+    }
+    const answer = toAnswer(await response.body.json());
+    const { etag } = response.headers;
+    this.#etag = typeof etag === "string" ? etag : undefined;
+    return answer;
+  }
+}
+
+function toAnswer(body: unknown): InstanceListAnswer {
+  const parsed = InstanceListSchema.safeParse(body);
+  if (!parsed.success) {
+    throw new InstanceListError(
+      `instance list has an unknown form: ${z.prettifyError(parsed.error)}`,
+    );
+  }
+  const instances = parsed.data.instances.map((item) => ({
+    instanceId: item.instance_id,
+    role: item.role,
+    pool: item.pool,
+    address: item.address,
+    failureDomain: item.failure_domain,
+    state: item.state,
+  }));
+  return { listVersion: parsed.data.version, instances };
+}
--- /dev/null
+++ b/packages/daemon/src/config_sync/instance_list_host.ts
@@ -0,0 +1,105 @@
+import { EventEmitter } from "node:events";
+import type { Clock, MembershipEffect, MembershipEvent } from "@anvildeal/core";
+import type { InstanceListClient } from "./instance_list_client.js";
+import type { PeerTransport } from "./peer_transport.js";
+import type { SyncReporter } from "./sync_reporter.js";
+
+export interface InstanceListHostEvents {
+  /** Whether this router now polls the list and watches the configuration. */
+  electionChanged: [elected: boolean];
+  /** The instance should be connected to or probed without a request. */
+  probeWanted: [instanceId: string];
+}
+
+export interface InstanceListHostOptions {
+  readonly client: InstanceListClient;
+  readonly transport: PeerTransport;
+  readonly clock: Clock;
+  readonly reporter: SyncReporter;
+  /**
+   * Passes an event to the owner of the membership state, which hands the
+   * effects of `reduceMembership` back to {@link InstanceListHost.run}.
+   */
+  readonly dispatch: (event: MembershipEvent) => void;
+}
+
+/** Runs the effects of `reduceMembership` for the owner of its state. */
+export class InstanceListHost extends EventEmitter<InstanceListHostEvents> {
+  readonly #options: InstanceListHostOptions;
+  #failing = false;
+  #disposed = false;
+
+  constructor(options: InstanceListHostOptions) {
+    super();
+    this.#options = options;
+  }
+
+  run(effect: MembershipEffect): void {
+    if (this.#disposed) {
+      return;
+    }
+    const { reporter, transport } = this.#options;
+    switch (effect.type) {
+      case "poll_list":
+        void this.#poll();
+        return;
+      case "send":
+        transport.send(effect.peerId, effect.message);
+        return;
+      case "probe_instance":
+        this.emit("probeWanted", effect.instanceId);
+        return;
+      case "election_changed":
+        this.emit("electionChanged", effect.elected);
+        return;
+      case "count":
+        reporter.count(`membership.${effect.counter}`, effect.amount);
+        return;
+      case "log":
+        reporter.log(effect.level, effect.text);
+        return;
+    }
+  }
+
+  /** Does not dispose the client, which the owner may share. */
+  dispose(): void {
+    this.#disposed = true;
+    this.removeAllListeners();
+  }
+
+  async #poll(): Promise<void> {
+    const event = await this.#pollOnce();
+    if (!this.#disposed) {
+      this.#options.dispatch(event);
+    }
+  }
+
+  async #pollOnce(): Promise<MembershipEvent> {
+    const { client, clock } = this.#options;
+    try {
+      const answer = await client.poll();
+      this.#noteFailing(undefined);
+      const nowMs = clock.nowMs();
+      return answer === undefined
+        ? { type: "list_not_modified", nowMs }
+        : { type: "list_received", nowMs, ...answer };
+    } catch (error) {
+      this.#noteFailing(error);
+      return { type: "list_failed", nowMs: clock.nowMs() };
+    }
+  }
+
+  /** Logs the first failure and the recovery, not each poll of an outage. */
+  #noteFailing(error: unknown): void {
+    const failing = error !== undefined;
+    if (failing === this.#failing || this.#disposed) {
+      return;
+    }
+    this.#failing = failing;
+    if (failing) {
+      this.#options.reporter.log("warn", String(error));
+    } else {
+      this.#options.reporter.log("info", "instance list answers again");
+    }
+  }
+}
