--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./execution/index.js";
 export * from "./store/index.js";
 export * from "./admin/index.js";
+export * from "./config_sync/index.js";
 export * from "./system_clock.js";
