--- a/packages/core/src/log_events.ts
+++ b/packages/core/src/log_events.ts
@@ -105,6 +105,11 @@
     level: "info",
     message: "configuration sync",
   },
+  admin_event: {
+    code: 5001,
+    level: "info",
+    message: "administration call",
+  },
   store_failed: {
     code: 4020,
     level: "warn",
--- a/packages/core/src/placement/index.ts
+++ b/packages/core/src/placement/index.ts
@@ -1,3 +1,4 @@
+export * from "./create_placement_policy.js";
 export * from "./baseline_policies.js";
 export * from "./cache_aware_policy.js";
 export * from "./placement_policy.js";
--- a/packages/core/src/sidecar/admit_attempt.ts
+++ b/packages/core/src/sidecar/admit_attempt.ts
@@ -130,6 +130,7 @@
   attempt: AttemptState,
 ): AttemptState | undefined {
   const { state } = ctx;
+  state.lastAdmittedAtMs = ctx.nowMs;
   state.attempts.set(attempt.attemptId, attempt);
   connection.attemptIds.add(attempt.attemptId);
   const dropped = state.queue.push(attempt);
--- a/packages/core/src/sidecar/exchange_digests.ts
+++ b/packages/core/src/sidecar/exchange_digests.ts
@@ -15,18 +15,18 @@
 /** Sends digests to the next peers of the ring when a round is due. */
 export function exchangeDigests(ctx: SidecarContext): void {
   const { state, nowMs } = ctx;
-  if (nowMs < state.nextDigestMs || state.peers.length === 0) {
+  if (nowMs < state.nextDigestMs) {
     return;
   }
   const idle = loadTokensOf(state) === 0 &&
     state.table.summarize(nowMs).freshLoadTokens === 0;
   state.nextDigestMs = nowMs +
     (idle ? IDLE_DIGEST_INTERVAL_MS : DIGEST_INTERVAL_MS);
-  for (let i = 0; i < Math.min(DIGEST_FAN_OUT, state.peers.length); i++) {
-    const peer = nextPeer(ctx);
+  const peers = knownPeers(ctx);
+  for (let i = 0; i < Math.min(DIGEST_FAN_OUT, peers.length); i++) {
     ctx.effects.push({
       type: "send_peer",
-      peer,
+      peer: nextPeer(ctx, peers),
       message: composeDigest(ctx, false),
     });
   }
@@ -74,10 +74,24 @@
   };
 }
 
+/** Listed peers, and those that joined since and were heard of by a digest. */
+function knownPeers({ state, nowMs }: SidecarContext): PoolPeer[] {
+  const peers = new Map(state.peers.map((peer) => [peer.endpointId, peer]));
+  for (const peer of state.table.leastLoaded(Infinity, nowMs)) {
+    if (!peers.has(peer.endpointId)) {
+      peers.set(peer.endpointId, peer);
+    }
+  }
+  return [...peers.values()];
+}
+
 /** A shuffled ring reaches every peer before it reaches one twice. */
-function nextPeer({ state }: SidecarContext): PoolPeer {
+function nextPeer(
+  { state }: SidecarContext,
+  peers: readonly PoolPeer[],
+): PoolPeer {
   if (state.ring.length === 0) {
-    state.ring = [...state.peers];
+    state.ring = [...peers];
     for (let i = state.ring.length - 1; i > 0; i--) {
       const j = state.randomBelow(i + 1);
       [state.ring[i], state.ring[j]] = [state.ring[j], state.ring[i]];
--- a/packages/core/src/sidecar/reduce_sidecar.ts
+++ b/packages/core/src/sidecar/reduce_sidecar.ts
@@ -146,6 +146,12 @@
     case "order_answered":
       answerOrder(ctx, event);
       break;
+    case "fencing_known":
+      state.highestFencingNumber = Math.max(
+        event.number,
+        state.highestFencingNumber ?? 0,
+      );
+      break;
     case "tick":
       checkTimes(ctx);
       exchangeDigests(ctx);
@@ -501,6 +507,11 @@
   order: Order,
 ): void {
   const { state } = ctx;
+  if (state.highestFencingNumber === undefined) {
+    const reason = "highest fencing number not known yet";
+    replyToOrder(ctx, connectionId, order.orderId, false, reason);
+    return;
+  }
   if (order.fencingNumber < state.highestFencingNumber) {
     ctx.effects.push({
       type: "log",
@@ -546,7 +557,7 @@
       orderId,
       accepted,
       reason,
-      highestFencingNumber: ctx.state.highestFencingNumber,
+      highestFencingNumber: ctx.state.highestFencingNumber ?? 0,
     },
   });
 }
--- a/packages/core/src/sidecar/sidecar_event.ts
+++ b/packages/core/src/sidecar/sidecar_event.ts
@@ -119,6 +119,12 @@
     readonly accepted: boolean;
     readonly reason: string;
   }
+  /** Version of the order object in the store, read after the start. */
+  | {
+    readonly type: "fencing_known";
+    readonly nowMs: Millis;
+    readonly number: number;
+  }
   | { readonly type: "tick"; readonly nowMs: Millis };
 
 export type SidecarEffect =
--- a/packages/core/src/sidecar/sidecar_state.ts
+++ b/packages/core/src/sidecar/sidecar_state.ts
@@ -108,7 +108,9 @@
   ring: PoolPeer[];
   nextDigestMs: Millis;
   lastTickMs: Millis | undefined;
-  highestFencingNumber: number;
+  /** Undefined after a restart until the store has told the number. */
+  highestFencingNumber: number | undefined;
+  lastAdmittedAtMs: Millis | undefined;
 }
 
 export interface SidecarContext {
@@ -145,7 +147,8 @@
     ring: [],
     nextDigestMs: 0,
     lastTickMs: undefined,
-    highestFencingNumber: 0,
+    highestFencingNumber: undefined,
+    lastAdmittedAtMs: undefined,
   };
 }
 
--- /dev/null
+++ b/packages/daemon/src/anvildeald.ts
@@ -0,0 +1,46 @@
+#!/usr/bin/env node
+import { ConfigError } from "@anvildeal/core";
+import { cac } from "cac";
+import { RouterHost } from "./router/index.js";
+import { loadSettings } from "./settings/index.js";
+import { SidecarHost } from "./sidecar/index.js";
+
+const EXIT_USAGE = 2;
+
+async function run(settingsFile: string): Promise<void> {
+  const settings = loadSettings(settingsFile);
+  const host = settings.role === "router"
+    ? await RouterHost.create(settings)
+    : new SidecarHost(settings);
+  const addresses = await host.start();
+  let stopping = false;
+  const stop = () => {
+    if (stopping) {
+      return;
+    }
+    stopping = true;
+    void host.drain().then(() => {
+      host.dispose();
+      process.exit(0);
+    });
+  };
+  process.on("SIGTERM", stop);
+  process.on("SIGINT", stop);
+  process.stdout.write(`${JSON.stringify({ ready: true, ...addresses })}\n`);
+}
+
+const cli = cac("anvildeald");
+cli.command("<settings>", "Run a router or a sidecar, as the settings say")
+  .action((settingsFile: string) => {
+    run(settingsFile).catch((error: unknown) => {
+      const text = error instanceof ConfigError
+        ? error.message
+        : error instanceof Error
+        ? error.stack
+        : String(error);
+      process.stderr.write(`${text}\n`);
+      process.exitCode = error instanceof ConfigError ? EXIT_USAGE : 1;
+    });
+  });
+cli.help();
+cli.parse();
--- a/packages/daemon/src/engine/engine_client.ts
+++ b/packages/daemon/src/engine/engine_client.ts
@@ -1,6 +1,6 @@
 import {
   type EngineCall,
-  EngineDialect,
+  type EngineDialect,
   type Millis,
   type Order,
   type SidecarEvent,
--- /dev/null
+++ b/packages/daemon/src/json_server.ts
@@ -0,0 +1,57 @@
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { Disposable } from "./net/index.js";
+
+export type RequestHandler = (
+  request: IncomingMessage,
+  response: ServerResponse,
+) => void | Promise<void>;
+
+/** Small HTTP server for administration and metrics. */
+export class JsonServer implements Disposable {
+  readonly #server: Server;
+
+  /** `routes` maps paths to handlers; `fallback` gets everything else. */
+  constructor(
+    routes: Readonly<Record<string, RequestHandler>>,
+    fallback: RequestHandler = answerNotFound,
+  ) {
+    this.#server = createServer((request, response) => {
+      const path = (request.url ?? "/").split("?")[0];
+      void (routes[path] ?? fallback)(request, response);
+    });
+  }
+
+  listen(host: string, port: number): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, host, () => {
+        const address = this.#server.address();
+        resolve(address && typeof address === "object" ? address.port : port);
+      });
+    });
+  }
+
+  dispose(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+}
+
+/** Answers with a JSON value. */
+export function sendJson(
+  response: ServerResponse,
+  status: number,
+  value: unknown,
+): void {
+  response.writeHead(status, { "content-type": "application/json" });
+  response.end(JSON.stringify(value));
+}
+
+function answerNotFound(_request: IncomingMessage, response: ServerResponse) {
+  sendJson(response, 404, { error: { code: "not_found" } });
+}
--- a/packages/daemon/src/metrics/metric_registry.ts
+++ b/packages/daemon/src/metrics/metric_registry.ts
@@ -5,8 +5,24 @@
 
 /** Upper bounds of the buckets of durations, in milliseconds. */
 const DURATION_BUCKETS_MS = [
-  1, 2, 5, 10, 20, 37, 50, 100, 200, 400, 630, 1000, 2000, 4000, 8000,
-  16_000, 32_000, 64_000,
+  1,
+  2,
+  5,
+  10,
+  20,
+  37,
+  50,
+  100,
+  200,
+  400,
+  630,
+  1000,
+  2000,
+  4000,
+  8000,
+  16_000,
+  32_000,
+  64_000,
 ];
 
 /** Upper bounds of the buckets of ratios. */
--- a/packages/daemon/src/net/peer_dialer.ts
+++ b/packages/daemon/src/net/peer_dialer.ts
@@ -75,7 +75,14 @@
       this.#options(),
     );
     this.#connections.set(peerId, connection);
+    let wasReady = false;
     connection.onReady((hello) => {
+      // An address can belong to another process by now.
+      if (!isSeedPeer(peerId) && hello.nodeId !== peerId) {
+        connection.close(`peer is ${hello.nodeId}, expected ${peerId}`);
+        return;
+      }
+      wasReady = true;
       this.#onReady.fire({ peerId, hello });
     });
     connection.onMessage((message) => {
@@ -86,7 +93,6 @@
     connection.onClose((info) => {
       if (this.#connections.get(peerId) === connection) {
         this.#connections.delete(peerId);
-        const wasReady = connection.peer !== undefined;
         this.#onClose.fire({ ...info, peerId, wasReady });
       }
     });
@@ -94,6 +100,22 @@
   }
 }
 
+const SEED_PREFIX = "seed:";
+
+/** Id of a peer of which only the address is known. */
+export function seedPeerId(address: string): string {
+  return SEED_PREFIX + address;
+}
+
+/** Address of a peer named by {@link seedPeerId}, if it is one. */
+export function seedAddress(peerId: string): string | undefined {
+  return isSeedPeer(peerId) ? peerId.slice(SEED_PREFIX.length) : undefined;
+}
+
+function isSeedPeer(peerId: string): boolean {
+  return peerId.startsWith(SEED_PREFIX);
+}
+
 /** Splits "1.2.3.4:5" or "[::1]:5" into host and port. */
 export function splitAddress(address: string): { host: string; port: number } {
   const colon = address.lastIndexOf(":");
--- /dev/null
+++ b/packages/daemon/src/net/peer_directory.ts
@@ -0,0 +1,47 @@
+import type { Message } from "@anvildeal/core";
+import type { Disposable } from "./disposable.js";
+import { Emitter } from "./emitter.js";
+import type { PeerConnection } from "./peer_connection.js";
+import type { PeerMessage } from "./peer_dialer.js";
+
+/** Connections that peers opened to this process, by their node id. */
+export class PeerDirectory implements Disposable {
+  readonly #connections = new Map<string, PeerConnection>();
+  readonly #onMessage = new Emitter<PeerMessage>();
+
+  readonly onMessage = this.#onMessage.event;
+
+  /** Registers a connection once its handshake is complete. */
+  add(connection: PeerConnection): void {
+    connection.onReady(({ nodeId }) => {
+      this.#connections.set(nodeId, connection);
+      connection.onMessage((message) =>
+        this.#onMessage.fire({ peerId: nodeId, message })
+      );
+      connection.onClose(() => {
+        if (this.#connections.get(nodeId) === connection) {
+          this.#connections.delete(nodeId);
+        }
+      });
+    });
+  }
+
+  /** Sends if the peer is connected; returns whether it is. */
+  send(peerId: string, message: Message): boolean {
+    const connection = this.#connections.get(peerId);
+    if (!connection?.ready) {
+      return false;
+    }
+    connection.send(message);
+    return true;
+  }
+
+  ids(): string[] {
+    return [...this.#connections.keys()];
+  }
+
+  dispose(): void {
+    this.#connections.clear();
+    this.#onMessage.dispose();
+  }
+}
--- a/packages/daemon/src/net/peer_server.ts
+++ b/packages/daemon/src/net/peer_server.ts
@@ -1,7 +1,10 @@
 import { createServer, type Server } from "node:net";
 import type { Disposable } from "./disposable.js";
 import { Emitter } from "./emitter.js";
-import { PeerConnection, type PeerConnectionOptions } from "./peer_connection.js";
+import {
+  PeerConnection,
+  type PeerConnectionOptions,
+} from "./peer_connection.js";
 
 /** Accepts connections of other anvildeal processes. */
 export class PeerServer implements Disposable {
--- /dev/null
+++ b/packages/daemon/src/orders/index.ts
@@ -0,0 +1,2 @@
+export * from "./order_error.js";
+export * from "./order_issuer.js";
--- /dev/null
+++ b/packages/daemon/src/orders/order_issuer.ts
@@ -0,0 +1,131 @@
+import { randomUUID } from "node:crypto";
+import {
+  type Clock,
+  type Message,
+  type MessageOf,
+  type Millis,
+  type ObjectStore,
+  type Order,
+  StoreConflictError,
+  StoreError,
+} from "@anvildeal/core";
+import { OrderError } from "./order_error.js";
+
+/** A holder that was paused for longer must not use its fencing number. */
+const LEASE_MS: Millis = 3000;
+
+const REPLY_TIMEOUT_MS: Millis = 3000;
+
+export type OrderReply = MessageOf<"order_reply">;
+
+export interface OrderIssuerOptions {
+  readonly store: ObjectStore;
+  readonly clock: Clock;
+  /** Sends to the sidecar of an endpoint. */
+  readonly send: (endpointId: string, message: Message) => void;
+}
+
+/** Key of the object whose version is the fencing number of an endpoint. */
+export function orderKey(endpointId: string): string {
+  return `orders/${endpointId}`;
+}
+
+/**
+ * Gives orders to endpoints under a lease.
+ *
+ * The version of the object `orders/<endpoint>` is the fencing number: each
+ * holder writes the object and so gets a number above all earlier ones. The
+ * sidecar refuses lower numbers, so that a holder which was paused and comes
+ * back late does no harm even if its own clock misleads it.
+ */
+export class OrderIssuer {
+  readonly #options: OrderIssuerOptions;
+  readonly #waiting = new Map<string, (reply: OrderReply) => void>();
+
+  constructor(options: OrderIssuerOptions) {
+    this.#options = options;
+  }
+
+  /** Gives an order and waits for the reply; rejects with `OrderError`. */
+  async issue(
+    endpointId: string,
+    kind: Order["kind"],
+    parameters: Readonly<Record<string, string>>,
+    by: string,
+  ): Promise<OrderReply> {
+    const { clock, send } = this.#options;
+    const startedMs = clock.nowMs();
+    const fencingNumber = await this.#acquire(endpointId, kind, by);
+    if (clock.nowMs() - startedMs > LEASE_MS) {
+      throw new OrderError(
+        "lease_lost",
+        `The lease on ${endpointId} lapsed before the order was sent`,
+      );
+    }
+    const orderId = randomUUID();
+    const reply = this.#awaitReply(orderId, endpointId);
+    send(endpointId, {
+      type: "order",
+      orderId,
+      fencingNumber,
+      kind,
+      parameters: { ...parameters },
+    });
+    return await reply;
+  }
+
+  handleReply(reply: OrderReply): void {
+    this.#waiting.get(reply.orderId)?.(reply);
+  }
+
+  async #acquire(
+    endpointId: string,
+    kind: string,
+    by: string,
+  ): Promise<number> {
+    const { clock, store } = this.#options;
+    const key = orderKey(endpointId);
+    const value = { holder: randomUUID(), kind, by, at_ms: clock.wallMs() };
+    try {
+      const current = await store.get(key);
+      return current
+        ? await store.update(key, value, current.version)
+        : await store.create(key, value);
+    } catch (error) {
+      if (error instanceof StoreConflictError) {
+        throw new OrderError(
+          "lease_lost",
+          `Another order to ${endpointId} was given at the same time`,
+          error,
+        );
+      }
+      if (error instanceof StoreError) {
+        throw new OrderError(
+          "store_failed",
+          "The object API gave no fencing number, so no order was sent",
+          error,
+        );
+      }
+      throw error;
+    }
+  }
+
+  #awaitReply(orderId: string, endpointId: string): Promise<OrderReply> {
+    return new Promise((resolve, reject) => {
+      const timer = setTimeout(() => {
+        this.#waiting.delete(orderId);
+        reject(
+          new OrderError(
+            "unreachable",
+            `${endpointId} did not answer the order; it may have taken effect`,
+          ),
+        );
+      }, REPLY_TIMEOUT_MS);
+      this.#waiting.set(orderId, (reply) => {
+        clearTimeout(timer);
+        this.#waiting.delete(orderId);
+        resolve(reply);
+      });
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/router/admin_bridge.ts
@@ -0,0 +1,60 @@
+import { findEndpoint, type RouterState } from "@anvildeal/core";
+import type { AdminServices } from "../admin/index.js";
+import type { NodeServices } from "../node_services.js";
+import { OrderError, type OrderIssuer } from "../orders/index.js";
+import type { RouterLinks } from "./router_links.js";
+import { routerStatus } from "./router_status.js";
+
+export interface AdminBridgeOptions {
+  readonly state: RouterState;
+  readonly services: NodeServices;
+  readonly orders: OrderIssuer;
+  readonly links: RouterLinks;
+}
+
+/** What the administration API needs, from the parts of a router. */
+export function createAdminServices(
+  { state, services, orders }: AdminBridgeOptions,
+): AdminServices {
+  const { clock, logger, store } = services;
+  return {
+    store,
+    clock,
+    log: ({ name, fields }) =>
+      logger.log("admin_event", {
+        action: name,
+        ...Object.fromEntries(
+          Object.entries(fields).map(([key, value]) => [key, String(value)]),
+        ),
+      }),
+    fleet: {
+      status: () => routerStatus(state, services, state.config?.version ?? 0),
+      traffic: () => undefined,
+    },
+    explain: {
+      explain: (requestId) =>
+        Promise.resolve(
+          state.requests.get(requestId)?.steps ??
+            state.explained.get(requestId),
+        ),
+    },
+    drain: async (endpointId, by) => {
+      if (!findEndpoint(state.membership, endpointId)) {
+        return "unknown_endpoint";
+      }
+      try {
+        const reply = await orders.issue(endpointId, "drain", {}, by);
+        return reply.accepted ? "draining" : "unreachable";
+      } catch (error) {
+        if (error instanceof OrderError) {
+          return "unreachable";
+        }
+        throw error;
+      }
+    },
+    reports: { report: () => Promise.resolve(undefined) },
+    clientKeys: {
+      has: (keyHash) => state.config?.accountsByKeyHash.has(keyHash) ?? false,
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/router/index.ts
@@ -0,0 +1,2 @@
+export * from "./caller_server.js";
+export * from "./router_host.js";
--- /dev/null
+++ b/packages/daemon/src/router/router_host.ts
@@ -0,0 +1,395 @@
+import {
+  createPlacementPolicy,
+  createPrefixHasher,
+  createRouterState,
+  listModels,
+  type Message,
+  type MessageOf,
+  type Millis,
+  type PrefixHasher,
+  reduceRouter,
+  type RouterEffect,
+  type RouterEvent,
+  type RouterSettings,
+  type RouterState,
+} from "@anvildeal/core";
+import { AdminApi } from "../admin/index.js";
+import {
+  ConfigSyncHost,
+  InstanceListClient,
+  InstanceListHost,
+} from "../config_sync/index.js";
+import { RecordSweeper } from "../execution/index.js";
+import { JsonServer, sendJson } from "../json_server.js";
+import { type Disposable, seedPeerId } from "../net/index.js";
+import { NodeServices } from "../node_services.js";
+import { OrderIssuer } from "../orders/index.js";
+import { createAdminServices } from "./admin_bridge.js";
+import { CallerServer } from "./caller_server.js";
+import { RouterLinks } from "./router_links.js";
+import { routerGauges, routerStatus } from "./router_status.js";
+
+/** Interval at which the time limits of the reducer are checked. */
+const TICK_INTERVAL_MS: Millis = 25;
+
+/** Addresses that a router listens on once it has started. */
+export interface RouterAddresses {
+  readonly http_url: string;
+  readonly admin_url: string;
+  readonly metrics_url: string;
+  readonly peer_address: string;
+}
+
+/** Runs the router reducer: feeds it events and carries out its effects. */
+export class RouterHost implements Disposable {
+  readonly #settings: RouterSettings;
+  readonly #services: NodeServices;
+  readonly #state: RouterState;
+  readonly #links: RouterLinks;
+  readonly #configSync: ConfigSyncHost;
+  readonly #instanceList: InstanceListHost;
+  readonly #listClient: InstanceListClient;
+  readonly #sweeper: RecordSweeper;
+  readonly #orders: OrderIssuer;
+  readonly #callers: CallerServer;
+  readonly #admin: JsonServer;
+  readonly #metricsServer: JsonServer;
+  readonly #queue: RouterEvent[] = [];
+  #running = false;
+  #ticker: NodeJS.Timeout | undefined;
+  #onDrained: (() => void) | undefined;
+
+  static async create(settings: RouterSettings): Promise<RouterHost> {
+    return new RouterHost(settings, await createPrefixHasher());
+  }
+
+  private constructor(settings: RouterSettings, hasher: PrefixHasher) {
+    this.#settings = settings;
+    const { node, platform, router } = settings;
+    const services = new NodeServices(settings, node.id);
+    this.#services = services;
+    const { clock, logger, store, timers } = services;
+    this.#state = createRouterState({
+      nodeId: node.id,
+      failureDomain: node.failure_domain,
+      seed: services.seed,
+      placement: createPlacementPolicy(router.placement),
+      probeCount: router.probe_count,
+      probeFreshMs: router.probe_fresh_ms,
+      probeTimeoutMs: router.probe_timeout_ms,
+      enforceBound: router.placement === "policy",
+      plainRetries: router.retries === "plain",
+      detectSilence: router.silence === "policy",
+    });
+    this.#links = new RouterLinks(
+      services,
+      this.#state,
+      () => this.#configSync.version,
+    );
+    this.#configSync = new ConfigSyncHost({
+      role: "router",
+      watchMode: router.watch_config,
+      seed: services.seed + 2,
+      store,
+      transport: this.#links,
+      clock,
+      timers,
+      reporter: services.reporter(),
+      listVersion: () => this.#state.membership.listVersion,
+    });
+    this.#listClient = new InstanceListClient({
+      url: platform.instance_list_url,
+      requestTimeoutMs: platform.request_timeout_ms,
+      timers,
+    });
+    this.#instanceList = new InstanceListHost({
+      client: this.#listClient,
+      transport: this.#links,
+      clock,
+      reporter: services.reporter(),
+      dispatch: (event) =>
+        this.#dispatch({ type: "membership", nowMs: event.nowMs, event }),
+    });
+    this.#sweeper = new RecordSweeper({ store, clock });
+    this.#orders = new OrderIssuer({
+      store,
+      clock,
+      send: (endpointId, message) => this.#links.send(endpointId, message),
+    });
+    this.#callers = new CallerServer({
+      maxBodyBytes: router.max_body_bytes,
+      maxHeaderBytes: router.max_header_bytes,
+      bodyTimeoutMs: router.body_timeout_ms,
+      hasher,
+      listModels: (keyHash) => listModels(this.#state, keyHash),
+      notReadyReason: () => this.#notReadyReason(),
+    });
+    const adminApi = new AdminApi(createAdminServices({
+      state: this.#state,
+      services,
+      orders: this.#orders,
+      links: this.#links,
+    }));
+    this.#admin = new JsonServer({
+      "/status": (_request, response) => sendJson(response, 200, this.status()),
+    }, (request, response) => adminApi.handle(request, response));
+    this.#metricsServer = new JsonServer({
+      "/metrics": async (_request, response) => {
+        const { registry } = services.metrics;
+        response.setHeader("content-type", registry.contentType);
+        response.end(await registry.metrics());
+      },
+    });
+    for (const gauge of routerGauges(this.#state, services)) {
+      services.metrics.addGauge(gauge);
+    }
+    logger.log("process_started", { role: "router" });
+    this.#connect();
+  }
+
+  /** Starts to listen and to look for a configuration. */
+  async start(): Promise<RouterAddresses> {
+    const { node, router } = this.#settings;
+    const host = node.listen_host;
+    const peerPort = await this.#links.listen(host, node.peer_port);
+    const httpPort = await this.#callers.listen(host, router.http_port);
+    const adminPort = await this.#admin.listen(host, router.admin_port);
+    const metricsPort = await this.#metricsServer.listen(
+      host,
+      node.metrics_port,
+    );
+    this.#configSync.start(router.seed_peers.map(seedPeerId));
+    this.#ticker = setInterval(() => this.#tick(), TICK_INTERVAL_MS);
+    return {
+      http_url: `http://${host}:${httpPort}`,
+      admin_url: `http://${host}:${adminPort}`,
+      metrics_url: `http://${host}:${metricsPort}/metrics`,
+      peer_address: `${host}:${peerPort}`,
+    };
+  }
+
+  /** Stops taking requests and resolves when none is in flight. */
+  drain(): Promise<void> {
+    this.#services.logger.log("process_stopping", {});
+    this.#callers.stopKeepAlive();
+    return new Promise((resolve) => {
+      this.#onDrained = resolve;
+      this.#dispatch({ type: "drain_requested", nowMs: this.#nowMs() });
+    });
+  }
+
+  /** What the router knows and does, as JSON. */
+  status(): unknown {
+    return routerStatus(this.#state, this.#services, this.#configSync.version);
+  }
+
+  dispose(): void {
+    clearInterval(this.#ticker);
+    this.#callers.dispose();
+    this.#admin.dispose();
+    this.#metricsServer.dispose();
+    this.#configSync.dispose();
+    this.#instanceList.dispose();
+    this.#sweeper.dispose();
+    this.#links.dispose();
+    this.#services.dispose();
+  }
+
+  #connect(): void {
+    const { sidecars } = this.#links;
+    this.#callers.onRequest((request) =>
+      this.#dispatch({
+        type: "request_received",
+        nowMs: this.#nowMs(),
+        request,
+      })
+    );
+    this.#callers.onGone((requestId) =>
+      this.#dispatch({ type: "caller_gone", nowMs: this.#nowMs(), requestId })
+    );
+    this.#callers.onCongestion((congestion) =>
+      this.#dispatch({
+        type: "caller_congested",
+        nowMs: this.#nowMs(),
+        ...congestion,
+      })
+    );
+    sidecars.onReady(({ peerId, hello }) =>
+      this.#dispatch({
+        type: "connected",
+        nowMs: this.#nowMs(),
+        endpointId: peerId,
+        hello,
+      })
+    );
+    sidecars.onMessage(({ peerId, message }) =>
+      this.#receiveFromSidecar(peerId, message)
+    );
+    sidecars.onClose(({ peerId, wasReady, unsent }) =>
+      this.#dispatch({
+        type: "connection_closed",
+        nowMs: this.#nowMs(),
+        endpointId: peerId,
+        wasReady,
+        unsent,
+      })
+    );
+    this.#links.onRouterMessage(({ peerId, message }) =>
+      this.#receiveSync(peerId, message)
+    );
+    this.#links.onRouterReady(({ nodeId, configVersion }) =>
+      this.#configSync.noteVersion(nodeId, configVersion)
+    );
+    this.#configSync.on(
+      "configApplied",
+      ({ version, bundle }) =>
+        this.#dispatch({
+          type: "config_applied",
+          nowMs: this.#nowMs(),
+          version,
+          bundle,
+        }),
+    );
+    this.#instanceList.on("electionChanged", (elected) => {
+      this.#configSync.setElected(elected);
+      this.#sweeper.setElected(elected);
+    });
+    this.#instanceList.on(
+      "probeWanted",
+      (instanceId) =>
+        this.#links.send(instanceId, {
+          type: "probe",
+          probeId: "health",
+          prefixHashes: new Uint8Array(),
+          configVersion: this.#configSync.version,
+        }),
+    );
+  }
+
+  #receiveFromSidecar(peerId: string, message: Message): void {
+    if (message.type === "order_reply") {
+      this.#orders.handleReply(message);
+      return;
+    }
+    if (!this.#receiveSync(peerId, message)) {
+      this.#dispatch({
+        type: "message",
+        nowMs: this.#nowMs(),
+        endpointId: peerId,
+        message,
+      });
+    }
+  }
+
+  /** Handles messages of config sync and membership; false for others. */
+  #receiveSync(peerId: string, message: Message): boolean {
+    if (message.type === "config_query" || message.type === "config_state") {
+      this.#configSync.handleMessage(peerId, message);
+    }
+    if (message.type === "config_query" || message.type === "instances") {
+      this.#receiveList(peerId, message);
+    }
+    return message.type === "config_query" ||
+      message.type === "config_state" || message.type === "instances";
+  }
+
+  #receiveList(
+    peerId: string,
+    message: MessageOf<"config_query"> | MessageOf<"instances">,
+  ): void {
+    const nowMs = this.#nowMs();
+    this.#dispatch({
+      type: "membership",
+      nowMs,
+      event: { type: "message_received", nowMs, peerId, message },
+    });
+  }
+
+  #tick(): void {
+    this.#dispatch({ type: "tick", nowMs: this.#nowMs() });
+  }
+
+  /** Effects can cause events; those wait for their turn. */
+  #dispatch(event: RouterEvent): void {
+    this.#queue.push(event);
+    if (this.#running) {
+      return;
+    }
+    this.#running = true;
+    try {
+      for (
+        let next = this.#queue.shift();
+        next;
+        next = this.#queue.shift()
+      ) {
+        for (const effect of reduceRouter(this.#state, next)) {
+          this.#run(effect);
+        }
+      }
+    } finally {
+      this.#running = false;
+    }
+  }
+
+  #run(effect: RouterEffect): void {
+    const callers = this.#callers;
+    switch (effect.type) {
+      case "send":
+        this.#links.sidecars.send(
+          effect.endpointId,
+          effect.address,
+          effect.message,
+        );
+        break;
+      case "close_connection":
+        this.#links.sidecars.close(effect.endpointId);
+        break;
+      case "respond_head":
+        callers.sendHead(effect.requestId, effect.status, effect.headers);
+        break;
+      case "respond_data":
+        callers.sendData(effect.requestId, effect.data);
+        break;
+      case "respond_end":
+        callers.sendEnd(effect.requestId);
+        break;
+      case "respond_abort":
+        callers.abort(effect.requestId);
+        break;
+      case "respond_error":
+        callers.sendError(effect.requestId, effect.error, effect.endpointId);
+        break;
+      case "config_hint":
+        this.#configSync.noteVersion(effect.peerId, effect.version);
+        break;
+      case "membership":
+        this.#instanceList.run(effect.effect);
+        break;
+      case "drained":
+        this.#onDrained?.();
+        break;
+      case "measure":
+        this.#services.metrics.observe(effect.measurement);
+        break;
+      case "log":
+        this.#services.logger.log(effect.event, effect.fields);
+        break;
+    }
+  }
+
+  #notReadyReason(): string | undefined {
+    if (this.#state.draining) {
+      return "stopping";
+    }
+    if (!this.#state.config) {
+      return "no configuration";
+    }
+    return this.#state.membership.listVersion < 0
+      ? "no instance list"
+      : undefined;
+  }
+
+  #nowMs(): Millis {
+    return this.#services.clock.nowMs();
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/router/router_links.ts
@@ -0,0 +1,103 @@
+import {
+  findEndpoint,
+  liveRouters,
+  type Message,
+  type MessageOf,
+  type RouterState,
+} from "@anvildeal/core";
+import type { PeerTransport } from "../config_sync/index.js";
+import {
+  type Disposable,
+  Emitter,
+  PeerDialer,
+  PeerDirectory,
+  type PeerMessage,
+  PeerServer,
+  seedAddress,
+} from "../net/index.js";
+import type { NodeServices } from "../node_services.js";
+
+/**
+ * Connections of a router: those that it opens to sidecars and other routers,
+ * and those that other routers open to it.
+ */
+export class RouterLinks implements PeerTransport, Disposable {
+  readonly sidecars: PeerDialer;
+  readonly #routers: PeerDialer;
+  readonly #server: PeerServer;
+  readonly #inbound = new PeerDirectory();
+  readonly #services: NodeServices;
+  readonly #state: RouterState;
+  readonly #onRouterMessage = new Emitter<PeerMessage>();
+  readonly #onRouterReady = new Emitter<MessageOf<"hello">>();
+
+  /** Messages of other routers. */
+  readonly onRouterMessage = this.#onRouterMessage.event;
+  readonly onRouterReady = this.#onRouterReady.event;
+
+  constructor(
+    services: NodeServices,
+    state: RouterState,
+    configVersion: () => number,
+  ) {
+    this.#services = services;
+    this.#state = state;
+    const options = () => services.peerOptions(configVersion());
+    this.sidecars = new PeerDialer(options);
+    this.#routers = new PeerDialer(options);
+    this.#server = new PeerServer(options);
+    this.#server.onConnection((connection) => {
+      this.#inbound.add(connection);
+      connection.onClose(({ reason }) => this.#logClose("inbound", reason));
+    });
+    this.#inbound.onMessage((item) => this.#onRouterMessage.fire(item));
+    this.#routers.onMessage((item) => this.#onRouterMessage.fire(item));
+    this.#routers.onReady(({ hello }) => this.#onRouterReady.fire(hello));
+    this.#routers.onClose(({ peerId, reason }) =>
+      this.#logClose(peerId, reason)
+    );
+    this.sidecars.onClose(({ peerId, reason }) =>
+      this.#logClose(peerId, reason)
+    );
+  }
+
+  listen(host: string, port: number): Promise<number> {
+    return this.#server.listen(host, port);
+  }
+
+  send(peerId: string, message: Message): void {
+    const seed = seedAddress(peerId);
+    const { membership } = this.#state;
+    const sidecar = findEndpoint(membership, peerId);
+    if (seed !== undefined) {
+      this.#routers.send(peerId, seed, message);
+    } else if (sidecar) {
+      this.sidecars.send(peerId, sidecar.address, message);
+    } else if (!this.#inbound.send(peerId, message)) {
+      const address = membership.instances.get(peerId)?.row.address;
+      if (address !== undefined) {
+        this.#routers.send(peerId, address, message);
+      }
+    }
+  }
+
+  peers(): readonly string[] {
+    const { nodeId } = this.#services.identity;
+    const nowMs = this.#services.clock.nowMs();
+    return liveRouters(this.#state.membership, nowMs)
+      .filter((id) => id !== nodeId);
+  }
+
+  dispose(): void {
+    this.#server.dispose();
+    this.#inbound.dispose();
+    this.#routers.dispose();
+    this.sidecars.dispose();
+    this.#onRouterMessage.dispose();
+    this.#onRouterReady.dispose();
+  }
+
+  #logClose(peer: string, reason: string): void {
+    this.#services.logger.log("peer_closed", { peer, reason });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/router/router_status.ts
@@ -0,0 +1,118 @@
+import { type RouterState, unusableReason } from "@anvildeal/core";
+import type { GaugeSource } from "../metrics/index.js";
+import type { NodeServices } from "../node_services.js";
+
+const BYTES_PER_MB = 1024 * 1024;
+
+/** What a router knows of the fleet and what it carries, as JSON. */
+export function routerStatus(
+  state: RouterState,
+  services: NodeServices,
+  configVersion: number,
+) {
+  const nowMs = services.clock.nowMs();
+  const instances = [...state.membership.instances.values()];
+  return {
+    node_id: services.identity.nodeId,
+    role: "router",
+    failure_domain: services.identity.failureDomain,
+    incarnation: services.identity.incarnation,
+    config_version: configVersion,
+    draining: state.draining,
+    list_version: state.membership.listVersion,
+    requests_in_flight: state.requests.size,
+    rss_mb: process.memoryUsage.rss() / BYTES_PER_MB,
+    cpu_ms: cpuMs(),
+    endpoints: instances
+      .filter(({ row }) => row.role === "endpoint")
+      .map(({ row, incarnation, suspicionDelayMs }) => ({
+        endpoint_id: row.instanceId,
+        pool: row.pool,
+        failure_domain: row.failureDomain,
+        address: row.address,
+        incarnation,
+        listed_state: row.state,
+        unusable: unusableReason(state.membership, row.instanceId, nowMs) ??
+          null,
+        suspicion_ms: suspicionDelayMs,
+        load_tokens: state.contacts.get(row.instanceId)?.facts?.loadTokens ??
+          null,
+        config_version:
+          state.contacts.get(row.instanceId)?.facts?.configVersion ?? null,
+      })),
+    routers: instances
+      .filter(({ row }) => row.role === "router")
+      .map(({ row }) => ({
+        router_id: row.instanceId,
+        failure_domain: row.failureDomain,
+        address: row.address,
+        state: row.state,
+      })),
+    traffic: trafficOf(services),
+  };
+}
+
+/** Bytes that the sockets carried, by kind, with the platform's calls. */
+export function trafficOf(services: NodeServices) {
+  return {
+    peer: services.meter.rows(),
+    peer_socket_bytes: services.meter.socketBytes,
+    control_bytes: services.meter.controlBytes(),
+    store: services.storeTraffic,
+  };
+}
+
+/** Processor time of this process in milliseconds. */
+export function cpuMs(): number {
+  const US_PER_MS = 1000;
+  const { user, system } = process.cpuUsage();
+  return (user + system) / US_PER_MS;
+}
+
+/** Gauges of a router that are read when metrics are collected. */
+export function routerGauges(
+  state: RouterState,
+  services: NodeServices,
+): GaugeSource[] {
+  return [
+    {
+      name: "config_version",
+      help: "Configuration version in force",
+      labels: [],
+      read: () => [{ labels: {}, value: state.config?.version ?? 0 }],
+    },
+    {
+      name: "requests_in_flight",
+      help: "Requests that have no complete answer yet",
+      labels: [],
+      read: () => [{ labels: {}, value: state.requests.size }],
+    },
+    ...trafficGauges(services),
+  ];
+}
+
+/** Traffic with peers and the platform since the start. */
+export function trafficGauges(services: NodeServices): GaugeSource[] {
+  return [
+    {
+      name: "peer_bytes",
+      help: "Bytes exchanged with other anvildeal processes since the start",
+      labels: ["kind", "direction"],
+      read: () =>
+        services.meter.rows().map(({ kind, direction, bytes }) => ({
+          labels: { kind, direction },
+          value: bytes,
+        })),
+    },
+    {
+      name: "store_calls",
+      help: "Calls of the object API since the start",
+      labels: ["kind"],
+      read: () =>
+        Object.entries(services.storeTraffic).map(([kind, { calls }]) => ({
+          labels: { kind },
+          value: calls,
+        })),
+    },
+  ];
+}
--- /dev/null
+++ b/packages/daemon/src/sidecar/index.ts
@@ -0,0 +1,1 @@
+export * from "./sidecar_host.js";
--- /dev/null
+++ b/packages/daemon/src/sidecar/sidecar_host.ts
@@ -0,0 +1,427 @@
+import {
+  createDialect,
+  createMembershipState,
+  createSidecarState,
+  type ExecutionDecision,
+  type MembershipEvent,
+  type MembershipState,
+  type Message,
+  type Millis,
+  PlainDialect,
+  type PoolPeer,
+  reduceMembership,
+  reduceSidecar,
+  type SidecarEffect,
+  type SidecarEvent,
+  type SidecarSettings,
+  type SidecarState,
+  StoreError,
+  type Submit,
+} from "@anvildeal/core";
+import {
+  type AppliedConfig,
+  ConfigSyncHost,
+  InstanceListClient,
+  InstanceListHost,
+} from "../config_sync/index.js";
+import { EngineClient } from "../engine/index.js";
+import { ExecutionHost, type KeyedCallHandle } from "../execution/index.js";
+import { JsonServer, sendJson } from "../json_server.js";
+import type { Disposable } from "../net/index.js";
+import { NodeServices } from "../node_services.js";
+import { orderKey } from "../orders/index.js";
+import { SidecarLinks } from "./sidecar_links.js";
+import { sidecarGauges, sidecarStatus } from "./sidecar_status.js";
+
+const TICK_INTERVAL_MS: Millis = 50;
+const HEALTH_INTERVAL_MS: Millis = 500;
+const CACHE_EVENT_INTERVAL_MS: Millis = 500;
+const FENCING_RETRY_MS: Millis = 1000;
+
+/** Addresses that a sidecar listens on once it has started. */
+export interface SidecarAddresses {
+  readonly metrics_url: string;
+  readonly peer_address: string;
+}
+
+type EventInput = SidecarEvent extends infer E
+  ? E extends SidecarEvent ? Omit<E, "nowMs"> : never
+  : never;
+
+/** Runs the sidecar reducer: feeds it events and carries out its effects. */
+export class SidecarHost implements Disposable {
+  readonly #settings: SidecarSettings;
+  readonly #services: NodeServices;
+  readonly #state: SidecarState;
+  readonly #membership: MembershipState;
+  readonly #links: SidecarLinks;
+  readonly #engine: EngineClient;
+  readonly #execution: ExecutionHost;
+  readonly #configSync: ConfigSyncHost;
+  readonly #instanceList: InstanceListHost;
+  readonly #metricsServer: JsonServer;
+  readonly #keyedCalls = new Map<string, KeyedCallHandle>();
+  readonly #queue: SidecarEvent[] = [];
+  readonly #timers: NodeJS.Timeout[] = [];
+  #running = false;
+  #lastCacheEvent = 0;
+  #onExit: (() => void) | undefined;
+
+  constructor(settings: SidecarSettings) {
+    this.#settings = settings;
+    const { node, platform, sidecar } = settings;
+    const services = new NodeServices(settings, sidecar.endpoint_id);
+    this.#services = services;
+    const { clock, store, timers } = services;
+    this.#state = createSidecarState({
+      endpointId: sidecar.endpoint_id,
+      incarnation: services.identity.incarnation,
+      address: sidecar.advertised_address ??
+        `${node.listen_host}:${node.peer_port}`,
+      pool: sidecar.pool,
+      seed: services.seed,
+      streamBufferBytes: sidecar.stream_buffer_bytes,
+      firstCome: sidecar.admission === "first_come",
+    }, clock.nowMs());
+    this.#membership = createMembershipState({
+      selfId: sidecar.endpoint_id,
+      role: "sidecar",
+      failureDomain: node.failure_domain,
+      seed: services.seed + 1,
+    });
+    this.#links = new SidecarLinks(
+      services,
+      this.#membership,
+      () => this.#configSync.version,
+    );
+    this.#engine = new EngineClient(
+      sidecar.endpoint_url,
+      new PlainDialect(),
+      (event) => this.#dispatch(event),
+    );
+    this.#execution = new ExecutionHost({
+      store,
+      clock,
+      endpointId: sidecar.endpoint_id,
+    });
+    this.#configSync = new ConfigSyncHost({
+      role: "sidecar",
+      watchMode: "elected",
+      seed: services.seed + 2,
+      store,
+      transport: this.#links,
+      clock,
+      timers,
+      reporter: services.reporter(),
+    });
+    this.#instanceList = new InstanceListHost({
+      client: new InstanceListClient({
+        url: platform.instance_list_url,
+        requestTimeoutMs: platform.request_timeout_ms,
+        timers,
+      }),
+      transport: this.#links,
+      clock,
+      reporter: services.reporter(),
+      dispatch: (event) => this.#receiveMembership(event),
+    });
+    this.#metricsServer = new JsonServer({
+      "/metrics": async (_request, response) => {
+        const { registry } = services.metrics;
+        response.setHeader("content-type", registry.contentType);
+        response.end(await registry.metrics());
+      },
+      "/status": (_request, response) =>
+        sendJson(
+          response,
+          200,
+          sidecarStatus(this.#state, services, this.#configSync.version),
+        ),
+    });
+    for (const gauge of sidecarGauges(this.#state, services)) {
+      services.metrics.addGauge(gauge);
+    }
+    services.logger.log("process_started", { role: "sidecar" });
+    this.#connect();
+  }
+
+  /** Starts to listen and to serve once the endpoint is healthy. */
+  async start(): Promise<SidecarAddresses> {
+    const { node } = this.#settings;
+    const host = node.listen_host;
+    const peerPort = await this.#links.listen(host, node.peer_port);
+    const metricsPort = await this.#metricsServer.listen(
+      host,
+      node.metrics_port,
+    );
+    this.#configSync.start([]);
+    this.#receiveMembership({ type: "tick", nowMs: this.#nowMs() });
+    this.#every(TICK_INTERVAL_MS, () => this.#dispatch({ type: "tick" }));
+    this.#every(HEALTH_INTERVAL_MS, () => void this.#checkHealth());
+    this.#every(CACHE_EVENT_INTERVAL_MS, () => void this.#readCacheEvents());
+    this.#every(
+      HEALTH_INTERVAL_MS,
+      () => this.#receiveMembership({ type: "tick", nowMs: this.#nowMs() }),
+    );
+    void this.#checkHealth();
+    void this.#readFencingNumber();
+    return {
+      metrics_url: `http://${host}:${metricsPort}/metrics`,
+      peer_address: `${host}:${peerPort}`,
+    };
+  }
+
+  /** Stops taking work and resolves when nothing is in flight. */
+  drain(): Promise<void> {
+    this.#services.logger.log("process_stopping", {});
+    if (this.#settings.sidecar.stop === "at_once") {
+      return Promise.resolve();
+    }
+    return new Promise((resolve) => {
+      this.#onExit = resolve;
+      this.#dispatch({ type: "drain_requested", exit: true });
+    });
+  }
+
+  dispose(): void {
+    this.#timers.forEach(clearInterval);
+    this.#metricsServer.dispose();
+    this.#configSync.dispose();
+    this.#instanceList.dispose();
+    this.#execution.dispose();
+    this.#engine.dispose();
+    this.#links.dispose();
+    this.#services.dispose();
+  }
+
+  #connect(): void {
+    this.#links.onConnected(({ connectionId, hello }) => {
+      this.#dispatch({ type: "connected", connectionId, hello });
+    });
+    this.#links.onMessage(({ connectionId, peerId, message }) =>
+      this.#receive(connectionId, peerId, message)
+    );
+    this.#links.onClosed((connectionId) =>
+      this.#dispatch({ type: "connection_closed", connectionId })
+    );
+    this.#configSync.on("configApplied", (config) => this.#apply(config));
+    this.#instanceList.on("probeWanted", () => {
+      // Only routers place work; a sidecar needs no probes of its peers.
+    });
+  }
+
+  #receive(connectionId: string, peerId: string, message: Message): void {
+    switch (message.type) {
+      case "config_query":
+      case "config_state":
+        this.#configSync.handleMessage(peerId, message);
+        break;
+      case "instances":
+        this.#receiveMembership({
+          type: "message_received",
+          nowMs: this.#nowMs(),
+          peerId,
+          message,
+        });
+        break;
+      default:
+        this.#dispatch({ type: "message", connectionId, message });
+    }
+  }
+
+  #apply({ version, bundle }: AppliedConfig): void {
+    const pool = bundle.pools.find(({ name }) =>
+      name === this.#settings.sidecar.pool
+    );
+    if (pool) {
+      this.#engine.setDialect(
+        pool.kind === "service"
+          ? new PlainDialect()
+          : createDialect(pool.dialect),
+      );
+    }
+    this.#dispatch({ type: "config_applied", version, pool });
+  }
+
+  #receiveMembership(event: MembershipEvent): void {
+    const listVersion = this.#membership.listVersion;
+    for (const effect of reduceMembership(this.#membership, event)) {
+      this.#instanceList.run(effect);
+    }
+    if (this.#membership.listVersion !== listVersion) {
+      this.#dispatch({ type: "peers_changed", peers: this.#poolPeers() });
+    }
+  }
+
+  #poolPeers(): PoolPeer[] {
+    return [...this.#membership.instances.values()]
+      .filter(({ row, listed }) =>
+        listed && row.role === "endpoint" && row.state === "live" &&
+        row.pool === this.#settings.sidecar.pool
+      )
+      .map(({ row }) => ({
+        endpointId: row.instanceId,
+        address: row.address,
+      }));
+  }
+
+  #dispatch(input: EventInput): void {
+    this.#queue.push({ ...input, nowMs: this.#nowMs() } as SidecarEvent);
+    if (this.#running) {
+      return;
+    }
+    this.#running = true;
+    try {
+      for (
+        let next = this.#queue.shift();
+        next;
+        next = this.#queue.shift()
+      ) {
+        for (const effect of reduceSidecar(this.#state, next)) {
+          this.#run(effect);
+        }
+      }
+    } finally {
+      this.#running = false;
+    }
+  }
+
+  #run(effect: SidecarEffect): void {
+    switch (effect.type) {
+      case "send":
+        this.#links.sendTo(effect.connectionId, effect.message);
+        break;
+      case "send_peer":
+        this.#links.sendToPeer(effect.peer, effect.message);
+        break;
+      case "close_connection":
+        this.#links.close(effect.connectionId);
+        break;
+      case "create_record":
+        this.#claimKey(effect.attemptId, effect.submit);
+        break;
+      case "finish_record":
+        this.#keyedCalls.get(effect.attemptId)?.finished(effect.answer);
+        this.#keyedCalls.delete(effect.attemptId);
+        break;
+      case "start_call":
+        this.#engine.start(effect.attemptId, effect.submit);
+        break;
+      case "abort_call":
+        this.#engine.abort(effect.attemptId);
+        break;
+      case "pause_call":
+        this.#engine.setPaused(effect.attemptId, effect.paused);
+        break;
+      case "run_order":
+        void this.#runOrder(effect);
+        break;
+      case "config_hint":
+        this.#noteVersion(effect.connectionId, effect.version);
+        break;
+      case "exit":
+        this.#onExit?.();
+        break;
+      case "measure":
+        this.#services.metrics.observe(effect.measurement);
+        break;
+      case "log":
+        this.#services.logger.log(effect.event, effect.fields);
+        break;
+    }
+  }
+
+  #claimKey(attemptId: string, submit: Submit): void {
+    const decide = (decision: ExecutionDecision) =>
+      this.#dispatch({ type: "execution_decided", attemptId, decision });
+    const handle = this.#execution.begin({
+      attemptId,
+      account: submit.account,
+      idempotencyKey: submit.idempotencyKey ?? "",
+      fingerprint: submit.fingerprint ?? "",
+      startByMs: this.#nowMs() + submit.startWithinMs,
+    }, {
+      startCall: () => decide({ type: "start" }),
+      refuseCall: (refusal) => {
+        this.#keyedCalls.delete(attemptId);
+        decide({ type: "refuse", ...refusal });
+      },
+    });
+    this.#keyedCalls.set(attemptId, handle);
+  }
+
+  async #runOrder(
+    { connectionId, order }: Extract<SidecarEffect, { type: "run_order" }>,
+  ): Promise<void> {
+    const { accepted, reason } = await this.#engine.runOrder(order);
+    this.#dispatch({
+      type: "order_answered",
+      connectionId,
+      orderId: order.orderId,
+      accepted,
+      reason,
+    });
+  }
+
+  #noteVersion(connectionId: string, version: number): void {
+    const peerId = this.#state.connections.get(connectionId)?.nodeId;
+    if (peerId !== undefined) {
+      this.#configSync.noteVersion(peerId, version);
+    }
+  }
+
+  async #checkHealth(): Promise<void> {
+    const healthy = await this.#engine.isHealthy();
+    this.#dispatch({
+      type: "endpoint_health",
+      // An endpoint without its configuration has no limits to keep.
+      healthy: healthy && this.#state.configVersion > 0,
+    });
+  }
+
+  async #readCacheEvents(): Promise<void> {
+    if (this.#state.pool.kind !== "model") {
+      return;
+    }
+    const read = await this.#engine.readCacheEvents(this.#lastCacheEvent);
+    if (!read || read.events.length === 0) {
+      return;
+    }
+    this.#lastCacheEvent = Math.max(...read.events.map(({ seq }) => seq));
+    const hashesOf = (kind: "stored" | "evicted") =>
+      read.events.filter((event) => event.kind === kind)
+        .map(({ hash }) => BigInt(`0x${hash}`));
+    this.#dispatch({
+      type: "cache_events",
+      stored: hashesOf("stored"),
+      evicted: hashesOf("evicted"),
+    });
+  }
+
+  /**
+   * A restarted sidecar has forgotten the highest fencing number. The version
+   * of the order object is at least as high, and without it no order is taken.
+   */
+  async #readFencingNumber(): Promise<void> {
+    const key = orderKey(this.#settings.sidecar.endpoint_id);
+    try {
+      const object = await this.#services.store.get(key);
+      this.#dispatch({ type: "fencing_known", number: object?.version ?? 0 });
+    } catch (error) {
+      if (!(error instanceof StoreError)) {
+        throw error;
+      }
+      this.#timers.push(
+        setTimeout(() => void this.#readFencingNumber(), FENCING_RETRY_MS),
+      );
+    }
+  }
+
+  #every(intervalMs: Millis, run: () => void): void {
+    this.#timers.push(setInterval(run, intervalMs));
+  }
+
+  #nowMs(): Millis {
+    return this.#services.clock.nowMs();
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/sidecar/sidecar_links.ts
@@ -0,0 +1,155 @@
+import type {
+  MembershipState,
+  Message,
+  MessageOf,
+  PoolPeer,
+} from "@anvildeal/core";
+import type { PeerTransport } from "../config_sync/index.js";
+import {
+  type Disposable,
+  Emitter,
+  type PeerConnection,
+  PeerDialer,
+  PeerServer,
+} from "../net/index.js";
+import type { NodeServices } from "../node_services.js";
+
+export interface LinkMessage {
+  readonly connectionId: string;
+  readonly peerId: string;
+  readonly message: Message;
+}
+
+export interface LinkConnected {
+  readonly connectionId: string;
+  readonly hello: MessageOf<"hello">;
+}
+
+/** Prefix of the ids of connections that this sidecar opened. */
+const DIALED_PREFIX = "to:";
+
+/**
+ * Connections of a sidecar: those that routers and other sidecars open to it,
+ * and those that it opens to other sidecars and routers.
+ */
+export class SidecarLinks implements PeerTransport, Disposable {
+  readonly #services: NodeServices;
+  readonly #membership: MembershipState;
+  readonly #server: PeerServer;
+  readonly #dialer: PeerDialer;
+  readonly #accepted = new Map<string, PeerConnection>();
+  readonly #onConnected = new Emitter<LinkConnected>();
+  readonly #onMessage = new Emitter<LinkMessage>();
+  readonly #onClosed = new Emitter<string>();
+  #nextConnection = 0;
+
+  readonly onConnected = this.#onConnected.event;
+  readonly onMessage = this.#onMessage.event;
+  readonly onClosed = this.#onClosed.event;
+
+  constructor(
+    services: NodeServices,
+    membership: MembershipState,
+    configVersion: () => number,
+  ) {
+    this.#services = services;
+    this.#membership = membership;
+    const options = () => services.peerOptions(configVersion());
+    this.#server = new PeerServer(options);
+    this.#server.onConnection((connection) => this.#accept(connection));
+    this.#dialer = new PeerDialer(options);
+    this.#dialer.onReady(({ peerId, hello }) =>
+      this.#onConnected.fire({ connectionId: DIALED_PREFIX + peerId, hello })
+    );
+    this.#dialer.onMessage(({ peerId, message }) =>
+      this.#onMessage.fire({
+        connectionId: DIALED_PREFIX + peerId,
+        peerId,
+        message,
+      })
+    );
+    this.#dialer.onClose(({ peerId }) =>
+      this.#onClosed.fire(DIALED_PREFIX + peerId)
+    );
+  }
+
+  listen(host: string, port: number): Promise<number> {
+    return this.#server.listen(host, port);
+  }
+
+  /** Sends over one connection; a closed one drops the message. */
+  sendTo(connectionId: string, message: Message): void {
+    if (connectionId.startsWith(DIALED_PREFIX)) {
+      const peerId = connectionId.slice(DIALED_PREFIX.length);
+      const address = this.#addressOf(peerId);
+      if (address !== undefined) {
+        this.#dialer.send(peerId, address, message);
+      }
+      return;
+    }
+    this.#accepted.get(connectionId)?.send(message);
+  }
+
+  /** Sends to another sidecar over a connection that is kept open. */
+  sendToPeer(peer: PoolPeer, message: Message): void {
+    this.#dialer.send(peer.endpointId, peer.address, message);
+  }
+
+  close(connectionId: string): void {
+    this.#accepted.get(connectionId)?.close("silent");
+    this.#accepted.delete(connectionId);
+  }
+
+  send(peerId: string, message: Message): void {
+    for (const connection of this.#accepted.values()) {
+      if (connection.peer?.nodeId === peerId && connection.ready) {
+        connection.send(message);
+        return;
+      }
+    }
+    const address = this.#addressOf(peerId);
+    if (address !== undefined) {
+      this.#dialer.send(peerId, address, message);
+    }
+  }
+
+  /** Routers that are connected; they share the work of spreading versions. */
+  peers(): readonly string[] {
+    return [...this.#accepted.values()]
+      .filter((connection) =>
+        connection.ready && connection.peer?.role === "router"
+      )
+      .map((connection) => connection.peer?.nodeId ?? "");
+  }
+
+  dispose(): void {
+    this.#server.dispose();
+    this.#dialer.dispose();
+    this.#onConnected.dispose();
+    this.#onMessage.dispose();
+    this.#onClosed.dispose();
+  }
+
+  #accept(connection: PeerConnection): void {
+    const connectionId = `c${this.#nextConnection++}`;
+    connection.onReady((hello) => {
+      this.#accepted.set(connectionId, connection);
+      this.#onConnected.fire({ connectionId, hello });
+      connection.onMessage((message) =>
+        this.#onMessage.fire({ connectionId, peerId: hello.nodeId, message })
+      );
+    });
+    connection.onClose(({ reason }) => {
+      this.#accepted.delete(connectionId);
+      this.#services.logger.log("peer_closed", {
+        peer: connection.peer?.nodeId,
+        reason,
+      });
+      this.#onClosed.fire(connectionId);
+    });
+  }
+
+  #addressOf(peerId: string): string | undefined {
+    return this.#membership.instances.get(peerId)?.row.address;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/sidecar/sidecar_status.ts
@@ -0,0 +1,91 @@
+import { loadTokensOf, type SidecarState } from "@anvildeal/core";
+import type { GaugeSource } from "../metrics/index.js";
+import type { NodeServices } from "../node_services.js";
+import { cpuMs, trafficGauges, trafficOf } from "../router/router_status.js";
+
+const BYTES_PER_MB = 1024 * 1024;
+
+/** State of a sidecar and its endpoint, as JSON. */
+export function sidecarStatus(
+  state: SidecarState,
+  services: NodeServices,
+  configVersion: number,
+) {
+  const nowMs = services.clock.nowMs();
+  const loadTokens = loadTokensOf(state);
+  const pool = state.table.summarize(nowMs);
+  const { counters } = state.bound;
+  return {
+    node_id: services.identity.nodeId,
+    role: "sidecar",
+    pool: state.options.pool,
+    incarnation: state.options.incarnation,
+    config_version: configVersion,
+    state: state.mode,
+    load_tokens: loadTokens,
+    pool_mean_tokens: state.bound.poolMeanTokens(loadTokens, nowMs),
+    running: state.running.size,
+    queued: state.queue.size,
+    attempts: state.attempts.size,
+    fresh_peers: pool.freshPeers,
+    known_peers: pool.knownPeers,
+    bound: {
+      admitted: counters.admitted,
+      refused: counters.refusedByBound + counters.refusedByCapacity,
+      exceeded: counters.exceeded,
+    },
+    last_admitted_at_wall_ms: state.lastAdmittedAtMs === undefined
+      ? null
+      : services.clock.wallMs() - (nowMs - state.lastAdmittedAtMs),
+    prefill_tokens_per_s: state.rates.prefillTokensPerS,
+    decode_tokens_per_s: state.rates.decodeTokensPerS,
+    rss_mb: process.memoryUsage.rss() / BYTES_PER_MB,
+    cpu_ms: cpuMs(),
+    traffic: trafficOf(services),
+  };
+}
+
+/** Gauges of a sidecar that are read when metrics are collected. */
+export function sidecarGauges(
+  state: SidecarState,
+  services: NodeServices,
+): GaugeSource[] {
+  const single = (name: string, help: string, read: () => number) => ({
+    name,
+    help,
+    labels: [],
+    read: () => [{ labels: {}, value: read() }],
+  });
+  return [
+    single(
+      "load_tokens",
+      "Outstanding work of the endpoint in tokens",
+      () => loadTokensOf(state),
+    ),
+    single(
+      "pool_mean_tokens",
+      "Mean outstanding work of the endpoints of the pool, as known here",
+      () =>
+        state.bound.poolMeanTokens(
+          loadTokensOf(state),
+          services.clock.nowMs(),
+        ),
+    ),
+    single(
+      "queued_attempts",
+      "Attempts that wait for a slot of the endpoint",
+      () => state.queue.size,
+    ),
+    single(
+      "running_attempts",
+      "Attempts that the endpoint works on",
+      () => state.running.size,
+    ),
+    single(
+      "config_version",
+      "Configuration version in force",
+      () => state.configVersion,
+    ),
+    ...trafficGauges(services),
+  ];
+}
