--- /dev/null
+++ b/packages/bench/src/fleet/balancer.ts
@@ -0,0 +1,51 @@
+import { callJson } from "./json_client.js";
+import type { RouterNode } from "./nodes.js";
+
+/** Period of the health checks of the platform's balancer. */
+const CHECK_PERIOD_MS = 200;
+
+/** Stand-in for the platform's balancer: it knows the ready routers. */
+export class Balancer {
+  readonly #timer: NodeJS.Timeout;
+  #readyUrls: readonly string[] = [];
+  #isChecking = false;
+
+  /** `routers` returns the routers that are registered at the moment. */
+  constructor(private readonly routers: () => readonly RouterNode[]) {
+    this.#timer = setInterval(() => void this.check(), CHECK_PERIOD_MS);
+  }
+
+  get readyUrls(): readonly string[] {
+    return this.#readyUrls;
+  }
+
+  /** Checks every router once; a check that hangs counts as a failure. */
+  async check(): Promise<void> {
+    if (this.#isChecking) {
+      return;
+    }
+    this.#isChecking = true;
+    const urls = this.routers().map((router) => router.httpUrl);
+    const states = await Promise.all(urls.map(isReady));
+    this.#readyUrls = urls.filter((_, index) => states[index]);
+    this.#isChecking = false;
+  }
+
+  dispose(): void {
+    clearInterval(this.#timer);
+  }
+}
+
+async function isReady(url: string): Promise<boolean> {
+  try {
+    const answer = await Promise.race([
+      callJson(`${url}/readyz`),
+      new Promise<undefined>((resolve) =>
+        setTimeout(() => resolve(undefined), CHECK_PERIOD_MS * 2)
+      ),
+    ]);
+    return answer?.status === 200;
+  } catch {
+    return false;
+  }
+}
--- /dev/null
+++ b/packages/bench/src/fleet/fleet.ts
@@ -0,0 +1,408 @@
+import { writeFileSync } from "node:fs";
+import { join } from "node:path";
+import { stringify } from "smol-toml";
+import { sleep } from "../load/load_runner.js";
+import { Balancer } from "./balancer.js";
+import { MODEL_POOL, SERVICE_POOL } from "./bench_bundle.js";
+import { ConfigWriter } from "./config_writer.js";
+import { FleetError } from "./fleet_error.js";
+import type { EngineOptions, FleetOptions } from "./fleet_options.js";
+import { callJson, callJsonOrThrow } from "./json_client.js";
+import type { ManagedProcess, ReadyLine } from "./managed_process.js";
+import type { EndpointNode, RouterNode, StandIn } from "./nodes.js";
+import { ProcessGroup } from "./process_group.js";
+import { DAEMON_SCRIPT, STAND_IN_SCRIPT } from "./script_paths.js";
+
+const FLEET_KEY = "fleet-key-of-the-bench";
+const READY_TIMEOUT_MS = 30_000;
+const READY_POLL_MS = 50;
+/** Longer than any request of the bench runs. */
+const STOP_TIMEOUT_MS = 30_000;
+
+export interface StopOptions {
+  /** Whether the instance list names the instance as leaving beforehand. */
+  readonly isAnnounced: boolean;
+}
+
+/** All processes of one run: stand-ins, routers and sidecars. */
+export class Fleet {
+  readonly processes: ProcessGroup;
+  readonly routers: RouterNode[] = [];
+  readonly endpoints: EndpointNode[] = [];
+  readonly balancer = new Balancer(() => this.routers);
+  readonly #instanceLists: StandIn[] = [];
+  #objectApi: StandIn | undefined;
+  #nextNumber = 1;
+
+  private constructor(readonly options: FleetOptions) {
+    this.processes = new ProcessGroup(options.signalExitCode);
+  }
+
+  /** Starts everything and waits until every router is ready. */
+  static async start(options: FleetOptions): Promise<Fleet> {
+    const fleet = new Fleet(options);
+    try {
+      await fleet.#startPlatform();
+      await Promise.all([
+        ...range(options.engineCount).map((i) => fleet.addEngine(i)),
+        ...range(options.serviceCount).map((i) => fleet.addService(i)),
+      ]);
+      await Promise.all(
+        range(options.routerCount).map((i) => fleet.addRouter(i)),
+      );
+      await fleet.balancer.check();
+      return fleet;
+    } catch (error) {
+      await fleet.dispose();
+      throw error;
+    }
+  }
+
+  get objectApi(): StandIn {
+    if (this.#objectApi === undefined) {
+      throw new FleetError("the object API has not been started");
+    }
+    return this.#objectApi;
+  }
+
+  get instanceLists(): readonly StandIn[] {
+    return this.#instanceLists;
+  }
+
+  get configWriter(): ConfigWriter {
+    return new ConfigWriter(this.objectApi.url);
+  }
+
+  get engines(): EndpointNode[] {
+    return this.endpoints.filter((endpoint) => endpoint.pool === MODEL_POOL);
+  }
+
+  get services(): EndpointNode[] {
+    return this.endpoints.filter((endpoint) => endpoint.pool === SERVICE_POOL);
+  }
+
+  async addEngine(
+    domainIndex: number,
+    overrides: Partial<EngineOptions> = {},
+  ): Promise<EndpointNode> {
+    const number = this.#nextNumber++;
+    const engine = { ...this.options.engine, ...overrides };
+    const backend = await this.#startStandIn(
+      `engine-${number}`,
+      "model-engine",
+      {
+        "max-batch": engine.maxBatch,
+        "prefill-tokens-per-s": engine.prefillTokensPerS,
+        "decode-base-ms": engine.decodeBaseMs,
+        "decode-per-request-ms": engine.decodePerRequestMs,
+        "cache-tokens": engine.cacheTokens,
+        seed: this.options.seed + number,
+      },
+    );
+    return await this.#addEndpoint(number, MODEL_POOL, domainIndex, backend);
+  }
+
+  async addService(domainIndex: number): Promise<EndpointNode> {
+    const number = this.#nextNumber++;
+    const backend = await this.#startStandIn(
+      `service-${number}`,
+      "plain-service",
+      {},
+    );
+    return await this.#addEndpoint(number, SERVICE_POOL, domainIndex, backend);
+  }
+
+  async addRouter(
+    domainIndex: number,
+    overrides: FleetOptions["router"] = {},
+  ): Promise<RouterNode> {
+    const id = `router-${this.#nextNumber++}`;
+    const failureDomain = this.#domain(domainIndex);
+    const daemon = this.#startDaemon(id, {
+      role: "router",
+      node: this.#nodeSettings(id, failureDomain),
+      platform: this.#platformSettings(domainIndex),
+      router: {
+        http_port: 0,
+        admin_port: 0,
+        ...this.options.router,
+        ...overrides,
+      },
+    });
+    const ready = await daemon.ready();
+    const node: RouterNode = {
+      id,
+      failureDomain,
+      process: daemon,
+      httpUrl: textField(ready, "http_url"),
+      adminUrl: textField(ready, "admin_url"),
+      metricsUrl: textField(ready, "metrics_url"),
+      peerAddress: textField(ready, "peer_address"),
+    };
+    await this.register(id, "router", "", node.peerAddress, failureDomain);
+    await waitForReady(node.httpUrl);
+    this.routers.push(node);
+    return node;
+  }
+
+  /** Stops gracefully and starts a successor in the same failure domain. */
+  async replaceEndpoint(
+    node: EndpointNode,
+    options: StopOptions,
+  ): Promise<EndpointNode> {
+    await this.stopEndpoint(node, options);
+    const domain = this.options.failureDomains.indexOf(node.failureDomain);
+    return node.pool === MODEL_POOL
+      ? await this.addEngine(domain)
+      : await this.addService(domain);
+  }
+
+  async stopEndpoint(
+    node: EndpointNode,
+    options: StopOptions,
+  ): Promise<void> {
+    if (options.isAnnounced) {
+      await this.register(
+        node.id,
+        "endpoint",
+        node.pool,
+        node.address,
+        node.failureDomain,
+        "leaving",
+      );
+    }
+    await node.sidecar.stop(STOP_TIMEOUT_MS);
+    await this.#forgetEndpoint(node);
+  }
+
+  /** Ends an endpoint with its sidecar without notice. */
+  async killEndpoint(node: EndpointNode): Promise<void> {
+    await Promise.all([node.sidecar.kill(), node.backend.process.kill()]);
+    await this.#forgetEndpoint(node);
+  }
+
+  async replaceRouter(
+    node: RouterNode,
+    options: StopOptions,
+  ): Promise<RouterNode> {
+    if (options.isAnnounced) {
+      await this.register(
+        node.id,
+        "router",
+        "",
+        node.peerAddress,
+        node.failureDomain,
+        "leaving",
+      );
+    }
+    await node.process.stop(STOP_TIMEOUT_MS);
+    await this.forgetRouter(node);
+    const domain = this.options.failureDomains.indexOf(node.failureDomain);
+    return await this.addRouter(domain);
+  }
+
+  async forgetRouter(node: RouterNode): Promise<void> {
+    removeItem(this.routers, node);
+    await this.unregister(node.id);
+  }
+
+  async register(
+    id: string,
+    role: "router" | "endpoint",
+    pool: string,
+    address: string,
+    failureDomain: string,
+    state: "live" | "leaving" = "live",
+  ): Promise<void> {
+    const body = {
+      role,
+      pool,
+      address,
+      failure_domain: failureDomain,
+      state,
+    };
+    await Promise.all(
+      this.#instanceLists.map((list) =>
+        callJsonOrThrow(`${list.controlUrl}/instances/${id}`, {
+          method: "PUT",
+          body,
+        })
+      ),
+    );
+  }
+
+  async unregister(id: string): Promise<void> {
+    await Promise.all(
+      this.#instanceLists.map((list) =>
+        callJson(`${list.controlUrl}/instances/${id}`, { method: "DELETE" })
+      ),
+    );
+  }
+
+  /** Sends a fault to a stand-in, which stays reachable in an outage. */
+  async setFaults(standIn: StandIn, faults: unknown): Promise<void> {
+    await callJsonOrThrow(`${standIn.controlUrl}/faults`, {
+      method: "POST",
+      body: faults,
+    });
+  }
+
+  async dispose(): Promise<void> {
+    this.balancer.dispose();
+    await this.processes.dispose();
+  }
+
+  async #startPlatform(): Promise<void> {
+    this.#objectApi = await this.#startStandIn("object-api", "object-api", {});
+    for (const [i, lagMs] of this.options.instanceListLagMs.entries()) {
+      this.#instanceLists.push(
+        await this.#startStandIn(`instance-list-${i}`, "instance-list", {
+          "lag-ms": lagMs,
+        }),
+      );
+    }
+    await this.configWriter.accept(this.options.bundle);
+  }
+
+  async #addEndpoint(
+    number: number,
+    pool: string,
+    domainIndex: number,
+    backend: StandIn,
+  ): Promise<EndpointNode> {
+    const id = `endpoint-${String(number).padStart(3, "0")}`;
+    const failureDomain = this.#domain(domainIndex);
+    const sidecar = this.#startDaemon(id, {
+      role: "sidecar",
+      node: this.#nodeSettings(id, failureDomain),
+      platform: this.#platformSettings(domainIndex),
+      sidecar: {
+        endpoint_id: id,
+        endpoint_url: backend.url,
+        pool,
+        ...this.options.sidecar,
+      },
+    });
+    const ready = await sidecar.ready();
+    const peerAddress = textField(ready, "peer_address");
+    const proxy = this.options.hasFaultProxies
+      ? await this.#startStandIn(`proxy-${number}`, "fault-proxy", {
+        target: peerAddress,
+      })
+      : undefined;
+    const node: EndpointNode = {
+      id,
+      pool,
+      failureDomain,
+      backend,
+      sidecar,
+      metricsUrl: textField(ready, "metrics_url"),
+      address: proxy === undefined ? peerAddress : addressOf(proxy.url),
+      proxy,
+    };
+    this.endpoints.push(node);
+    await this.register(id, "endpoint", pool, node.address, failureDomain);
+    return node;
+  }
+
+  async #forgetEndpoint(node: EndpointNode): Promise<void> {
+    removeItem(this.endpoints, node);
+    await this.unregister(node.id);
+    await node.backend.process.kill();
+    await node.proxy?.process.kill();
+  }
+
+  #startDaemon(name: string, settings: object): ManagedProcess {
+    const file = join(this.processes.directory, `${name}.toml`);
+    writeFileSync(file, stringify(settings));
+    return this.processes.start(name, DAEMON_SCRIPT, [file]);
+  }
+
+  async #startStandIn(
+    name: string,
+    kind: string,
+    flags: Readonly<Record<string, string | number>>,
+  ): Promise<StandIn> {
+    const args = Object.entries(flags).flatMap((
+      [flag, value],
+    ) => [`--${flag}`, String(value)]);
+    const child = this.processes.start(name, STAND_IN_SCRIPT, [kind, ...args]);
+    const ready = await child.ready();
+    const url = textField(ready, "url");
+    const controlUrl = ready["control_url"];
+    return {
+      process: child,
+      url,
+      controlUrl: typeof controlUrl === "string" ? controlUrl : url,
+    };
+  }
+
+  #domain(index: number): string {
+    const domains = this.options.failureDomains;
+    return domains[index % domains.length] ?? "domain-a";
+  }
+
+  #nodeSettings(id: string, failureDomain: string): object {
+    return {
+      id,
+      failure_domain: failureDomain,
+      peer_port: 0,
+      metrics_port: 0,
+      fleet_key: FLEET_KEY,
+      seed: this.options.seed + this.#nextNumber,
+    };
+  }
+
+  #platformSettings(domainIndex: number): object {
+    const lists = this.#instanceLists;
+    const domain = domainIndex % this.options.failureDomains.length;
+    return {
+      object_api_url: this.objectApi.url,
+      instance_list_url: lists[domain % lists.length]?.url,
+    };
+  }
+}
+
+/** Waits for `GET /readyz`; throws {@link FleetError} at the timeout. */
+export async function waitForReady(
+  httpUrl: string,
+  timeoutMs = READY_TIMEOUT_MS,
+): Promise<void> {
+  const endMs = performance.now() + timeoutMs;
+  while (performance.now() < endMs) {
+    try {
+      if ((await callJson(`${httpUrl}/readyz`)).status === 200) {
+        return;
+      }
+    } catch {
+      // The port is not open yet.
+    }
+    await sleep(READY_POLL_MS);
+  }
+  throw new FleetError(`${httpUrl}/readyz was not ready in ${timeoutMs} ms`);
+}
+
+export function range(count: number): number[] {
+  return Array.from({ length: count }, (_, i) => i);
+}
+
+function textField(ready: ReadyLine, field: string): string {
+  const value = ready[field];
+  if (typeof value !== "string") {
+    throw new FleetError(
+      `the ready line lacks ${field}: ${JSON.stringify(ready)}`,
+    );
+  }
+  return value;
+}
+
+function addressOf(url: string): string {
+  return url.replace(/^[a-z]+:\/\//, "");
+}
+
+function removeItem<T>(items: T[], item: T): void {
+  const index = items.indexOf(item);
+  if (index !== -1) {
+    items.splice(index, 1);
+  }
+}
--- /dev/null
+++ b/packages/bench/src/fleet/fleet_options.ts
@@ -0,0 +1,67 @@
+import type { Bundle, RouterSettings, SidecarSettings } from "@anvildeal/core";
+import { benchBundle, defaultAccounts } from "./bench_bundle.js";
+
+/** Speed and size of the stand-in engines. */
+export interface EngineOptions {
+  readonly maxBatch: number;
+  readonly prefillTokensPerS: number;
+  readonly decodeBaseMs: number;
+  readonly decodePerRequestMs: number;
+  readonly cacheTokens: number;
+}
+
+export interface FleetOptions {
+  readonly seed: number;
+  readonly routerCount: number;
+  readonly engineCount: number;
+  readonly serviceCount: number;
+  readonly failureDomains: readonly string[];
+  readonly bundle: Bundle;
+  readonly engine: EngineOptions;
+  readonly router: Partial<RouterSettings["router"]>;
+  readonly sidecar: Partial<SidecarSettings["sidecar"]>;
+  /** Puts a fault proxy between the routers and every sidecar. */
+  readonly hasFaultProxies: boolean;
+  /**
+   * Delay of the instance list by failure domain. Routers of different domains
+   * then see lists of different age.
+   */
+  readonly instanceListLagMs: readonly number[];
+  /** Exit code of the bench when SIGINT or SIGTERM ends it. */
+  readonly signalExitCode?: number;
+}
+
+/**
+ * A batch of four and 20 ms per token make one engine serve about seven
+ * requests/s, so that the load tool itself is far from its own limit.
+ */
+export const DEFAULT_ENGINE: EngineOptions = {
+  maxBatch: 4,
+  prefillTokensPerS: 8000,
+  decodeBaseMs: 12,
+  decodePerRequestMs: 2,
+  cacheTokens: 60_000,
+};
+
+export function fleetOptions(
+  seed: number,
+  overrides: Partial<FleetOptions> = {},
+): FleetOptions {
+  return {
+    seed,
+    routerCount: 3,
+    engineCount: 12,
+    serviceCount: 1,
+    failureDomains: ["domain-a", "domain-b", "domain-c"],
+    bundle: benchBundle({
+      accounts: defaultAccounts(),
+      model: { cache_capacity_tokens: DEFAULT_ENGINE.cacheTokens },
+    }),
+    engine: DEFAULT_ENGINE,
+    router: {},
+    sidecar: {},
+    hasFaultProxies: false,
+    instanceListLagMs: [0],
+    ...overrides,
+  };
+}
--- /dev/null
+++ b/packages/bench/src/fleet/json_client.ts
@@ -0,0 +1,61 @@
+import { Agent, request } from "undici";
+import { FleetError } from "./fleet_error.js";
+
+const CALL_TIMEOUT_MS = 5000;
+
+/** Short-lived connections, because processes come and go. */
+const agent = new Agent({ keepAliveTimeout: 1000, connections: 4 });
+
+export interface JsonCall {
+  readonly method?: "GET" | "PUT" | "POST" | "DELETE";
+  readonly body?: unknown;
+  readonly headers?: Readonly<Record<string, string>>;
+}
+
+export interface JsonAnswer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+/** Calls a control interface; rejects only when there was no answer. */
+export async function callJson(
+  url: string,
+  call: JsonCall = {},
+): Promise<JsonAnswer> {
+  const hasBody = call.body !== undefined;
+  const response = await request(url, {
+    dispatcher: agent,
+    method: call.method ?? "GET",
+    headers: {
+      ...(hasBody ? { "content-type": "application/json" } : {}),
+      ...call.headers,
+    },
+    body: hasBody ? JSON.stringify(call.body) : null,
+    signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+  });
+  const text = await response.body.text();
+  return { status: response.statusCode, body: parseOrText(text) };
+}
+
+/** As {@link callJson}; throws {@link FleetError} on any error status. */
+export async function callJsonOrThrow(
+  url: string,
+  call: JsonCall = {},
+): Promise<unknown> {
+  const answer = await callJson(url, call);
+  if (answer.status >= 300) {
+    throw new FleetError(
+      `${call.method ?? "GET"} ${url} answered ${answer.status}: ` +
+        JSON.stringify(answer.body).slice(0, 500),
+    );
+  }
+  return answer.body;
+}
+
+function parseOrText(text: string): unknown {
+  try {
+    return text === "" ? undefined : JSON.parse(text) as unknown;
+  } catch {
+    return text;
+  }
+}
--- /dev/null
+++ b/packages/bench/src/fleet/managed_process.ts
@@ -0,0 +1,154 @@
+import { type ChildProcess, spawn } from "node:child_process";
+import { closeSync, openSync, readFileSync } from "node:fs";
+import { createInterface } from "node:readline";
+import { FleetError } from "./fleet_error.js";
+
+/** Covers the start of about 40 Node.js processes on a busy machine. */
+const READY_TIMEOUT_MS = 30_000;
+const LOG_TAIL_CHARS = 2000;
+
+export interface ProcessOptions {
+  readonly name: string;
+  readonly script: string;
+  readonly args: readonly string[];
+  /** Receives what the process writes to stderr. */
+  readonly logFile: string;
+}
+
+/** Fields of the line that a process prints once it listens. */
+export type ReadyLine = Readonly<Record<string, unknown>>;
+
+/** A child process that prints one JSON line on stdout once it is ready. */
+export class ManagedProcess {
+  readonly name: string;
+  /** Settles when the process has ended, for whatever reason. */
+  readonly exited: Promise<void>;
+  readonly #child: ChildProcess;
+  readonly #ready: Promise<ReadyLine>;
+  #hasExited = false;
+  #isPaused = false;
+
+  constructor(readonly options: ProcessOptions) {
+    this.name = options.name;
+    const log = openSync(options.logFile, "a");
+    this.#child = spawn(
+      process.execPath,
+      ["--enable-source-maps", options.script, ...options.args],
+      { stdio: ["ignore", "pipe", log] },
+    );
+    closeSync(log);
+    this.exited = new Promise((resolve) => {
+      this.#child.once("exit", () => {
+        this.#hasExited = true;
+        resolve();
+      });
+      this.#child.once("error", () => resolve());
+    });
+    this.#ready = this.#readReadyLine();
+    // A failed start is reported by `ready()`; nothing else observes it.
+    this.#ready.catch(() => {});
+  }
+
+  get pid(): number {
+    return this.#child.pid ?? -1;
+  }
+
+  get isRunning(): boolean {
+    return !this.#hasExited;
+  }
+
+  get exitCode(): number | undefined {
+    return this.#child.exitCode ?? undefined;
+  }
+
+  /** Throws {@link FleetError} with the end of the log if the start failed. */
+  ready(): Promise<ReadyLine> {
+    return this.#ready;
+  }
+
+  pause(): void {
+    this.#isPaused = true;
+    this.#child.kill("SIGSTOP");
+  }
+
+  resume(): void {
+    this.#isPaused = false;
+    this.#child.kill("SIGCONT");
+  }
+
+  /** Ends the process without notice. */
+  async kill(): Promise<void> {
+    if (this.isRunning) {
+      this.#child.kill("SIGKILL");
+      await this.exited;
+    }
+  }
+
+  /** Asks the process to stop; returns false if it had to be killed. */
+  async stop(timeoutMs: number): Promise<boolean> {
+    if (!this.isRunning) {
+      return true;
+    }
+    if (this.#isPaused) {
+      this.resume();
+    }
+    this.#child.kill("SIGTERM");
+    const timer = new AbortController();
+    const isStopped = await Promise.race([
+      this.exited.then(() => true),
+      delayUnlessAborted(timeoutMs, timer.signal).then(() => false),
+    ]);
+    timer.abort();
+    if (!isStopped) {
+      await this.kill();
+    }
+    return isStopped;
+  }
+
+  #readReadyLine(): Promise<ReadyLine> {
+    return new Promise((resolve, reject) => {
+      const timer = setTimeout(() => fail("was not ready"), READY_TIMEOUT_MS);
+      const fail = (what: string) => {
+        clearTimeout(timer);
+        reject(
+          new FleetError(
+            `${this.name} ${what}; end of its log:\n${this.#logTail()}`,
+          ),
+        );
+      };
+      const lines = createInterface({ input: this.#child.stdout! });
+      lines.on("line", (line) => {
+        const value = parseReadyLine(line);
+        if (value !== undefined) {
+          clearTimeout(timer);
+          resolve(value);
+        }
+      });
+      void this.exited.then(() => fail("ended before it was ready"));
+    });
+  }
+
+  #logTail(): string {
+    try {
+      return readFileSync(this.options.logFile, "utf8").slice(-LOG_TAIL_CHARS);
+    } catch {
+      return "(no log)";
+    }
+  }
+}
+
+function parseReadyLine(line: string): ReadyLine | undefined {
+  try {
+    const value = JSON.parse(line) as ReadyLine;
+    return value["ready"] === true ? value : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+function delayUnlessAborted(ms: number, signal: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    const timer = setTimeout(resolve, ms);
+    signal.addEventListener("abort", () => clearTimeout(timer));
+  });
+}
--- /dev/null
+++ b/packages/bench/src/load/answer_check.ts
@@ -0,0 +1,19 @@
+import type { Verdict } from "./request_result.js";
+
+/**
+ * Compares the text of an answer with the expected one. `isFinished` tells
+ * whether the answer came with its end marker.
+ */
+export function judgeAnswer(
+  text: string,
+  expected: string,
+  isFinished: boolean,
+): Verdict {
+  if (text === expected) {
+    return isFinished ? "whole" : "cut";
+  }
+  if (!isFinished && expected.startsWith(text)) {
+    return "cut";
+  }
+  return "wrong";
+}
--- /dev/null
+++ b/packages/bench/src/load/grants_workload.ts
@@ -0,0 +1,140 @@
+import type { SeededRandom } from "../seeded_random.js";
+import type { PlannedCall, PlannedRequest } from "./planned_request.js";
+import { textOfTokens } from "./text_generator.js";
+import { GrowingChat, pageOf, Workload } from "./workload.js";
+
+const LEDGER_TOKENS = 3000;
+const MAX_TURNS = 8;
+const LARGE_LEDGER_EVERY = 8;
+const TAG_DEADLINE_MS = 4000;
+const NARRATIVE_DEADLINE_MS = 20_000;
+
+/** Shares of the kinds of work; the rest are narratives. */
+const TAG_SHARE = 0.45;
+const APPROVAL_SHARE = 0.1;
+const STATUS_SHARE = 0.1;
+/** The others are sent without a key, marked as not idempotent. */
+const KEYED_APPROVAL_SHARE = 0.5;
+
+/**
+ * Narratives from long ledgers, short tags with deadlines, and approval calls
+ * and status lookups at a plain service.
+ */
+export class GrantsWorkload extends Workload {
+  readonly name = "grants";
+  readonly #chats: GrowingChat[] = [];
+  #nextId = 0;
+
+  protected override prepare(): void {}
+
+  protected override planOne(
+    atMs: number,
+    random: SeededRandom,
+  ): PlannedRequest {
+    const kind = random.unit();
+    if (kind < TAG_SHARE) {
+      return this.#tag(atMs, random);
+    }
+    if (kind < TAG_SHARE + APPROVAL_SHARE) {
+      return this.#approval(atMs, random);
+    }
+    if (kind < TAG_SHARE + APPROVAL_SHARE + STATUS_SHARE) {
+      return this.#status(atMs, random);
+    }
+    return this.#narrative(atMs, random);
+  }
+
+  #tag(atMs: number, random: SeededRandom): PlannedRequest {
+    const chat = new GrowingChat(
+      `tag-${this.#nextId++}`,
+      this.pickAccount(random),
+      "Answer with one spending category.",
+    );
+    return chat.nextTurn(atMs, {
+      label: "tag",
+      question: textOfTokens(random.int(30, 120), random),
+      maxTokens: 4,
+      stream: false,
+      answer: this.options.answer,
+      deadlineMs: TAG_DEADLINE_MS,
+    });
+  }
+
+  #narrative(atMs: number, random: SeededRandom): PlannedRequest {
+    const chat = this.#chooseChat(atMs, random);
+    return chat.nextTurn(atMs, {
+      label: "narrative",
+      question: textOfTokens(120, random),
+      maxTokens: random.int(24, 48),
+      stream: true,
+      answer: this.options.answer,
+      deadlineMs: NARRATIVE_DEADLINE_MS,
+    });
+  }
+
+  #approval(atMs: number, random: SeededRandom): PlannedCall {
+    return planApproval(
+      atMs,
+      this.pickAccount(random),
+      `approval-${this.#nextId++}`,
+      random.chance(KEYED_APPROVAL_SHARE),
+    );
+  }
+
+  #status(atMs: number, random: SeededRandom): PlannedCall {
+    const callId = `status-${this.#nextId++}`;
+    return {
+      kind: "call",
+      label: "status",
+      atMs,
+      account: this.pickAccount(random),
+      callId,
+      method: "GET",
+      path: `/services/approvals/status/${callId}`,
+      isIdempotent: true,
+    };
+  }
+
+  #chooseChat(atMs: number, random: SeededRandom): GrowingChat {
+    const account = this.pickAccount(random);
+    const idle = this.#chats.filter((chat) =>
+      chat.account === account && chat.turnCount < MAX_TURNS &&
+      chat.lastAtMs + this.options.minPauseMs <= atMs
+    );
+    if (idle.length > 0 && !random.chance(this.options.newChatShare)) {
+      return random.pick(idle);
+    }
+    const id = this.#nextId++;
+    const factor = id % LARGE_LEDGER_EVERY === 0
+      ? this.options.largeChatFactor
+      : 1;
+    const chat = new GrowingChat(
+      `ledger-${id}`,
+      account,
+      pageOf(LEDGER_TOKENS * factor, random),
+    );
+    this.#chats.push(chat);
+    return chat;
+  }
+}
+
+/** An approval, which must not run twice. */
+export function planApproval(
+  atMs: number,
+  account: string,
+  callId: string,
+  isKeyed: boolean,
+): PlannedCall {
+  return {
+    kind: "call",
+    label: "approval",
+    atMs,
+    account,
+    callId,
+    method: "POST",
+    path: `/services/approvals/approve/${callId}`,
+    body: JSON.stringify({ call_id: callId, decision: "approve" }),
+    isIdempotent: false,
+    ...(isKeyed ? { idempotencyKey: callId } : {}),
+  };
+}
--- /dev/null
+++ b/packages/bench/src/load/load_runner.ts
@@ -0,0 +1,70 @@
+import type { LoadClient } from "./load_client.js";
+import type { PlannedRequest } from "./planned_request.js";
+import type { RequestResult } from "./request_result.js";
+
+/** Answers may arrive this long after the last request was sent. */
+const FINISH_TIMEOUT_MS = 60_000;
+
+/** Tells how much of a prompt any engine holds at this moment. */
+export interface CacheOracle {
+  cachedTokens(plan: PlannedRequest): number;
+}
+
+/**
+ * Sends a plan open-loop: every request leaves at its time, whether or not
+ * earlier ones are answered.
+ */
+export class LoadRunner {
+  constructor(
+    private readonly client: LoadClient,
+    private readonly oracle?: CacheOracle,
+  ) {}
+
+  async run(plan: readonly PlannedRequest[]): Promise<RequestResult[]> {
+    const startMs = performance.now();
+    const results: RequestResult[] = [];
+    const pending: Promise<void>[] = [];
+    for (const request of plan) {
+      await sleepUntil(startMs + request.atMs);
+      pending.push(
+        this.#sendOne(request, startMs + request.atMs).then((result) => {
+          results.push(result);
+        }),
+      );
+    }
+    const limit = new AbortController();
+    await Promise.race([
+      Promise.all(pending),
+      sleep(FINISH_TIMEOUT_MS, limit.signal),
+    ]);
+    limit.abort();
+    return results;
+  }
+
+  async #sendOne(
+    plan: PlannedRequest,
+    dueMs: number,
+  ): Promise<RequestResult> {
+    const oracleTokens = this.oracle?.cachedTokens(plan) ?? 0;
+    const result = await this.client.send(plan, dueMs);
+    return { ...result, oracleTokens };
+  }
+}
+
+export async function sleepUntil(atMs: number): Promise<void> {
+  const restMs = atMs - performance.now();
+  if (restMs > 1) {
+    await sleep(restMs);
+  }
+}
+
+/** Resolves after the time or as soon as the signal aborts. */
+export function sleep(ms: number, signal?: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    const timer = setTimeout(resolve, ms);
+    signal?.addEventListener("abort", () => {
+      clearTimeout(timer);
+      resolve();
+    });
+  });
+}
--- /dev/null
+++ b/packages/bench/src/load/wiki_workload.ts
@@ -0,0 +1,71 @@
+import type { SeededRandom } from "../seeded_random.js";
+import type { PlannedRequest } from "./planned_request.js";
+import { textOfTokens } from "./text_generator.js";
+import { GrowingChat, pageOf, Workload } from "./workload.js";
+
+const PAGES_PER_ACCOUNT = 6;
+const PAGE_TOKENS = 2000;
+const QUESTION_TOKENS = 220;
+const MAX_TURNS = 12;
+/** One chat in this many is about a page that is `largeChatFactor` longer. */
+const LARGE_CHAT_EVERY = 12;
+
+/**
+ * Chats about long pages. Pages are shared by the chats of an account; chats
+ * return after pauses and grow. One-line tags and policy questions are short.
+ */
+export class WikiWorkload extends Workload {
+  readonly name = "wiki";
+  readonly #pages = new Map<string, string[]>();
+  readonly #chats: GrowingChat[] = [];
+  #nextChat = 0;
+
+  protected override prepare(random: SeededRandom): void {
+    for (const { name } of this.options.accounts) {
+      const pages: string[] = [];
+      for (let i = 0; i < PAGES_PER_ACCOUNT; i++) {
+        const isLarge = i % LARGE_CHAT_EVERY === 0;
+        const factor = isLarge ? this.options.largeChatFactor : 1;
+        pages.push(pageOf(PAGE_TOKENS * factor, random));
+      }
+      this.#pages.set(name, pages);
+    }
+  }
+
+  protected override planOne(
+    atMs: number,
+    random: SeededRandom,
+  ): PlannedRequest {
+    const chat = this.#chooseChat(atMs, random);
+    const isTag = random.chance(0.25);
+    return chat.nextTurn(atMs, {
+      label: isTag ? "tag" : "summary",
+      question: textOfTokens(
+        isTag ? QUESTION_TOKENS / 4 : QUESTION_TOKENS,
+        random,
+      ),
+      maxTokens: isTag ? 4 : random.int(16, 40),
+      stream: random.chance(0.9),
+      answer: this.options.answer,
+    });
+  }
+
+  #chooseChat(atMs: number, random: SeededRandom): GrowingChat {
+    const account = this.pickAccount(random);
+    const idle = this.#chats.filter((chat) =>
+      chat.account === account && chat.turnCount < MAX_TURNS &&
+      chat.lastAtMs + this.options.minPauseMs <= atMs
+    );
+    if (idle.length > 0 && !random.chance(this.options.newChatShare)) {
+      return random.pick(idle);
+    }
+    const pages = this.#pages.get(account) ?? [];
+    const chat = new GrowingChat(
+      `wiki-${this.#nextChat++}`,
+      account,
+      random.pick(pages),
+    );
+    this.#chats.push(chat);
+    return chat;
+  }
+}
--- /dev/null
+++ b/packages/bench/src/report/table.ts
@@ -0,0 +1,17 @@
+/** Lays out rows with left-aligned names and right-aligned values. */
+export function formatTable(
+  header: readonly string[],
+  rows: readonly (readonly string[])[],
+): string {
+  const all = [header, ...rows];
+  const widths = header.map((_, column) =>
+    Math.max(...all.map((row) => (row[column] ?? "").length))
+  );
+  return all.map((row) =>
+    row.map((cell, column) =>
+      column === 0
+        ? cell.padEnd(widths[column] ?? 0)
+        : cell.padStart(widths[column] ?? 0)
+    ).join("  ").trimEnd()
+  ).join("\n");
+}
--- /dev/null
+++ b/packages/bench/src/seeded_random.ts
@@ -0,0 +1,57 @@
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+
+/** Random choices of the bench; equal seeds give equal sequences. */
+export class SeededRandom {
+  readonly #generator;
+
+  constructor(readonly seed: number) {
+    this.#generator = xoroshiro128plus(seed);
+  }
+
+  /** A number from 0 (included) to 1 (excluded). */
+  unit(): number {
+    return uniformFloat64(this.#generator);
+  }
+
+  /** An integer from `from` to `to`, both included. */
+  int(from: number, to: number): number {
+    return uniformInt(this.#generator, from, to);
+  }
+
+  chance(probability: number): boolean {
+    return this.unit() < probability;
+  }
+
+  pick<T>(items: readonly T[]): T {
+    const item = items[this.int(0, items.length - 1)];
+    if (item === undefined) {
+      throw new RangeError("cannot pick from an empty list");
+    }
+    return item;
+  }
+
+  /** Picks an index with a probability in proportion to its weight. */
+  pickWeighted(weights: readonly number[]): number {
+    const total = weights.reduce((sum, weight) => sum + weight, 0);
+    let rest = this.unit() * total;
+    for (const [index, weight] of weights.entries()) {
+      rest -= weight;
+      if (rest < 0) {
+        return index;
+      }
+    }
+    return weights.length - 1;
+  }
+
+  /** Exponentially distributed, for the gaps of Poisson arrivals. */
+  exponential(mean: number): number {
+    return -Math.log(1 - this.unit()) * mean;
+  }
+
+  /** A generator whose sequence does not depend on later draws from this. */
+  fork(label: number): SeededRandom {
+    return new SeededRandom((this.seed * 1_000_003 + label) | 0);
+  }
+}
