--- /dev/null
+++ b/packages/bench/src/demo.ts
@@ -0,0 +1,178 @@
+import { expectedAnswer } from "@anvildeal/stand-ins";
+import {
+  benchBundle,
+  clientKeys,
+  defaultAccounts,
+  MODEL_NAME,
+  SERVICE_NAME,
+} from "./fleet/bench_bundle.js";
+import { Fleet } from "./fleet/fleet.js";
+import { DEFAULT_ENGINE, fleetOptions } from "./fleet/fleet_options.js";
+import { GrantsWorkload } from "./load/grants_workload.js";
+import { sleep } from "./load/load_runner.js";
+import type { PlannedRequest } from "./load/planned_request.js";
+import { WikiWorkload } from "./load/wiki_workload.js";
+import { DEFAULT_WORKLOAD_OPTIONS } from "./load/workload.js";
+import { measureConvergence } from "./measure/config_convergence.js";
+import { runSession, type SessionSummary } from "./measure/load_session.js";
+import { round } from "./report/load_summary.js";
+import { atLeast, exactly, type Target } from "./report/target.js";
+import { SeededRandom } from "./seeded_random.js";
+
+const LOAD_MS = 18_000;
+const CONFIG_CHANGE_AT_MS = 5000;
+const REPLACEMENT_AT_MS = LOAD_MS / 2;
+const WIKI_REQUESTS_PER_S = 40;
+const GRANTS_REQUESTS_PER_S = 10;
+const CONVERGENCE_TIMEOUT_MS = 10_000;
+const CONVERGENCE_LIMIT_MS = 2000;
+
+/** Fields of the demo's JSON; the names are part of the interface. */
+export interface DemoFigures {
+  readonly requests: number;
+  readonly answered_whole: number;
+  readonly wrong_answers: number;
+  readonly duplicate_executions: number;
+  readonly cut_streams: number;
+  readonly returning_cache_hit_ratio: number;
+  readonly oracle_cache_hit_ratio: number;
+  readonly max_over_mean_load_p99: number;
+  readonly control_bytes_per_router_per_s: number;
+  readonly config_converge_max_ms: number;
+  readonly router_rss_max_mb: number;
+  readonly first_token_p95_ms: number;
+  readonly reasons: Readonly<Record<string, number>>;
+}
+
+export interface DemoReport {
+  readonly figures: DemoFigures;
+  readonly expected: readonly Target[];
+}
+
+export interface ServeLine {
+  readonly ready: true;
+  readonly router_urls: readonly string[];
+  readonly admin_urls: readonly string[];
+  readonly object_api_url: string;
+  readonly metrics_urls: readonly string[];
+  readonly client_keys: Readonly<Record<string, string>>;
+  readonly model: string;
+  readonly service: string;
+}
+
+const accounts = defaultAccounts();
+
+export function startDemoFleet(seed: number): Promise<Fleet> {
+  return Fleet.start(fleetOptions(seed, { signalExitCode: 0 }));
+}
+
+export function serveLine(fleet: Fleet): ServeLine {
+  return {
+    ready: true,
+    router_urls: fleet.routers.map((router) => router.httpUrl),
+    admin_urls: fleet.routers.map((router) => router.adminUrl),
+    object_api_url: fleet.objectApi.url,
+    metrics_urls: fleet.routers.map((router) => router.metricsUrl),
+    client_keys: clientKeys(accounts),
+    model: MODEL_NAME,
+    service: SERVICE_NAME,
+  };
+}
+
+/** Sends the demo's load, changes the configuration, replaces an engine. */
+export async function runDemo(
+  fleet: Fleet,
+  seed: number,
+): Promise<DemoReport> {
+  let convergeMs = Infinity;
+  const { summary } = await runSession(fleet, planDemo(seed), {
+    accounts,
+    during: async () => {
+      await Promise.all([
+        sleep(CONFIG_CHANGE_AT_MS).then(async () => {
+          convergeMs = await rollOut(fleet);
+        }),
+        sleep(REPLACEMENT_AT_MS).then(() =>
+          fleet.replaceEndpoint(fleet.engines[0]!, { isAnnounced: true })
+        ),
+      ]);
+    },
+  });
+  const figures = figuresOf(summary, convergeMs);
+  return { figures, expected: expectationsOf(figures) };
+}
+
+function planDemo(seed: number): PlannedRequest[] {
+  const random = new SeededRandom(seed);
+  const common = {
+    ...DEFAULT_WORKLOAD_OPTIONS,
+    durationMs: LOAD_MS,
+    accounts,
+    answer: expectedAnswer,
+  };
+  const wiki = new WikiWorkload({
+    ...common,
+    requestsPerS: WIKI_REQUESTS_PER_S,
+  });
+  const grants = new GrantsWorkload({
+    ...common,
+    requestsPerS: GRANTS_REQUESTS_PER_S,
+  });
+  return [...wiki.plan(random.fork(1)), ...grants.plan(random.fork(2))]
+    .sort((a, b) => a.atMs - b.atMs);
+}
+
+async function rollOut(fleet: Fleet): Promise<number> {
+  const bundle = benchBundle({
+    accounts,
+    model: {
+      cache_capacity_tokens: DEFAULT_ENGINE.cacheTokens,
+      max_queued_requests: 96,
+    },
+  });
+  const version = await fleet.configWriter.accept(bundle);
+  return await measureConvergence(
+    fleet.routers,
+    version,
+    performance.now(),
+    CONVERGENCE_TIMEOUT_MS,
+  );
+}
+
+function figuresOf(summary: SessionSummary, convergeMs: number): DemoFigures {
+  const { load, skew, calls, routers } = summary;
+  return {
+    requests: load.requests,
+    answered_whole: load.answered_whole,
+    wrong_answers: load.wrong_answers,
+    duplicate_executions: calls.duplicate_executions,
+    cut_streams: load.cut_streams,
+    returning_cache_hit_ratio: load.returning_cache_hit_ratio,
+    oracle_cache_hit_ratio: load.oracle_cache_hit_ratio,
+    max_over_mean_load_p99: skew.max_over_mean_load_p99,
+    control_bytes_per_router_per_s: routers.control_bytes_per_router_per_s,
+    config_converge_max_ms: round(convergeMs),
+    router_rss_max_mb: routers.router_rss_max_mb,
+    first_token_p95_ms: load.first_token_p95_ms,
+    reasons: load.reasons,
+  };
+}
+
+function expectationsOf(figures: DemoFigures): Target[] {
+  return [
+    exactly("answered whole", figures.answered_whole, figures.requests),
+    atLeast("requests", figures.requests, 1),
+    exactly("wrong answers", figures.wrong_answers, 0),
+    exactly("duplicate executions", figures.duplicate_executions, 0),
+    exactly("cut streams", figures.cut_streams, 0),
+    atLeast("returning cache hit ratio", figures.returning_cache_hit_ratio, 0),
+    {
+      target:
+        `configuration in force on every router <= ${CONVERGENCE_LIMIT_MS} ms`,
+      measured: Number.isFinite(figures.config_converge_max_ms)
+        ? figures.config_converge_max_ms
+        : null,
+      met: figures.config_converge_max_ms <= CONVERGENCE_LIMIT_MS,
+    },
+  ];
+}
--- a/packages/bench/src/fleet/fleet.ts
+++ b/packages/bench/src/fleet/fleet.ts
@@ -2,6 +2,7 @@
 import { join } from "node:path";
 import { stringify } from "smol-toml";
 import { sleep } from "../load/load_runner.js";
+import { ExecutionAudit } from "../measure/execution_audit.js";
 import { Balancer } from "./balancer.js";
 import { MODEL_POOL, SERVICE_POOL } from "./bench_bundle.js";
 import { ConfigWriter } from "./config_writer.js";
@@ -30,6 +31,8 @@
   readonly routers: RouterNode[] = [];
   readonly endpoints: EndpointNode[] = [];
   readonly balancer = new Balancer(() => this.routers);
+  /** Executions of all backends, also of those that have ended. */
+  readonly audit = new ExecutionAudit();
   readonly #instanceLists: StandIn[] = [];
   #objectApi: StandIn | undefined;
   #nextNumber = 1;
@@ -177,7 +180,7 @@
 
   /** Ends an endpoint with its sidecar without notice. */
   async killEndpoint(node: EndpointNode): Promise<void> {
-    await Promise.all([node.sidecar.kill(), node.backend.process.kill()]);
+    await node.sidecar.kill();
     await this.#forgetEndpoint(node);
   }
 
@@ -247,6 +250,13 @@
     });
   }
 
+  /** Adds the executions of the running backends; call it once, at the end. */
+  async collectExecutions(): Promise<void> {
+    await Promise.all(
+      this.endpoints.map(({ backend }) => this.audit.collect(backend)),
+    );
+  }
+
   async dispose(): Promise<void> {
     this.balancer.dispose();
     await this.processes.dispose();
@@ -308,6 +318,7 @@
   async #forgetEndpoint(node: EndpointNode): Promise<void> {
     removeItem(this.endpoints, node);
     await this.unregister(node.id);
+    await this.audit.collect(node.backend);
     await node.backend.process.kill();
     await node.proxy?.process.kill();
   }
--- /dev/null
+++ b/packages/bench/src/measure/config_convergence.ts
@@ -0,0 +1,40 @@
+import { callJson } from "../fleet/json_client.js";
+import type { RouterNode } from "../fleet/nodes.js";
+import { sleep } from "../load/load_runner.js";
+
+const POLL_MS = 20;
+
+/** Version that a router has in force; undefined without an answer. */
+export async function configVersionOf(
+  router: RouterNode,
+): Promise<number | undefined> {
+  try {
+    const answer = await callJson(`${router.adminUrl}/status`);
+    const body = answer.body as { readonly config_version?: number };
+    return answer.status === 200 ? body.config_version : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+/**
+ * Waits until every router has at least the version. Returns the time of the
+ * last one after `acceptedMs`, or Infinity at the timeout.
+ */
+export async function measureConvergence(
+  routers: readonly RouterNode[],
+  version: number,
+  acceptedMs: number,
+  timeoutMs: number,
+): Promise<number> {
+  const times = await Promise.all(routers.map(async (router) => {
+    while (performance.now() - acceptedMs < timeoutMs) {
+      if ((await configVersionOf(router) ?? 0) >= version) {
+        return performance.now() - acceptedMs;
+      }
+      await sleep(POLL_MS);
+    }
+    return Infinity;
+  }));
+  return Math.max(...times);
+}
--- /dev/null
+++ b/packages/bench/src/measure/router_usage_meter.ts
@@ -0,0 +1,112 @@
+import type { RouterNode } from "../fleet/nodes.js";
+import { round } from "../report/load_summary.js";
+import { MetricsPage } from "./metrics_page.js";
+import { readProcessUsage } from "./process_usage.js";
+
+/** Sampling the pages often enough to see routers that are replaced. */
+const SAMPLE_PERIOD_MS = 500;
+
+export const CONTROL_BYTES_METRIC = "anvildeal_control_bytes_total";
+
+export interface RouterUsageSummary {
+  /** The highest of all routers, both directions. */
+  readonly control_bytes_per_router_per_s: number;
+  readonly router_rss_max_mb: number;
+  /** The highest share of one core. */
+  readonly router_processor_share_max: number;
+}
+
+interface RouterWindow {
+  readonly pid: number;
+  firstMs: number;
+  firstControlBytes: number;
+  firstProcessorMs: number;
+  lastMs: number;
+  lastControlBytes: number;
+  lastProcessorMs: number;
+  peakResidentMb: number;
+}
+
+/** Measures control traffic, memory and processor time of the routers. */
+export class RouterUsageMeter {
+  readonly #windows = new Map<string, RouterWindow>();
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly routers: () => readonly RouterNode[]) {}
+
+  async start(): Promise<void> {
+    await this.#sample();
+    this.#timer = setInterval(() => void this.#sample(), SAMPLE_PERIOD_MS);
+  }
+
+  async stop(): Promise<RouterUsageSummary> {
+    this.dispose();
+    await this.#sample();
+    const windows = [...this.#windows.values()]
+      .filter((window) => window.lastMs > window.firstMs);
+    const highest = (value: (window: RouterWindow) => number) =>
+      windows.length === 0 ? NaN : Math.max(...windows.map(value));
+    return {
+      control_bytes_per_router_per_s: round(
+        highest((window) =>
+          (window.lastControlBytes - window.firstControlBytes) * 1000 /
+          (window.lastMs - window.firstMs)
+        ),
+      ),
+      router_rss_max_mb: round(highest((window) => window.peakResidentMb)),
+      router_processor_share_max: round(
+        highest((window) =>
+          (window.lastProcessorMs - window.firstProcessorMs) /
+          (window.lastMs - window.firstMs)
+        ),
+        4,
+      ),
+    };
+  }
+
+  dispose(): void {
+    clearInterval(this.#timer);
+  }
+
+  async #sample(): Promise<void> {
+    await Promise.all(this.routers().map((router) => this.#sampleOne(router)));
+  }
+
+  async #sampleOne(router: RouterNode): Promise<void> {
+    const usage = readProcessUsage(router.process.pid);
+    const controlBytes = await readControlBytes(router);
+    if (usage === undefined || controlBytes === undefined) {
+      return;
+    }
+    const nowMs = performance.now();
+    const window = this.#windows.get(router.id) ?? {
+      pid: router.process.pid,
+      firstMs: nowMs,
+      firstControlBytes: controlBytes,
+      firstProcessorMs: usage.processorMs,
+      lastMs: nowMs,
+      lastControlBytes: controlBytes,
+      lastProcessorMs: usage.processorMs,
+      peakResidentMb: 0,
+    };
+    window.lastMs = nowMs;
+    window.lastControlBytes = controlBytes;
+    window.lastProcessorMs = usage.processorMs;
+    window.peakResidentMb = Math.max(
+      window.peakResidentMb,
+      usage.peakResidentMb,
+    );
+    this.#windows.set(router.id, window);
+  }
+}
+
+async function readControlBytes(
+  router: RouterNode,
+): Promise<number | undefined> {
+  try {
+    const page = await MetricsPage.read(router.metricsUrl);
+    return page.sum(CONTROL_BYTES_METRIC);
+  } catch {
+    return undefined;
+  }
+}
