--- /dev/null
+++ b/packages/bench/src/experiments/capacity.ts
@@ -0,0 +1,28 @@
+import type { EngineOptions } from "../fleet/fleet_options.js";
+import type { PlannedRequest } from "../load/planned_request.js";
+import { promptTokensOf } from "../load/prompt_size.js";
+import { sum } from "../report/load_summary.js";
+
+/**
+ * Estimates how many requests per second the engines can serve, from the
+ * prefill rate, the number of slots and the time per token of a full batch.
+ * `cachedShare` is the share of prompt tokens that need no prefill.
+ */
+export function capacityRequestsPerS(
+  plan: readonly PlannedRequest[],
+  engine: EngineOptions,
+  engineCount: number,
+  cachedShare: number,
+): number {
+  const chats = plan.filter((request) => request.kind === "chat");
+  const prefillTokens = (1 - cachedShare) *
+    sum(chats, (chat) => promptTokensOf(chat.messages)) / chats.length;
+  const outputTokens = sum(chats, (chat) => chat.maxTokens) / chats.length;
+  const tokenMs = engine.decodeBaseMs +
+    engine.decodePerRequestMs * engine.maxBatch;
+  const prefillMs = prefillTokens * 1000 / engine.prefillTokensPerS;
+  // Prefill is serial; a slot is held during prefill and decode.
+  const bySlots = engine.maxBatch * 1000 / (prefillMs + outputTokens * tokenMs);
+  const byPrefill = 1000 / prefillMs;
+  return engineCount * Math.min(bySlots, byPrefill);
+}
--- a/packages/bench/src/fleet/fleet.ts
+++ b/packages/bench/src/fleet/fleet.ts
@@ -165,14 +165,7 @@
     options: StopOptions,
   ): Promise<void> {
     if (options.isAnnounced) {
-      await this.register(
-        node.id,
-        "endpoint",
-        node.pool,
-        node.address,
-        node.failureDomain,
-        "leaving",
-      );
+      await this.registerEndpoint(node, "leaving");
     }
     await node.sidecar.stop(STOP_TIMEOUT_MS);
     await this.#forgetEndpoint(node);
@@ -234,6 +227,20 @@
     );
   }
 
+  async registerEndpoint(
+    node: EndpointNode,
+    state: "live" | "leaving",
+  ): Promise<void> {
+    await this.register(
+      node.id,
+      "endpoint",
+      node.pool,
+      node.address,
+      node.failureDomain,
+      state,
+    );
+  }
+
   async unregister(id: string): Promise<void> {
     await Promise.all(
       this.#instanceLists.map((list) =>
@@ -311,7 +318,7 @@
       proxy,
     };
     this.endpoints.push(node);
-    await this.register(id, "endpoint", pool, node.address, failureDomain);
+    await this.registerEndpoint(node, "live");
     return node;
   }
 
--- a/packages/bench/src/load/load_client.ts
+++ b/packages/bench/src/load/load_client.ts
@@ -21,6 +21,7 @@
 
 interface Answer {
   verdict: Verdict;
+  firstByteMs?: number;
   firstTokenMs?: number;
   gapsMs: number[];
   status?: number;
@@ -123,6 +124,7 @@
     const answer: Answer = {
       ...failedAnswer("lost", ""),
       status: response.statusCode,
+      firstByteMs: performance.now() - dueMs,
       ...headerFields(response.headers),
     };
     try {
--- a/packages/bench/src/load/request_result.ts
+++ b/packages/bench/src/load/request_result.ts
@@ -21,6 +21,8 @@
   readonly verdict: Verdict;
   /** Time after the start of the load at which the request was due. */
   readonly atMs: number;
+  /** Time to the head of the answer. */
+  readonly firstByteMs?: number;
   /** Measured from the due time, so that a late load tool is not hidden. */
   readonly firstTokenMs?: number;
   readonly totalMs: number;
--- /dev/null
+++ b/packages/bench/src/pass_through_main.ts
@@ -0,0 +1,43 @@
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from "node:http";
+import { pipeline } from "node:stream/promises";
+import { parseArgs } from "node:util";
+import { listenOnLoopback } from "@anvildeal/stand-ins";
+import { Agent, request } from "undici";
+
+/**
+ * The plainest proxy of Node `http` and `undici`: it sends every request to the
+ * next target in turn. The overhead experiment compares the router with it.
+ */
+const { values } = parseArgs({
+  options: { target: { type: "string", multiple: true } },
+});
+const targets = values.target ?? [];
+const agent = new Agent({ connections: 256, pipelining: 1 });
+let next = 0;
+
+async function forward(
+  incoming: IncomingMessage,
+  outgoing: ServerResponse,
+): Promise<void> {
+  const target = targets[next++ % targets.length] ?? "";
+  const { host: _host, connection: _connection, ...headers } = incoming.headers;
+  const answer = await request(target + (incoming.url ?? "/"), {
+    dispatcher: agent,
+    method: incoming.method === "GET" ? "GET" : "POST",
+    headers,
+    body: incoming.method === "GET" ? null : incoming,
+  });
+  const { connection: _upstream, ...answerHeaders } = answer.headers;
+  outgoing.writeHead(answer.statusCode, answerHeaders);
+  await pipeline(answer.body, outgoing);
+}
+
+const server = createServer((incoming, outgoing) => {
+  forward(incoming, outgoing).catch(() => outgoing.destroy());
+});
+const port = await listenOnLoopback(server);
+console.log(JSON.stringify({ ready: true, url: `http://127.0.0.1:${port}` }));
