--- a/packages/bench/src/demo.ts
+++ b/packages/bench/src/demo.ts
@@ -130,7 +130,7 @@
       max_queued_requests: 96,
     },
   });
-  const version = await fleet.configWriter.accept(bundle);
+  const version = await fleet.adminClient(0).rollOut(bundle);
   return await measureConvergence(
     fleet.routers,
     version,
--- /dev/null
+++ b/packages/bench/src/experiments/control_experiment.ts
@@ -0,0 +1,106 @@
+import type { Fleet } from "../fleet/fleet.js";
+import { fleetOptions } from "../fleet/fleet_options.js";
+import { sleep } from "../load/load_runner.js";
+import { runSession } from "../measure/load_session.js";
+import {
+  socketCheck,
+  type TrafficBreakdown,
+  TrafficSnapshot,
+} from "../measure/traffic_snapshot.js";
+import { round } from "../report/load_summary.js";
+import { atMost, type Target } from "../report/target.js";
+import {
+  Experiment,
+  type ExperimentOptions,
+  type ExperimentResult,
+} from "./experiment.js";
+import { accountsOf, wikiPlan } from "./plans.js";
+
+const PHASE_MS = 15_000;
+/** Today's traffic as the design page counts it: 5 requests/s a router. */
+const REQUESTS_PER_S_PER_ROUTER = 5;
+const LIMIT_BYTES_PER_S = 4000;
+/** Share by which the breakdown and the sockets may differ. */
+const BREAKDOWN_TOLERANCE = 0.02;
+
+interface ControlPhase extends TrafficBreakdown {
+  readonly requests_per_s: number;
+  /** Bytes that the proxies forwarded between routers and sidecars. */
+  readonly proxied_bytes: number;
+}
+
+/** What routers send and receive to stay informed. */
+export class ControlExperiment extends Experiment {
+  readonly name = "control";
+  readonly summary = "control traffic of a router, idle and under load";
+
+  override async run(options: ExperimentOptions): Promise<ExperimentResult> {
+    const routers = options.routers ?? 3;
+    const settings = fleetOptions(options.seed, {
+      routerCount: routers,
+      engineCount: options.engines ?? 12,
+      serviceCount: 0,
+      hasFaultProxies: true,
+    });
+    const today = routers * REQUESTS_PER_S_PER_ROUTER;
+    const arms = await this.withFleet(settings, async (fleet) => {
+      const phases: Record<string, ControlPhase> = {};
+      for (
+        const [name, requestsPerS] of [
+          ["idle", 0],
+          ["today", today],
+          ["ten_times", 10 * today],
+        ] as const
+      ) {
+        options.log(`phase ${name}`);
+        phases[name] = await runPhase(fleet, requestsPerS, options);
+      }
+      return phases;
+    });
+    return { arms, targets: targetsOf(arms) };
+  }
+}
+
+async function runPhase(
+  fleet: Fleet,
+  requestsPerS: number,
+  options: ExperimentOptions,
+): Promise<ControlPhase> {
+  const durationMs = options.durationMs ?? PHASE_MS;
+  const before = await TrafficSnapshot.take(fleet);
+  if (requestsPerS === 0) {
+    await sleep(durationMs);
+  } else {
+    const accounts = accountsOf(options.accounts);
+    const plan = wikiPlan(options.seed + requestsPerS, {
+      durationMs,
+      requestsPerS,
+      accounts,
+    });
+    await runSession(fleet, plan, { accounts });
+  }
+  const after = await TrafficSnapshot.take(fleet);
+  return {
+    requests_per_s: requestsPerS,
+    ...after.since(before),
+    proxied_bytes: after.proxiedBytes - before.proxiedBytes,
+  };
+}
+
+function targetsOf(arms: Readonly<Record<string, ControlPhase>>): Target[] {
+  const limits = ["idle", "today"].map((phase) =>
+    atMost(
+      `control bytes/s of a router, ${phase}`,
+      arms[phase]!.control_bytes_per_router_per_s_max,
+      LIMIT_BYTES_PER_S,
+    )
+  );
+  const checks = Object.entries(arms).map(([phase, figures]) =>
+    atMost(
+      `share by which the breakdown misses the sockets, ${phase}`,
+      round(socketCheck(figures), 4),
+      BREAKDOWN_TOLERANCE,
+    )
+  );
+  return [...limits, ...checks];
+}
--- /dev/null
+++ b/packages/bench/src/experiments/slopes_experiment.ts
@@ -0,0 +1,127 @@
+import { runSession } from "../measure/load_session.js";
+import { TrafficSnapshot } from "../measure/traffic_snapshot.js";
+import { benchBundle } from "../fleet/bench_bundle.js";
+import type { Fleet } from "../fleet/fleet.js";
+import { fleetOptions } from "../fleet/fleet_options.js";
+import { sleep } from "../load/load_runner.js";
+import { fitLine, type LineFit } from "../report/line_fit.js";
+import {
+  Experiment,
+  type ExperimentOptions,
+  type ExperimentResult,
+} from "./experiment.js";
+import { accountsOf, wikiPlan } from "./plans.js";
+
+const POINT_MS = 5000;
+const BASE = {
+  routers: 3,
+  endpoints: 12,
+  chats: 5,
+  accounts: 10,
+  config_changes_per_min: 0,
+  requests_per_s: 15,
+};
+type Figure = keyof typeof BASE;
+
+const POINTS: Readonly<Record<Figure, readonly number[]>> = {
+  routers: [2, 4, 6, 8],
+  endpoints: [6, 12, 18, 24],
+  // Chats that are open at a time, as a multiple of new chats per second.
+  chats: [2, 5, 10, 15],
+  accounts: [10, 100, 1000, 4000],
+  config_changes_per_min: [0, 30, 60, 120],
+  requests_per_s: [10, 30, 60, 90],
+};
+
+interface Point {
+  readonly x: number;
+  readonly control_bytes_per_router_per_s: number;
+  readonly router_processor_share: number;
+  readonly router_resident_mb: number;
+}
+type Measure = Exclude<keyof Point, "x">;
+
+interface SlopeArm {
+  readonly points: readonly Point[];
+  readonly fits: Readonly<Record<Measure, LineFit>>;
+}
+
+/** Cost of a router as one size at a time grows; feeds docs/CAPACITY.md. */
+export class SlopesExperiment extends Experiment {
+  readonly name = "slopes";
+  readonly summary = "cost of a router by size, one size at a time";
+
+  override async run(options: ExperimentOptions): Promise<ExperimentResult> {
+    const arms: Record<string, SlopeArm> = {};
+    for (const figure of Object.keys(POINTS) as Figure[]) {
+      const points: Point[] = [];
+      for (const x of POINTS[figure]) {
+        options.log(`${figure} = ${x}`);
+        const size = { ...BASE, [figure]: x };
+        points.push({ x, ...await this.#measure(size, options) });
+      }
+      arms[figure] = { points, fits: fitsOf(points) };
+    }
+    return { arms, targets: [] };
+  }
+
+  #measure(
+    size: typeof BASE,
+    options: ExperimentOptions,
+  ): Promise<Omit<Point, "x">> {
+    const accounts = accountsOf(size.accounts);
+    const settings = fleetOptions(options.seed, {
+      routerCount: size.routers,
+      engineCount: size.endpoints,
+      serviceCount: 0,
+      bundle: benchBundle({ accounts }),
+    });
+    const durationMs = options.durationMs ?? POINT_MS;
+    const plan = wikiPlan(options.seed, {
+      durationMs,
+      requestsPerS: size.requests_per_s,
+      accounts,
+      newChatShare: Math.min(1, size.chats / size.requests_per_s),
+      minPauseMs: 300,
+    });
+    return this.withFleet(settings, async (fleet) => {
+      const before = await TrafficSnapshot.take(fleet);
+      await runSession(fleet, plan, {
+        accounts,
+        during: () => changeConfig(fleet, size, durationMs),
+      });
+      const breakdown = (await TrafficSnapshot.take(fleet)).since(before);
+      return {
+        control_bytes_per_router_per_s:
+          breakdown.control_bytes_per_router_per_s,
+        router_processor_share: breakdown.router_processor_share,
+        router_resident_mb: breakdown.router_resident_mb,
+      };
+    });
+  }
+}
+
+async function changeConfig(
+  fleet: Fleet,
+  size: typeof BASE,
+  durationMs: number,
+): Promise<void> {
+  const changes = Math.floor(size.config_changes_per_min * durationMs / 60_000);
+  for (let i = 0; i < changes; i++) {
+    await sleep(durationMs / changes);
+    await fleet.adminClient(0).rollOut(benchBundle({
+      accounts: accountsOf(size.accounts),
+      model: { max_queued_requests: 64 + i },
+    }));
+  }
+}
+
+function fitsOf(points: readonly Point[]): Record<Measure, LineFit> {
+  const fit = (measure: Measure) =>
+    fitLine(points.map((point) => ({ x: point.x, y: point[measure] })));
+  return {
+    control_bytes_per_router_per_s: fit("control_bytes_per_router_per_s"),
+    router_processor_share: fit("router_processor_share"),
+    router_resident_mb: fit("router_resident_mb"),
+  };
+}
--- /dev/null
+++ b/packages/bench/src/fleet/admin_client.ts
@@ -0,0 +1,85 @@
+import type { Bundle } from "@anvildeal/core";
+import { sha256Hex } from "./config_writer.js";
+import { callJson } from "./json_client.js";
+
+/** The administration API refused a call. */
+export class AdminCallError extends Error {
+  override readonly name = "AdminCallError";
+
+  constructor(readonly status: number, readonly code: string, call: string) {
+    super(`${call} was refused with ${status} ${code}`);
+  }
+}
+
+interface Proposal {
+  readonly id: string;
+  readonly digest: string;
+}
+
+/** Operators of the bench; nobody signs off a proposal of their own. */
+const PROPOSER = "bench-proposer";
+const APPROVER = "bench-approver";
+
+function keyOf(operator: string): string {
+  return `operator-key-of-${operator}`;
+}
+
+/** Value of `config/operators` that this client needs. */
+export const BENCH_OPERATORS = {
+  operators: [
+    {
+      name: PROPOSER,
+      key_hash: sha256Hex(keyOf(PROPOSER)),
+      roles: ["proposer", "activator"],
+    },
+    {
+      name: APPROVER,
+      key_hash: sha256Hex(keyOf(APPROVER)),
+      roles: ["approver"],
+    },
+  ],
+};
+
+/** Rolls configurations out through the administration API of a router. */
+export class AdminClient {
+  constructor(private readonly adminUrl: string) {}
+
+  /**
+   * Proposes, signs off and activates a bundle; returns the accepted version.
+   * Throws {@link AdminCallError} when a step is refused.
+   */
+  async rollOut(bundle: Bundle): Promise<number> {
+    const proposal = await this.#post<Proposal>(PROPOSER, "/proposals", {
+      files: [{ file: "bench.toml", bundle }],
+      note: "written by the bench",
+    });
+    const path = `/proposals/${proposal.id}`;
+    const body = { digest: proposal.digest };
+    await this.#post(APPROVER, `${path}/sign-off`, body);
+    const { version } = await this.#post<{ readonly version: number }>(
+      PROPOSER,
+      `${path}/activate`,
+      body,
+    );
+    return version;
+  }
+
+  async #post<T>(operator: string, path: string, body: unknown): Promise<T> {
+    const answer = await callJson(`${this.adminUrl}/admin/v1${path}`, {
+      method: "POST",
+      headers: { authorization: `Bearer ${keyOf(operator)}` },
+      body,
+    });
+    if (answer.status >= 300) {
+      const error = answer.body as {
+        readonly error?: { readonly code?: string };
+      };
+      throw new AdminCallError(
+        answer.status,
+        error?.error?.code ?? JSON.stringify(answer.body),
+        path,
+      );
+    }
+    return answer.body as T;
+  }
+}
--- a/packages/bench/src/fleet/config_writer.ts
+++ b/packages/bench/src/fleet/config_writer.ts
@@ -12,10 +12,17 @@
   readonly value: { readonly version: number; readonly digest: string };
 }
 
-/** Writes configurations to the object API without the administration API. */
+/**
+ * Writes configurations to the object API without the administration API. Only
+ * one writer may be active at a time: it does not settle races for a version.
+ */
 export class ConfigWriter {
   constructor(private readonly objectApiUrl: string) {}
 
+  async writeOperators(operators: unknown): Promise<void> {
+    await this.#create("config/operators", operators);
+  }
+
   /**
    * Stores the bundle and moves `config/active` to it; returns the number of
    * the accepted version. Throws {@link FleetError} if another one came first.
--- a/packages/bench/src/fleet/fleet.ts
+++ b/packages/bench/src/fleet/fleet.ts
@@ -3,6 +3,7 @@
 import { stringify } from "smol-toml";
 import { sleep } from "../load/load_runner.js";
 import { ExecutionAudit } from "../measure/execution_audit.js";
+import { AdminClient, BENCH_OPERATORS } from "./admin_client.js";
 import { Balancer } from "./balancer.js";
 import { MODEL_POOL, SERVICE_POOL } from "./bench_bundle.js";
 import { ConfigWriter } from "./config_writer.js";
@@ -76,6 +77,15 @@
     return new ConfigWriter(this.objectApi.url);
   }
 
+  /** Administration API of one of the routers. */
+  adminClient(routerIndex: number): AdminClient {
+    const router = this.routers[routerIndex % this.routers.length];
+    if (router === undefined) {
+      throw new FleetError("no router runs");
+    }
+    return new AdminClient(router.adminUrl);
+  }
+
   get engines(): EndpointNode[] {
     return this.endpoints.filter((endpoint) => endpoint.pool === MODEL_POOL);
   }
@@ -264,6 +274,13 @@
     );
   }
 
+  /** Number of starts that a backend has logged so far. */
+  async countStarts(backend: StandIn): Promise<number> {
+    const audit = new ExecutionAudit();
+    await audit.collect(backend);
+    return audit.totalStarts;
+  }
+
   async dispose(): Promise<void> {
     this.balancer.dispose();
     await this.processes.dispose();
@@ -278,6 +295,7 @@
         }),
       );
     }
+    await this.configWriter.writeOperators(BENCH_OPERATORS);
     await this.configWriter.accept(this.options.bundle);
   }
 
@@ -303,8 +321,8 @@
     const ready = await sidecar.ready();
     const peerAddress = textField(ready, "peer_address");
     const proxy = this.options.hasFaultProxies
-      ? await this.#startStandIn(`proxy-${number}`, "fault-proxy", {
-        target: peerAddress,
+      ? await this.#startStandIn(`proxy-${number}`, "tcp-proxy", {
+        "target-port": Number(peerAddress.split(":").at(-1)),
       })
       : undefined;
     const node: EndpointNode = {
--- /dev/null
+++ b/packages/bench/src/load/workload_test.ts
@@ -0,0 +1,59 @@
+import { expectedAnswer } from "@anvildeal/stand-ins";
+import { describe, expect, it } from "vitest";
+import { defaultAccounts } from "../fleet/bench_bundle.js";
+import { SeededRandom } from "../seeded_random.js";
+import { GrantsWorkload } from "./grants_workload.js";
+import type { PlannedRequest } from "./planned_request.js";
+import { WikiWorkload } from "./wiki_workload.js";
+import { DEFAULT_WORKLOAD_OPTIONS } from "./workload.js";
+
+const options = {
+  ...DEFAULT_WORKLOAD_OPTIONS,
+  durationMs: 10_000,
+  requestsPerS: 30,
+  accounts: defaultAccounts(),
+  answer: expectedAnswer,
+};
+
+describe.each([
+  ["wiki", WikiWorkload],
+  ["grants", GrantsWorkload],
+])("%s workload", (_name, Workload) => {
+  const plan = (seed: number): PlannedRequest[] =>
+    new Workload(options).plan(new SeededRandom(seed));
+
+  it("repeats a plan for a seed, so that arms get the same requests", () => {
+    expect(plan(7)).toEqual(plan(7));
+    expect(plan(7)).not.toEqual(plan(8));
+  });
+
+  it("plans arrivals in order and at the requested rate", () => {
+    const times = plan(7).map((request) => request.atMs);
+    expect(times).toEqual([...times].sort((a, b) => a - b));
+    // Four standard deviations of a Poisson count with a mean of 300.
+    expect(Math.abs(times.length - 300)).toBeLessThan(70);
+  });
+
+  it("continues every chat with its own earlier messages and answer", () => {
+    const last = new Map<string, PlannedRequest>();
+    let returning = 0;
+    for (const request of plan(7)) {
+      if (request.kind !== "chat") {
+        continue;
+      }
+      const before = last.get(request.chat);
+      last.set(request.chat, request);
+      if (before?.kind === "chat") {
+        returning++;
+        expect(request.turn).toBe(before.turn + 1);
+        expect(request.messages.slice(0, before.messages.length + 1)).toEqual([
+          ...before.messages,
+          { role: "assistant", content: before.expected },
+        ]);
+      } else {
+        expect(request.turn).toBe(0);
+      }
+    }
+    expect(returning).toBeGreaterThan(20);
+  });
+});
--- /dev/null
+++ b/packages/bench/src/measure/config_monitor.ts
@@ -0,0 +1,152 @@
+import type { Fleet } from "../fleet/fleet.js";
+import { callJson } from "../fleet/json_client.js";
+import { percentile } from "../percentile.js";
+import { round } from "../report/load_summary.js";
+import { configVersionOf } from "./config_convergence.js";
+
+const POLL_MS = 50;
+
+export interface ConfigSummary {
+  /** Times that a router had a lower version than before. */
+  readonly reverts: number;
+  /** Distinct pairs of a router and a version that was never accepted. */
+  readonly versions_never_accepted: number;
+  readonly converge_p50_ms: number;
+  /** Without changes that met an outage or a paused router. */
+  readonly converge_max_ms: number;
+  readonly never_converged: number;
+  readonly changes_measured: number;
+}
+
+interface Change {
+  readonly version: number;
+  readonly acceptedMs: number;
+  /** False once the store stopped answering before the change converged. */
+  isMeasured: boolean;
+  convergedMs: number | undefined;
+}
+
+/** Follows the versions in force on all routers during a run. */
+export class ConfigMonitor {
+  readonly #timer: NodeJS.Timeout;
+  readonly #changes = new Map<number, Change>();
+  readonly #versions = new Map<string, number>();
+  readonly #seen = new Set<string>();
+  readonly #excluded = new Set<string>();
+  #highestAccepted = 0;
+  #storeAnswers = true;
+  #reverts = 0;
+  #isPolling = false;
+
+  constructor(private readonly fleet: Fleet) {
+    this.#timer = setInterval(() => void this.#poll(), POLL_MS);
+  }
+
+  /** Changes that have not converged when it becomes false do not count. */
+  set storeAnswers(answers: boolean) {
+    this.#storeAnswers = answers;
+    for (const change of this.#changes.values()) {
+      if (change.convergedMs === undefined) {
+        change.isMeasured = false;
+      }
+    }
+  }
+
+  noteAccepted(version: number): void {
+    this.#highestAccepted = Math.max(this.#highestAccepted, version);
+    if (!this.#changes.has(version)) {
+      this.#changes.set(version, {
+        version,
+        acceptedMs: performance.now(),
+        isMeasured: this.#storeAnswers,
+        convergedMs: undefined,
+      });
+    }
+  }
+
+  /** Leaves out a router that is paused; its reverts still count. */
+  exclude(routerId: string): void {
+    this.#excluded.add(routerId);
+  }
+
+  include(routerId: string): void {
+    this.#excluded.delete(routerId);
+  }
+
+  summarize(): ConfigSummary {
+    const measured = [...this.#changes.values()]
+      .filter((change) => change.isMeasured);
+    const times = measured.flatMap((change) =>
+      change.convergedMs === undefined
+        ? []
+        : [change.convergedMs - change.acceptedMs]
+    );
+    // Version numbers have no gaps, so all up to the highest were accepted.
+    const neverAccepted = [...this.#seen].filter((pair) =>
+      Number(pair.split(" ")[1]) > this.#highestAccepted
+    );
+    return {
+      reverts: this.#reverts,
+      versions_never_accepted: neverAccepted.length,
+      converge_p50_ms: round(percentile(times, 50)),
+      converge_max_ms: round(Math.max(...times)),
+      never_converged: [...this.#changes.values()]
+        .filter((change) => change.convergedMs === undefined).length,
+      changes_measured: measured.length,
+    };
+  }
+
+  dispose(): void {
+    clearInterval(this.#timer);
+  }
+
+  async #poll(): Promise<void> {
+    if (this.#isPolling) {
+      return;
+    }
+    this.#isPolling = true;
+    await this.#readActive();
+    const routers = this.fleet.routers.filter((router) =>
+      !this.#excluded.has(router.id)
+    );
+    const versions = await Promise.all(routers.map(configVersionOf));
+    routers.forEach((router, i) => this.#note(router.id, versions[i]));
+    const known = versions.filter((version) => version !== undefined);
+    if (known.length === routers.length) {
+      this.#markConverged(Math.min(...known));
+    }
+    this.#isPolling = false;
+  }
+
+  /** Learns of accepted changes whose answer was lost. */
+  async #readActive(): Promise<void> {
+    const { controlUrl } = this.fleet.objectApi;
+    try {
+      const answer = await callJson(`${controlUrl}/objects/config/active`);
+      const object = answer.body as { readonly value: { version: number } };
+      this.noteAccepted(object.value.version);
+    } catch {
+      // The control port does not fail in an outage; the next poll follows.
+    }
+  }
+
+  #note(routerId: string, version: number | undefined): void {
+    if (version === undefined) {
+      return;
+    }
+    this.#seen.add(`${routerId} ${version}`);
+    if (version < (this.#versions.get(routerId) ?? 0)) {
+      this.#reverts++;
+    }
+    this.#versions.set(routerId, version);
+  }
+
+  #markConverged(lowest: number): void {
+    const nowMs = performance.now();
+    for (const change of this.#changes.values()) {
+      if (change.version <= lowest && change.convergedMs === undefined) {
+        change.convergedMs = nowMs;
+      }
+    }
+  }
+}
--- a/packages/bench/src/measure/execution_audit.ts
+++ b/packages/bench/src/measure/execution_audit.ts
@@ -35,6 +35,10 @@
     }
   }
 
+  get totalStarts(): number {
+    return [...this.#started.values()].reduce((a, b) => a + b, 0);
+  }
+
   startedCount(id: string): number {
     return this.#started.get(id) ?? 0;
   }
--- /dev/null
+++ b/packages/bench/src/measure/traffic_snapshot.ts
@@ -0,0 +1,156 @@
+import type { Fleet } from "../fleet/fleet.js";
+import { callJson } from "../fleet/json_client.js";
+import { round, sum } from "../report/load_summary.js";
+import { MetricsPage } from "./metrics_page.js";
+import { readProcessUsage } from "./process_usage.js";
+
+export const TRAFFIC_METRIC = "anvildeal_peer_bytes";
+export const SOCKET_METRIC = "anvildeal_peer_socket_bytes";
+
+/** Traffic of the routers between two snapshots. */
+export interface TrafficBreakdown {
+  readonly duration_s: number;
+  readonly control_bytes_per_router_per_s: number;
+  readonly control_bytes_per_router_per_s_max: number;
+  /** Bytes per second of a router by kind, control traffic only. */
+  readonly control_bytes_per_s_by_kind: Readonly<Record<string, number>>;
+  /** Bytes of all kinds, data included, summed over the routers. */
+  readonly breakdown_bytes: number;
+  /** Bytes that the routers' sockets report, summed over the routers. */
+  readonly socket_bytes: number;
+  readonly router_processor_share: number;
+  readonly router_resident_mb: number;
+}
+
+interface RouterTraffic {
+  readonly bytesByKind: ReadonlyMap<string, number>;
+  readonly controlBytes: number;
+  readonly socketBytes: number;
+  readonly processorMs: number;
+  readonly residentMb: number;
+}
+
+/** Counters of all routers at one moment. */
+export class TrafficSnapshot {
+  private constructor(
+    readonly atMs: number,
+    readonly routers: ReadonlyMap<string, RouterTraffic>,
+    /** Bytes that the fault proxies forwarded, in both directions. */
+    readonly proxiedBytes: number,
+  ) {}
+
+  static async take(fleet: Fleet): Promise<TrafficSnapshot> {
+    const entries = await Promise.all(fleet.routers.map(async (router) => {
+      const page = await MetricsPage.read(router.metricsUrl);
+      const usage = readProcessUsage(router.process.pid);
+      const traffic: RouterTraffic = {
+        bytesByKind: controlByKind(page),
+        controlBytes: page.sum(TRAFFIC_METRIC, { control: "true" }),
+        socketBytes: page.sum(SOCKET_METRIC),
+        processorMs: usage?.processorMs ?? NaN,
+        residentMb: usage?.residentMb ?? NaN,
+      };
+      return [router.id, traffic] as const;
+    }));
+    const proxied = await Promise.all(
+      fleet.endpoints.map(({ proxy }) =>
+        proxy === undefined ? 0 : readProxiedBytes(proxy.controlUrl)
+      ),
+    );
+    return new TrafficSnapshot(
+      performance.now(),
+      new Map(entries),
+      sum(proxied, (bytes) => bytes),
+    );
+  }
+
+  /** Only routers that exist in both snapshots count. */
+  since(before: TrafficSnapshot): TrafficBreakdown {
+    const durationS = (this.atMs - before.atMs) / 1000;
+    const pairs = [...this.routers].flatMap(([id, now]) => {
+      const old = before.routers.get(id);
+      return old === undefined ? [] : [{ now, old }];
+    });
+    const perS = pairs.map(({ now, old }) =>
+      (now.controlBytes - old.controlBytes) / durationS
+    );
+    return {
+      duration_s: round(durationS, 2),
+      control_bytes_per_router_per_s: round(
+        sum(perS, (value) => value) / pairs.length,
+      ),
+      control_bytes_per_router_per_s_max: round(Math.max(...perS)),
+      control_bytes_per_s_by_kind: byKind(pairs, durationS),
+      breakdown_bytes: sum(
+        pairs,
+        ({ now, old }) => allBytes(now) - allBytes(old),
+      ),
+      socket_bytes: sum(
+        pairs,
+        ({ now, old }) => now.socketBytes - old.socketBytes,
+      ),
+      router_processor_share: round(
+        sum(pairs, ({ now, old }) => now.processorMs - old.processorMs) /
+          pairs.length / durationS / 1000,
+        4,
+      ),
+      router_resident_mb: round(
+        Math.max(...pairs.map(({ now }) => now.residentMb)),
+      ),
+    };
+  }
+}
+
+/** Share by which the breakdown misses what the sockets carried. */
+export function socketCheck(breakdown: TrafficBreakdown): number {
+  return Math.abs(breakdown.breakdown_bytes - breakdown.socket_bytes) /
+    breakdown.socket_bytes;
+}
+
+interface Pair {
+  readonly now: RouterTraffic;
+  readonly old: RouterTraffic;
+}
+
+const DATA_PREFIX = "data:";
+
+function controlByKind(page: MetricsPage): Map<string, number> {
+  const bytes = new Map<string, number>();
+  for (const { labels, value } of page.select(TRAFFIC_METRIC)) {
+    const prefix = labels["control"] === "true" ? "" : DATA_PREFIX;
+    const key = `${prefix}${labels["kind"]}`;
+    bytes.set(key, (bytes.get(key) ?? 0) + value);
+  }
+  return bytes;
+}
+
+function allBytes(traffic: RouterTraffic): number {
+  return sum([...traffic.bytesByKind.values()], (bytes) => bytes);
+}
+
+function byKind(
+  pairs: readonly Pair[],
+  durationS: number,
+): Record<string, number> {
+  const result: Record<string, number> = {};
+  for (const { now, old } of pairs) {
+    for (const [kind, bytes] of now.bytesByKind) {
+      if (!kind.startsWith(DATA_PREFIX)) {
+        const grown = bytes - (old.bytesByKind.get(kind) ?? 0);
+        result[kind] = (result[kind] ?? 0) + grown / durationS / pairs.length;
+      }
+    }
+  }
+  return Object.fromEntries(
+    Object.entries(result).map(([kind, value]) => [kind, round(value)]),
+  );
+}
+
+async function readProxiedBytes(controlUrl: string): Promise<number> {
+  const answer = await callJson(`${controlUrl}/stats`);
+  const stats = answer.body as {
+    readonly bytes_to_target: number;
+    readonly bytes_to_client: number;
+  };
+  return stats.bytes_to_target + stats.bytes_to_client;
+}
--- /dev/null
+++ b/packages/bench/src/report/line_fit_test.ts
@@ -0,0 +1,19 @@
+import { describe, expect, it } from "vitest";
+import { fitLine } from "./line_fit.js";
+
+describe("fitLine", () => {
+  it("recovers a line and reports the farthest point", () => {
+    const exact = [1, 2, 4, 8].map((x) => ({ x, y: 3 * x + 5 }));
+    expect(fitLine(exact)).toEqual({
+      slope: 3,
+      intercept: 5,
+      max_residual: 0,
+    });
+    const bent = [{ x: 0, y: 0 }, { x: 1, y: 3 }, { x: 2, y: 0 }];
+    expect(fitLine(bent)).toEqual({
+      slope: 0,
+      intercept: 1,
+      max_residual: 2,
+    });
+  });
+});
