--- a/packages/core/src/wire/messages.ts
+++ b/packages/core/src/wire/messages.ts
@@ -5,7 +5,10 @@
 
 const id = z.string().min(1).max(128);
 const tokens = z.number().nonnegative();
-const bytes = z.instanceof(Uint8Array);
+const bytes = z.custom<Uint8Array>(
+  (value) => value instanceof Uint8Array,
+  "expected bytes",
+);
 const seq = z.int().nonnegative();
 
 /** State in which a sidecar reports its endpoint. */
@@ -224,6 +227,8 @@
   /** Digests of sections that the sender holds already. */
   haveSections: z.array(z.string().max(64)).max(1024),
   wantContent: z.boolean(),
+  /** Version of the instance list that a router holds. */
+  listVersion: z.number().optional(),
 });
 
 const ConfigStateSchema = z.object({
@@ -237,6 +242,10 @@
 const InstancesSchema = z.object({
   type: z.literal("instances"),
   listVersion: z.number(),
+  /** The rows are the changes since this version; without it, the list. */
+  baseVersion: z.number().optional(),
+  /** Instances that left the list since `baseVersion`. */
+  removedIds: z.array(id).max(8192).optional(),
   instances: z.array(z.object({
     instanceId: id,
     role: z.enum(["router", "endpoint"]),
