List every mistake of a bundle at once

An item with one wrong value was left out of the reference checks, so that operators saw the next mistake only after they had corrected the first.

--- /dev/null
+++ b/packages/cli/src/cli_test.ts
@@ -0,0 +1,244 @@
+import { execFileSync } from "node:child_process";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { AdminFixture } from "@anvildeal/daemon/testing";
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { runCli } from "./cli.js";
+import type { CliIo } from "./cli_io.js";
+import { ExitCode } from "./exit_code.js";
+
+const BUNDLE = `
+[[accounts]]
+name = "wiki"
+key_hashes = ["${"a".repeat(64)}"]
+pools = ["chat"]
+
+[[pools]]
+name = "chat"
+kind = "model"
+models = ["m-1"]
+`;
+
+interface Outcome {
+  readonly code: ExitCode;
+  readonly out: string;
+  readonly err: string;
+}
+
+describe("anvildeal", () => {
+  let admin: AdminFixture;
+  let directory: string;
+  let file: string;
+
+  beforeEach(async () => {
+    admin = await new AdminFixture().start();
+    directory = mkdtempSync(join(tmpdir(), "anvildeal-cli-"));
+    file = join(directory, "bundle.toml");
+    writeFileSync(file, BUNDLE);
+  });
+
+  afterEach(async () => {
+    await admin.dispose();
+    rmSync(directory, { recursive: true });
+  });
+
+  /** Runs a command line as an operator; `answer` is given to questions. */
+  async function run(
+    operator: string,
+    argv: readonly string[],
+    { answer, stdin = "" }: { answer?: boolean; stdin?: string } = {},
+  ): Promise<Outcome> {
+    const out: string[] = [];
+    const err: string[] = [];
+    const io: CliIo = {
+      env: {
+        ANVILDEAL_ADMIN_URL: admin.url,
+        ANVILDEAL_OPERATOR_KEY: operator && `${operator}-key`,
+      },
+      interactive: answer !== undefined,
+      writeOut: (text) => out.push(text),
+      writeError: (text) => err.push(text),
+      readStdin: async () => stdin,
+      confirm: async () => answer === true,
+    };
+    const code = await runCli(argv, io);
+    return { code, out: out.join("\n"), err: err.join("\n") };
+  }
+
+  async function propose(): Promise<{ id: string; digest: string }> {
+    const argv = ["config", "propose", file, "--json", "--note", "why"];
+    return JSON.parse((await run("paula", argv)).out);
+  }
+
+  describe("config", () => {
+    it("takes a change from the files into force", async () => {
+      expect((await run("", ["config", "check", file])).code).toBe(0);
+      const diff = await run("vera", ["config", "diff", file]);
+      expect(diff.out).toContain("+ accounts wiki");
+      const { id, digest } = await propose();
+      const review = await run("anna", ["config", "review", id]);
+      expect(review.out).toContain(digest);
+      const steps = [
+        await run("anna", ["config", "approve", id, digest]),
+        await run("arne", ["config", "activate", id, digest, "--yes"]),
+      ];
+      expect(steps.map(({ code }) => code)).toEqual([0, 0]);
+      const history = await run("vera", ["config", "history"]);
+      expect(history.out).toMatch(/^version .*\n1 .*paula +anna +arne/);
+      const listed = await run("vera", ["config", "review"]);
+      expect(listed.out).toContain(id);
+    });
+
+    it("shows the difference before it asks for a sign-off", async () => {
+      const { id } = await propose();
+      const argv = ["config", "approve", id];
+      const declined = await run("anna", argv, { answer: false });
+      expect(declined.code).toBe(ExitCode.failed);
+      expect(declined.err).toContain("+ accounts wiki");
+      expect((await run("anna", argv, { answer: true })).code).toBe(0);
+    });
+
+    it("proposes a revert", async () => {
+      const { id, digest } = await propose();
+      await run("anna", ["config", "approve", id, digest]);
+      await run("arne", ["config", "activate", id, "--yes"]);
+      writeFileSync(file, BUNDLE.replace("m-1", "m-2"));
+      const next = await propose();
+      await run("anna", ["config", "approve", next.id, next.digest]);
+      await run("arne", ["config", "activate", next.id, "--yes"]);
+      const revert = await run("paula", ["config", "revert", "1", "--json"]);
+      expect(JSON.parse(revert.out)).toMatchObject({ kind: "revert", digest });
+    });
+
+    it("lists every mistake with file and key", async () => {
+      const broken = BUNDLE
+        .replace('pools = ["chat"]', 'pools = ["none"]\nweihgt = 2')
+        .replace('kind = "model"', 'kind = "modell"');
+      writeFileSync(file, broken);
+      const { code, err } = await run("", ["config", "check", file]);
+      expect(code).toBe(ExitCode.failed);
+      expect(err).toContain(`${file}: accounts.0.weihgt: found 2`);
+      expect(err).toContain(`${file}: pools.0.kind: found "modell"`);
+      expect(err).toContain("3 mistakes");
+    });
+
+    it("names line and column of a syntax error", async () => {
+      writeFileSync(file, "accounts = [");
+      const { code, err } = await run("", ["config", "check", directory]);
+      expect(code).toBe(ExitCode.failed);
+      expect(err).toContain(`${file}: line 1`);
+    });
+  });
+
+  describe("exit codes", () => {
+    it("tell a conflict from a refusal and an outage", async () => {
+      const { id, digest } = await propose();
+      const activate = ["config", "activate", id, digest, "--yes"];
+      expect((await run("arne", activate)).code).toBe(ExitCode.conflict);
+      expect((await run("vera", activate)).code).toBe(ExitCode.refused);
+      expect((await run("nobody", ["status"])).code).toBe(ExitCode.refused);
+      admin.stopStore();
+      expect((await run("arne", activate)).code).toBe(ExitCode.unreachable);
+      await admin.dispose();
+      expect((await run("arne", ["status"])).code).toBe(ExitCode.unreachable);
+    });
+
+    it("report a mistaken command line as usage", async () => {
+      const lines = [
+        ["drain", "e-1"],
+        ["config", "revert", "one"],
+        ["config", "check"],
+        ["explain"],
+        ["status", "--admin-url", "nonsense"],
+        ["config", "history", "--limit", "many"],
+        [],
+      ];
+      const outcomes = await Promise.all(
+        lines.map((argv) => run("root", argv)),
+      );
+      expect(outcomes.map(({ code }) => code))
+        .toEqual(lines.map(() => ExitCode.usage));
+      expect((await run("", ["status"])).err)
+        .toContain("ANVILDEAL_OPERATOR_KEY");
+    });
+  });
+
+  describe("suggestions", () => {
+    it("name the command or option that was mistyped", async () => {
+      const cases: [string[], string][] = [
+        [["statsu"], "status"],
+        [["config", "aprove"], "config approve"],
+        [["confg", "check", file], "config check"],
+        [["status", "--jsno"], "--json"],
+      ];
+      for (const [argv, expected] of cases) {
+        const { code, err } = await run("vera", argv);
+        expect([code, err]).toEqual([
+          ExitCode.usage,
+          expect.stringContaining(`Did you mean: ${expected}`),
+        ]);
+      }
+    });
+  });
+
+  describe("fleet commands", () => {
+    it("drain only after a confirmation", async () => {
+      const argv = ["drain", "e-1"];
+      expect((await run("root", argv, { answer: false })).code)
+        .toBe(ExitCode.failed);
+      expect(admin.logs).toEqual([]);
+      expect((await run("root", argv, { answer: true })).code).toBe(0);
+      expect((await run("root", [...argv, "--yes"])).code).toBe(0);
+    });
+
+    it("print a report as a table or as JSON", async () => {
+      const table = await run("vera", ["report", "burn"]);
+      expect(table.out).toBe("objective  burn\nfast       0.5");
+      const json = await run("vera", ["report", "burn", "--json"]);
+      expect(JSON.parse(json.out).rows).toHaveLength(1);
+    });
+
+    it("explain a request and show the status", async () => {
+      const explained = await run("vera", ["explain", "r-1", "--json"]);
+      expect(JSON.parse(explained.out).endpoint).toBe("e-1");
+      expect((await run("vera", ["status"])).out).toContain('"endpoints": 12');
+      const missing = await run("vera", ["explain", "r-2", "--json"]);
+      expect(missing.code).toBe(ExitCode.failed);
+      expect(JSON.parse(missing.out).error.code).toBe("not_found");
+    });
+  });
+
+  describe("local commands", () => {
+    it("hash a key from standard input without its line end", () => {
+      const program = new URL("../dist/anvildeal.js", import.meta.url).pathname;
+      const out = execFileSync(process.execPath, [program, "key", "hash"], {
+        input: "0123456789abcdef\n",
+        encoding: "utf8",
+      });
+      expect(out.trim()).toBe(
+        "9f9f5111f7b27a781f1f1ddde5ebc2dd2b796bfc7365c9c28b548e564176929f",
+      );
+    });
+
+    it("refuse a short key", async () => {
+      const argv = ["key", "hash"];
+      expect((await run("", argv, { stdin: "short\n" })).code)
+        .toBe(ExitCode.usage);
+    });
+
+    it("complete commands in each shell", async () => {
+      for (const shell of ["bash", "zsh", "fish"]) {
+        const { out } = await run("", ["completion", shell]);
+        expect(out).toContain("approve");
+      }
+      const script = (await run("", ["completion"])).out;
+      const probe = "COMP_WORDS=(anvildeal config ap) COMP_CWORD=2; " +
+        "_anvildeal; echo ${COMPREPLY[@]}";
+      const bash = execFileSync("bash", ["-c", `${script}\n${probe}`], {
+        encoding: "utf8",
+      });
+      expect(bash.trim()).toBe("approve");
+    });
+  });
+});
--- a/packages/core/src/config/bundle_check.ts
+++ b/packages/core/src/config/bundle_check.ts
@@ -25,15 +25,24 @@
   readonly key: string;
 }
 
-/** Items by kind; items that do not match their schema are left out. */
-export type PlacedItems = {
-  readonly [K in BundleKind]: readonly PlacedItem<Bundle[K][number]>[];
+/**
+ * An item without the values that do not match its schema, so that mistakes
+ * in other keys are found at the same time.
+ */
+export type LooseItem<T> = {
+  readonly [K in keyof T]?: NonNullable<T[K]> extends readonly (infer E)[]
+    ? readonly (E | undefined)[]
+    : T[K];
 };
 
 export interface PlacedItem<T> extends ItemPlace {
-  readonly item: T;
+  readonly item: LooseItem<T>;
 }
 
+export type PlacedItems = {
+  readonly [K in BundleKind]: readonly PlacedItem<Bundle[K][number]>[];
+};
+
 /**
  * Checks a parsed bundle as a whole: schema, references, limits, duplicates.
  *
@@ -159,10 +168,10 @@
 
 function placeItems(merged: MergedBundle): PlacedItems {
   const place = <T>(kind: BundleKind, schema: z.ZodType<T>) =>
-    merged.places[kind].flatMap((place, index) => {
-      const parsed = schema.safeParse(merged.bundle[kind][index]);
-      return parsed.success ? [{ ...place, item: parsed.data }] : [];
-    });
+    merged.places[kind].map((place, index) => ({
+      ...place,
+      item: salvage(merged.bundle[kind][index], schema),
+    }));
   return {
     accounts: place("accounts", AccountSchema),
     pools: place("pools", PoolSchema),
@@ -170,3 +179,25 @@
     objectives: place("objectives", ObjectiveSchema),
   };
 }
+
+/** The item with defaults, or what is left of it without invalid values. */
+function salvage<T>(item: unknown, schema: z.ZodType<T>): LooseItem<T> {
+  const parsed = schema.safeParse(item);
+  if (parsed.success) {
+    return parsed.data as LooseItem<T>;
+  }
+  if (item === null || typeof item !== "object") {
+    return {};
+  }
+  const rest: Record<PropertyKey, unknown> = { ...item };
+  for (const { path } of parsed.error.issues) {
+    const [key, index] = path;
+    const list = rest[key];
+    if (typeof index === "number" && Array.isArray(list)) {
+      rest[key] = list.with(index, undefined);
+    } else if (key !== undefined) {
+      delete rest[key];
+    }
+  }
+  return rest as LooseItem<T>;
+}
--- a/packages/core/src/config/bundle_rules.ts
+++ b/packages/core/src/config/bundle_rules.ts
@@ -35,11 +35,11 @@
 
 function findDuplicates(items: PlacedItems): ConfigIssue[] {
   const names = (list: readonly PlacedItem<{ name: string }>[]) =>
-    list.map(({ file, key, item }) => ({
-      file,
-      key: `${key}.name`,
-      value: item.name,
-    }));
+    list.flatMap(({ file, key, item }) =>
+      item.name === undefined
+        ? []
+        : [{ file, key: `${key}.name`, value: item.name }]
+    );
   const keyHashes = items.accounts.flatMap((account) =>
     listed(account, "key_hashes", account.item.key_hashes)
   );
@@ -55,14 +55,19 @@
     ...repeated(models, true),
     ...items.accounts.flatMap(findRepeatsInAccount),
     ...items.services.flatMap((service) =>
-      repeated(listed(service, "routes", service.item.routes.map(show)), true)
+      repeated(
+        listed(service, "routes", service.item.routes?.map(showRoute)),
+        true,
+      )
     ),
   ];
 }
 
 function findRepeatsInAccount(account: PlacedItem<Account>): ConfigIssue[] {
   const { item } = account;
-  const routes = item.routes.map((route) => `${route.service} ${show(route)}`);
+  const routes = item.routes?.map((route) =>
+    route && `${route.service} ${showRoute(route)}`
+  );
   return [
     ...repeated(listed(account, "pools", item.pools), true),
     ...repeated(listed(account, "services", item.services), true),
@@ -71,20 +76,24 @@
   ];
 }
 
-function show(route: Omit<Route, "service">): string {
-  return `${route.method} ${route.path_prefix}`;
+function showRoute(
+  route: Omit<Route, "service"> | undefined,
+): string | undefined {
+  return route && `${route.method} ${route.path_prefix}`;
 }
 
 function listed(
   place: ItemPlace,
   field: string,
-  values: readonly string[],
+  values: readonly (string | undefined)[] = [],
 ): PlacedValue[] {
-  return values.map((value, index) => ({
-    file: place.file,
-    key: `${place.key}.${field}.${index}`,
-    value,
-  }));
+  return values.flatMap((value, index) =>
+    value === undefined ? [] : [{
+      file: place.file,
+      key: `${place.key}.${field}.${index}`,
+      value,
+    }]
+  );
 }
 
 function repeated(
@@ -113,59 +122,65 @@
   items: PlacedItems,
   names: Names,
 ): ConfigIssue[] {
-  const need = (kind: BundleKind, place: ItemPlace, path: string, to: string) =>
-    names[kind].has(to) ? [] : [{
-      file: place.file,
-      key: `${place.key}.${path}`,
-      found: JSON.stringify(to),
-      allowed: `must name one of the ${kind}: ${summarize(names[kind])}`,
-    }];
+  const need = (
+    kind: BundleKind,
+    place: ItemPlace,
+    path: string,
+    to: string | undefined,
+  ) =>
+    to === undefined || names[kind].has(to) ? [] : [issue(
+      place,
+      path,
+      JSON.stringify(to),
+      `must name one of the ${kind}: ${summarize(names[kind])}`,
+    )];
   const fromAccounts = items.accounts.flatMap((account) => [
-    ...account.item.pools.flatMap((name, i) =>
+    ...(account.item.pools ?? []).flatMap((name, i) =>
       need("pools", account, `pools.${i}`, name)
     ),
-    ...account.item.services.flatMap((name, i) =>
+    ...(account.item.services ?? []).flatMap((name, i) =>
       need("services", account, `services.${i}`, name)
     ),
-    ...account.item.routes.flatMap(({ service }, i) =>
-      need("services", account, `routes.${i}.service`, service)
+    ...(account.item.routes ?? []).flatMap((route, i) =>
+      need("services", account, `routes.${i}.service`, route?.service)
     ),
   ]);
   const fromServices = items.services.flatMap((service) =>
     need("pools", service, "pool", service.item.pool)
   );
-  const fromObjectives = items.objectives.flatMap((objective) => {
-    const { account, pool } = objective.item;
-    return [
-      ...account === undefined
-        ? []
-        : need("accounts", objective, "account", account),
-      ...pool === undefined ? [] : need("pools", objective, "pool", pool),
-    ];
-  });
+  const fromObjectives = items.objectives.flatMap((objective) => [
+    ...need("accounts", objective, "account", objective.item.account),
+    ...need("pools", objective, "pool", objective.item.pool),
+  ]);
   return [...fromAccounts, ...fromServices, ...fromObjectives];
 }
 
 function checkAccountRoutes(account: PlacedItem<Account>): ConfigIssue[] {
-  const { services, routes } = account.item;
-  return routes.flatMap(({ service }, i) =>
-    services.includes(service) ? [] : [issue(
-      account,
-      `routes.${i}.service`,
-      JSON.stringify(service),
-      "must be one of the account's services, else the route has no effect",
-    )]
+  const { services, routes = [] } = account.item;
+  const allowed =
+    "must be one of the account's services, else the route has no effect";
+  return routes.flatMap((route, i) =>
+    route === undefined || services === undefined ||
+      services.includes(route.service)
+      ? []
+      : [issue(
+        account,
+        `routes.${i}.service`,
+        JSON.stringify(route.service),
+        allowed,
+      )]
   );
 }
 
 function checkPool(pool: PlacedItem<Pool>): ConfigIssue[] {
   const { item } = pool;
+  const { load_floor_tokens: floor, max_output_tokens: output } = item;
   const issues: ConfigIssue[] = [];
-  if (item.kind === "model" && item.models.length === 0) {
+  if (item.kind === "model" && item.models?.length === 0) {
     const allowed = "a pool of kind 'model' must name at least one model";
     issues.push(issue(pool, "models", "no model", allowed));
   }
-  if (item.kind === "service" && item.models.length > 0) {
+  if (item.kind === "service" && item.models?.length) {
     const found = JSON.stringify(item.models[0]);
     const allowed = "a pool of kind 'service' must name no models";
     issues.push(issue(pool, "models", found, allowed));
@@ -174,12 +189,11 @@
     const allowed = "a pool of kind 'model' needs an 'openai' dialect";
     issues.push(issue(pool, "dialect", '"plain"', allowed));
   }
-  if (item.load_floor_tokens < item.max_output_tokens) {
+  if (floor !== undefined && output !== undefined && floor < output) {
     // The floor lets an idle pool accept one largest request.
-    const allowed = `must be at least max_output_tokens, ` +
-      `${item.max_output_tokens}, so that an idle endpoint accepts a request`;
-    const found = String(item.load_floor_tokens);
-    issues.push(issue(pool, "load_floor_tokens", found, allowed));
+    const allowed = `must be at least max_output_tokens, ${output}, so that ` +
+      "an idle endpoint accepts a request";
+    issues.push(issue(pool, "load_floor_tokens", String(floor), allowed));
   }
   return issues;
 }
@@ -203,6 +217,9 @@
 
 function checkObjective(objective: PlacedItem<Objective>): ConfigIssue[] {
   const { indicator, threshold_ms } = objective.item;
+  if (indicator === undefined) {
+    return [];
+  }
   const needsThreshold = LATENCY_INDICATORS.includes(indicator);
   if (needsThreshold === (threshold_ms !== undefined)) {
     return [];
