--- a/packages/daemon/src/admin/admin_requests.ts
+++ b/packages/daemon/src/admin/admin_requests.ts
@@ -12,7 +12,7 @@
 /** The bundle as the operators' files, parsed from TOML to JSON. */
 const files = z.array(z.strictObject({
   file: z.string().min(1).max(200),
-  bundle: z.unknown(),
+  bundle: z.unknown().describe("Tables as in docs/configuration.md"),
 })).min(1).max(100);
 
 export const ProposeRequestSchema = z.strictObject({
--- /dev/null
+++ b/packages/daemon/src/admin/admin_responses.ts
@@ -0,0 +1,77 @@
+import {
+  ActivePointerSchema,
+  BUNDLE_KINDS,
+  ConfigVersionSchema,
+  ProposalSchema,
+} from "@anvildeal/core";
+import { z } from "zod";
+
+const DiffSchema = z.object({
+  changes: z.array(z.object({
+    kind: z.enum(BUNDLE_KINDS),
+    name: z.string(),
+    change: z.enum(["added", "removed", "changed"]),
+    /** `before` or `after` is left out when the key is absent there. */
+    fields: z.array(z.object({
+      key: z.string(),
+      before: z.unknown().optional(),
+      after: z.unknown().optional(),
+    })),
+  })),
+  effect: z.object({
+    accounts: z.array(z.string()),
+    pools: z.array(z.string()),
+    services: z.array(z.string()),
+    traffic_share: z.number().min(0).max(1),
+    traffic_basis: z.enum(["measured", "configured_limits"]),
+  }),
+});
+
+const comparison = {
+  in_force_version: z.int().nonnegative(),
+  diff: DiffSchema,
+  lines: z.array(z.string()),
+};
+
+export const DiffResponseSchema = z.object(comparison);
+
+export const ReviewResponseSchema = z.object({
+  proposal: ProposalSchema,
+  is_current: z.boolean(),
+  ...comparison,
+});
+
+export const ProposalListResponseSchema = z.object({
+  proposals: z.array(ProposalSchema),
+});
+
+export const HistoryResponseSchema = z.object({
+  versions: z.array(ConfigVersionSchema),
+});
+
+export const StatusResponseSchema = z.object({
+  store: z.enum(["ok", "unavailable"]),
+  active: ActivePointerSchema.nullable(),
+  fleet: z.unknown(),
+});
+
+export const DrainResponseSchema = z.object({
+  endpoint_id: z.string(),
+  state: z.literal("draining"),
+});
+
+/** JSON that another part of the router defines. */
+export const OpaqueResponseSchema = z.unknown();
+
+export const ErrorResponseSchema = z.object({
+  error: z.object({
+    code: z.string(),
+    message: z.string(),
+    issues: z.array(z.object({
+      file: z.string(),
+      key: z.string(),
+      found: z.string(),
+      allowed: z.string(),
+    })).optional(),
+  }),
+});
--- a/packages/daemon/src/admin/admin_routes.ts
+++ b/packages/daemon/src/admin/admin_routes.ts
@@ -1,4 +1,8 @@
-import type { OperatorRole } from "@anvildeal/core";
+import {
+  ConfigVersionSchema,
+  type OperatorRole,
+  ProposalSchema,
+} from "@anvildeal/core";
 import type { z } from "zod";
 import {
   DiffRequestSchema,
@@ -10,6 +14,15 @@
   ProposeRequestSchema,
   RevertRequestSchema,
 } from "./admin_requests.js";
+import {
+  DiffResponseSchema,
+  DrainResponseSchema,
+  HistoryResponseSchema,
+  OpaqueResponseSchema,
+  ProposalListResponseSchema,
+  ReviewResponseSchema,
+  StatusResponseSchema,
+} from "./admin_responses.js";
 
 export const ADMIN_PREFIX = "/admin/v1";
 
@@ -44,6 +57,7 @@
   /** Whether the body carries a bundle and may be large. */
   readonly largeBody: boolean;
   readonly successStatus: 200 | 201 | 202;
+  readonly response: z.ZodType;
 }
 
 const EVERY_ROLE = ["viewer", "proposer", "approver", "activator"] as const;
@@ -76,6 +90,7 @@
     body: ProposeRequestSchema,
     largeBody: true,
     successStatus: 201,
+    response: ProposalSchema,
   },
   {
     ...writing,
@@ -85,6 +100,7 @@
     roles: EVERY_ROLE,
     body: DiffRequestSchema,
     largeBody: true,
+    response: DiffResponseSchema,
   },
   {
     ...reading,
@@ -92,18 +108,21 @@
     path: "/proposals",
     summary: "Lists proposals, newest first.",
     query: ProposalListQuerySchema,
+    response: ProposalListResponseSchema,
   },
   {
     ...reading,
     call: "show_proposal",
     path: "/proposals/{id}",
     summary: "Shows a proposal and its sign-off.",
+    response: ProposalSchema,
   },
   {
     ...reading,
     call: "review",
     path: "/proposals/{id}/review",
     summary: "Compares a proposal with the version in force.",
+    response: ReviewResponseSchema,
   },
   {
     ...writing,
@@ -112,6 +131,7 @@
     summary: "Approves exactly the content with the given digest.",
     roles: ["approver"],
     body: DigestRequestSchema,
+    response: ProposalSchema,
   },
   {
     ...writing,
@@ -120,6 +140,7 @@
     summary: "Makes a signed-off proposal the version in force.",
     roles: ["activator"],
     body: DigestRequestSchema,
+    response: ConfigVersionSchema,
   },
   {
     ...writing,
@@ -129,6 +150,7 @@
     roles: ["proposer"],
     body: RevertRequestSchema,
     successStatus: 201,
+    response: ProposalSchema,
   },
   {
     ...reading,
@@ -136,6 +158,7 @@
     path: "/history",
     summary: "Lists accepted versions, newest first, with who and when.",
     query: HistoryQuerySchema,
+    response: HistoryResponseSchema,
   },
   {
     ...reading,
@@ -143,6 +166,7 @@
     path: "/status",
     summary: "Shows what this router knows of the fleet.",
     needsStore: false,
+    response: StatusResponseSchema,
   },
   {
     ...reading,
@@ -150,6 +174,7 @@
     path: "/explain/{request_id}",
     summary: "Explains how this router placed and answered a request.",
     needsStore: false,
+    response: OpaqueResponseSchema,
   },
   {
     ...writing,
@@ -160,6 +185,7 @@
     needsStore: false,
     body: EmptyRequestSchema,
     successStatus: 202,
+    response: DrainResponseSchema,
   },
   {
     ...reading,
@@ -167,6 +193,7 @@
     path: "/report/{name}",
     summary: "Returns a report, such as `burn`.",
     needsStore: false,
+    response: OpaqueResponseSchema,
   },
 ];
 
