--- a/packages/bench/src/measure/config_convergence.ts
+++ b/packages/bench/src/measure/config_convergence.ts
@@ -1,6 +1,6 @@
-import { callJson } from "../fleet/json_client.js";
 import type { RouterNode } from "../fleet/nodes.js";
 import { sleep } from "../load/load_runner.js";
+import { readRouterStatus } from "./node_status.js";
 
 const POLL_MS = 20;
 
@@ -8,13 +8,7 @@
 export async function configVersionOf(
   router: RouterNode,
 ): Promise<number | undefined> {
-  try {
-    const answer = await callJson(`${router.adminUrl}/status`);
-    const body = answer.body as { readonly config_version?: number };
-    return answer.status === 200 ? body.config_version : undefined;
-  } catch {
-    return undefined;
-  }
+  return (await readRouterStatus(router))?.config_version;
 }
 
 /**
--- a/packages/bench/src/measure/engine_sampler.ts
+++ b/packages/bench/src/measure/engine_sampler.ts
@@ -4,6 +4,7 @@
 import type { CacheOracle } from "../load/load_runner.js";
 import type { PlannedRequest } from "../load/planned_request.js";
 import { percentile } from "../percentile.js";
+import { readSidecarStatus } from "./node_status.js";
 import { round } from "../report/load_summary.js";
 
 const SAMPLE_PERIOD_MS = 100;
@@ -12,7 +13,6 @@
 const HASH_HEX_DIGITS = 16;
 
 interface DebugState {
-  readonly load: { readonly outstanding_tokens: number };
   readonly cached_hashes: readonly string[];
 }
 
@@ -28,8 +28,9 @@
 }
 
 /**
- * Samples outstanding tokens and cache content of all engines from their
- * `GET /debug/state`. As an oracle it is at most one period old.
+ * Samples the cache content of all engines from their `GET /debug/state` and
+ * the outstanding tokens, queued ones included, from their sidecars' `/status`.
+ * As an oracle it is at most one period old.
  */
 export class EngineSampler implements CacheOracle {
   readonly #timer: NodeJS.Timeout;
@@ -94,15 +95,19 @@
     }
     this.#isSampling = true;
     const engines = this.engines();
-    const states = await Promise.all(engines.map(readState));
+    const [states, statuses] = await Promise.all([
+      Promise.all(engines.map(readState)),
+      Promise.all(engines.map(readSidecarStatus)),
+    ]);
     this.#caches.clear();
-    const loads: number[] = [];
     for (const [index, state] of states.entries()) {
       if (state !== undefined) {
         this.#caches.set(engines[index]!.id, new Set(state.cached_hashes));
-        loads.push(state.load.outstanding_tokens);
       }
     }
+    const loads = statuses.flatMap((status) =>
+      status?.state === "active" ? [status.load_tokens] : []
+    );
     if (this.#isRecording && loads.length > 0) {
       this.#loads.push(loads);
     }
--- /dev/null
+++ b/packages/bench/src/measure/node_status.ts
@@ -0,0 +1,62 @@
+import { callJson } from "../fleet/json_client.js";
+import type { EndpointNode, RouterNode } from "../fleet/nodes.js";
+
+interface PlatformCalls {
+  readonly calls: number;
+  readonly bytes: number;
+}
+
+export interface TrafficStatus {
+  readonly peer: readonly {
+    readonly kind: string;
+    readonly direction: string;
+    readonly control: boolean;
+    readonly messages: number;
+    readonly bytes: number;
+  }[];
+  readonly peer_socket_bytes: number;
+  readonly control_bytes: number;
+  /** Calls of the platform by kind; all of them are control traffic. */
+  readonly store: Readonly<Record<string, PlatformCalls>>;
+}
+
+/** The part of a router's `/status` that the bench reads. */
+export interface RouterStatus {
+  readonly config_version: number;
+  readonly traffic: TrafficStatus;
+}
+
+/** The part of a sidecar's `/status` that the bench reads. */
+export interface SidecarStatus {
+  readonly state: string;
+  readonly load_tokens: number;
+  readonly last_admitted_at_wall_ms: number | null;
+  readonly bound: {
+    readonly admitted: Readonly<Record<string, number>>;
+    readonly refused: number;
+    readonly exceeded: Readonly<Record<string, number>>;
+  };
+}
+
+/** Undefined when the router does not answer. */
+export function readRouterStatus(
+  router: RouterNode,
+): Promise<RouterStatus | undefined> {
+  return readStatus<RouterStatus>(`${router.adminUrl}/status`);
+}
+
+export function readSidecarStatus(
+  endpoint: EndpointNode,
+): Promise<SidecarStatus | undefined> {
+  const base = endpoint.metricsUrl.replace(/\/metrics$/, "");
+  return readStatus<SidecarStatus>(`${base}/status`);
+}
+
+async function readStatus<T>(url: string): Promise<T | undefined> {
+  try {
+    const answer = await callJson(url);
+    return answer.status === 200 ? answer.body as T : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/bench/src/measure/router_usage_meter.ts
+++ b/packages/bench/src/measure/router_usage_meter.ts
@@ -1,13 +1,11 @@
 import type { RouterNode } from "../fleet/nodes.js";
-import { round } from "../report/load_summary.js";
-import { MetricsPage } from "./metrics_page.js";
+import { round, sum } from "../report/load_summary.js";
+import { readRouterStatus } from "./node_status.js";
 import { readProcessUsage } from "./process_usage.js";
 
-/** Sampling the pages often enough to see routers that are replaced. */
+/** Sampling often enough to see routers that are replaced. */
 const SAMPLE_PERIOD_MS = 500;
 
-export const CONTROL_BYTES_METRIC = "anvildeal_control_bytes_total";
-
 export interface RouterUsageSummary {
   /** The highest of all routers, both directions. */
   readonly control_bytes_per_router_per_s: number;
@@ -100,13 +98,14 @@
   }
 }
 
+/** Messages to peers and calls of the platform, in both directions. */
 async function readControlBytes(
   router: RouterNode,
 ): Promise<number | undefined> {
-  try {
-    const page = await MetricsPage.read(router.metricsUrl);
-    return page.sum(CONTROL_BYTES_METRIC);
-  } catch {
+  const status = await readRouterStatus(router);
+  if (status === undefined) {
     return undefined;
   }
+  const { control_bytes, store } = status.traffic;
+  return control_bytes + sum(Object.values(store), ({ bytes }) => bytes);
 }
--- a/packages/bench/src/measure/traffic_snapshot.ts
+++ b/packages/bench/src/measure/traffic_snapshot.ts
@@ -1,12 +1,10 @@
 import type { Fleet } from "../fleet/fleet.js";
+import { FleetError } from "../fleet/fleet_error.js";
 import { callJson } from "../fleet/json_client.js";
 import { round, sum } from "../report/load_summary.js";
-import { MetricsPage } from "./metrics_page.js";
+import { readRouterStatus, type TrafficStatus } from "./node_status.js";
 import { readProcessUsage } from "./process_usage.js";
 
-export const TRAFFIC_METRIC = "anvildeal_peer_bytes";
-export const SOCKET_METRIC = "anvildeal_peer_socket_bytes";
-
 /** Traffic of the routers between two snapshots. */
 export interface TrafficBreakdown {
   readonly duration_s: number;
@@ -14,17 +12,18 @@
   readonly control_bytes_per_router_per_s_max: number;
   /** Bytes per second of a router by kind, control traffic only. */
   readonly control_bytes_per_s_by_kind: Readonly<Record<string, number>>;
-  /** Bytes of all kinds, data included, summed over the routers. */
+  /** Bytes with peers, data included, summed over the routers. */
   readonly breakdown_bytes: number;
-  /** Bytes that the routers' sockets report, summed over the routers. */
+  /** Bytes that the sockets to peers report, summed over the routers. */
   readonly socket_bytes: number;
   readonly router_processor_share: number;
   readonly router_resident_mb: number;
 }
 
 interface RouterTraffic {
+  /** Control traffic only. */
   readonly bytesByKind: ReadonlyMap<string, number>;
-  readonly controlBytes: number;
+  readonly peerBytes: number;
   readonly socketBytes: number;
   readonly processorMs: number;
   readonly residentMb: number;
@@ -41,16 +40,18 @@
 
   static async take(fleet: Fleet): Promise<TrafficSnapshot> {
     const entries = await Promise.all(fleet.routers.map(async (router) => {
-      const page = await MetricsPage.read(router.metricsUrl);
+      const traffic = (await readRouterStatus(router))?.traffic;
+      if (traffic === undefined) {
+        throw new FleetError(`${router.id} does not answer /status`);
+      }
       const usage = readProcessUsage(router.process.pid);
-      const traffic: RouterTraffic = {
-        bytesByKind: controlByKind(page),
-        controlBytes: page.sum(TRAFFIC_METRIC, { control: "true" }),
-        socketBytes: page.sum(SOCKET_METRIC),
+      return [router.id, {
+        bytesByKind: bytesByKind(traffic),
+        peerBytes: sum(traffic.peer, ({ bytes }) => bytes),
+        socketBytes: traffic.peer_socket_bytes,
         processorMs: usage?.processorMs ?? NaN,
         residentMb: usage?.residentMb ?? NaN,
-      };
-      return [router.id, traffic] as const;
+      }] as const;
     }));
     const proxied = await Promise.all(
       fleet.endpoints.map(({ proxy }) =>
@@ -72,7 +73,7 @@
       return old === undefined ? [] : [{ now, old }];
     });
     const perS = pairs.map(({ now, old }) =>
-      (now.controlBytes - old.controlBytes) / durationS
+      (controlBytes(now) - controlBytes(old)) / durationS
     );
     return {
       duration_s: round(durationS, 2),
@@ -83,7 +84,7 @@
       control_bytes_per_s_by_kind: byKind(pairs, durationS),
       breakdown_bytes: sum(
         pairs,
-        ({ now, old }) => allBytes(now) - allBytes(old),
+        ({ now, old }) => now.peerBytes - old.peerBytes,
       ),
       socket_bytes: sum(
         pairs,
@@ -112,19 +113,20 @@
   readonly old: RouterTraffic;
 }
 
-const DATA_PREFIX = "data:";
-
-function controlByKind(page: MetricsPage): Map<string, number> {
-  const bytes = new Map<string, number>();
-  for (const { labels, value } of page.select(TRAFFIC_METRIC)) {
-    const prefix = labels["control"] === "true" ? "" : DATA_PREFIX;
-    const key = `${prefix}${labels["kind"]}`;
-    bytes.set(key, (bytes.get(key) ?? 0) + value);
+function bytesByKind(traffic: TrafficStatus): Map<string, number> {
+  const result = new Map<string, number>();
+  for (const { kind, control, bytes } of traffic.peer) {
+    if (control) {
+      result.set(kind, (result.get(kind) ?? 0) + bytes);
+    }
+  }
+  for (const [kind, { bytes }] of Object.entries(traffic.store)) {
+    result.set(`platform_${kind}`, bytes);
   }
-  return bytes;
+  return result;
 }
 
-function allBytes(traffic: RouterTraffic): number {
+function controlBytes(traffic: RouterTraffic): number {
   return sum([...traffic.bytesByKind.values()], (bytes) => bytes);
 }
 
@@ -135,10 +137,8 @@
   const result: Record<string, number> = {};
   for (const { now, old } of pairs) {
     for (const [kind, bytes] of now.bytesByKind) {
-      if (!kind.startsWith(DATA_PREFIX)) {
-        const grown = bytes - (old.bytesByKind.get(kind) ?? 0);
-        result[kind] = (result[kind] ?? 0) + grown / durationS / pairs.length;
-      }
+      const grown = bytes - (old.bytesByKind.get(kind) ?? 0);
+      result[kind] = (result[kind] ?? 0) + grown / durationS / pairs.length;
     }
   }
   return Object.fromEntries(
