--- a/packages/bench/src/demo.ts
+++ b/packages/bench/src/demo.ts
@@ -7,7 +7,11 @@
   SERVICE_NAME,
 } from "./fleet/bench_bundle.js";
 import { Fleet } from "./fleet/fleet.js";
-import { DEFAULT_ENGINE, fleetOptions } from "./fleet/fleet_options.js";
+import {
+  DEFAULT_ENGINE,
+  fleetOptions,
+  poolLimits,
+} from "./fleet/fleet_options.js";
 import { GrantsWorkload } from "./load/grants_workload.js";
 import { sleep } from "./load/load_runner.js";
 import type { PlannedRequest } from "./load/planned_request.js";
@@ -126,7 +130,7 @@
   const bundle = benchBundle({
     accounts,
     model: {
-      cache_capacity_tokens: DEFAULT_ENGINE.cacheTokens,
+      ...poolLimits(DEFAULT_ENGINE),
       max_queued_requests: 96,
     },
   });
--- a/packages/bench/src/experiments/config_experiment.ts
+++ b/packages/bench/src/experiments/config_experiment.ts
@@ -2,7 +2,11 @@
 import { AdminCallError } from "../fleet/admin_client.js";
 import { benchBundle } from "../fleet/bench_bundle.js";
 import type { Fleet } from "../fleet/fleet.js";
-import { fleetOptions } from "../fleet/fleet_options.js";
+import {
+  DEFAULT_ENGINE,
+  fleetOptions,
+  poolLimits,
+} from "../fleet/fleet_options.js";
 import { callJson } from "../fleet/json_client.js";
 import { sleep } from "../load/load_runner.js";
 import {
@@ -167,7 +171,10 @@
 ): Bundle {
   return benchBundle({
     accounts: accountsOf(options.accounts),
-    model: { max_queued_requests: random.int(32, 4096) },
+    model: {
+      ...poolLimits(DEFAULT_ENGINE),
+      max_queued_requests: random.int(32, 4096),
+    },
   });
 }
 
--- a/packages/bench/src/experiments/slopes_experiment.ts
+++ b/packages/bench/src/experiments/slopes_experiment.ts
@@ -2,7 +2,11 @@
 import { TrafficSnapshot } from "../measure/traffic_snapshot.js";
 import { benchBundle } from "../fleet/bench_bundle.js";
 import type { Fleet } from "../fleet/fleet.js";
-import { fleetOptions } from "../fleet/fleet_options.js";
+import {
+  DEFAULT_ENGINE,
+  fleetOptions,
+  poolLimits,
+} from "../fleet/fleet_options.js";
 import { sleep } from "../load/load_runner.js";
 import { fitLine, type LineFit } from "../report/line_fit.js";
 import {
@@ -74,7 +78,7 @@
       routerCount: size.routers,
       engineCount: size.endpoints,
       serviceCount: 0,
-      bundle: benchBundle({ accounts }),
+      bundle: benchBundle({ accounts, model: poolLimits(DEFAULT_ENGINE) }),
     });
     const durationMs = options.durationMs ?? POINT_MS;
     const plan = wikiPlan(options.seed, {
@@ -111,7 +115,10 @@
     await sleep(durationMs / changes);
     await fleet.adminClient(0).rollOut(benchBundle({
       accounts: accountsOf(size.accounts),
-      model: { max_queued_requests: 64 + i },
+      model: {
+        ...poolLimits(DEFAULT_ENGINE),
+        max_queued_requests: 64 + i,
+      },
     }));
   }
 }
--- a/packages/bench/src/fleet/bench_bundle.ts
+++ b/packages/bench/src/fleet/bench_bundle.ts
@@ -10,16 +10,18 @@
 /** Limits of the accounts lie above any load of the bench. */
 const UNLIMITED_PER_S = 100_000;
 
+export interface PoolLimits {
+  readonly load_bound_multiple?: number;
+  readonly load_floor_tokens?: number;
+  readonly max_concurrent_requests?: number;
+  readonly max_queued_requests?: number;
+  readonly cache_capacity_tokens?: number;
+  readonly drain_timeout_ms?: number;
+}
+
 export interface BundleOptions {
   readonly accounts: readonly AccountShare[];
-  readonly model?: {
-    readonly load_bound_multiple?: number;
-    readonly load_floor_tokens?: number;
-    readonly max_concurrent_requests?: number;
-    readonly max_queued_requests?: number;
-    readonly cache_capacity_tokens?: number;
-    readonly drain_timeout_ms?: number;
-  };
+  readonly model?: PoolLimits;
 }
 
 /** The key that the load tool uses for an account. */
--- a/packages/bench/src/fleet/fleet_options.ts
+++ b/packages/bench/src/fleet/fleet_options.ts
@@ -1,5 +1,9 @@
 import type { Bundle, RouterSettings, SidecarSettings } from "@anvildeal/core";
-import { benchBundle, defaultAccounts } from "./bench_bundle.js";
+import {
+  benchBundle,
+  defaultAccounts,
+  type PoolLimits,
+} from "./bench_bundle.js";
 
 /** Speed and size of the stand-in engines. */
 export interface EngineOptions {
@@ -43,6 +47,18 @@
   cacheTokens: 60_000,
 };
 
+/**
+ * Limits of a pool that match its engines. A request that the engine itself
+ * queues can neither be reordered nor placed elsewhere, so a sidecar sends no
+ * more than one batch.
+ */
+export function poolLimits(engine: EngineOptions): PoolLimits {
+  return {
+    cache_capacity_tokens: engine.cacheTokens,
+    max_concurrent_requests: engine.maxBatch,
+  };
+}
+
 export function fleetOptions(
   seed: number,
   overrides: Partial<FleetOptions> = {},
@@ -55,7 +71,7 @@
     failureDomains: ["domain-a", "domain-b", "domain-c"],
     bundle: benchBundle({
       accounts: defaultAccounts(),
-      model: { cache_capacity_tokens: DEFAULT_ENGINE.cacheTokens },
+      model: poolLimits(DEFAULT_ENGINE),
     }),
     engine: DEFAULT_ENGINE,
     router: {},
--- a/packages/bench/src/load/request_result.ts
+++ b/packages/bench/src/load/request_result.ts
@@ -6,7 +6,8 @@
  * - `cut`: a started answer that did not finish;
  * - `refused`: an error answer of the fleet or the endpoint;
  * - `lost`: the connection ended without an answer;
- * - `unsent`: no router accepted a connection.
+ * - `unsent`: no router accepted a connection;
+ * - `unfinished`: no complete answer before the end of the run.
  */
 export type Verdict =
   | "whole"
@@ -14,7 +15,8 @@
   | "cut"
   | "refused"
   | "lost"
-  | "unsent";
+  | "unsent"
+  | "unfinished";
 
 export interface RequestResult {
   readonly plan: PlannedRequest;
--- a/packages/bench/src/measure/load_session.ts
+++ b/packages/bench/src/measure/load_session.ts
@@ -7,6 +7,7 @@
 import type { RequestResult } from "../load/request_result.js";
 import type { AccountShare } from "../load/workload.js";
 import { type LoadSummary, summarizeLoad } from "../report/load_summary.js";
+import { type BoundSummary, readBound } from "./bound_audit.js";
 import { EngineSampler, type SkewSummary } from "./engine_sampler.js";
 import type { AuditSummary } from "./execution_audit.js";
 import {
@@ -19,6 +20,8 @@
   readonly skew: SkewSummary;
   readonly calls: AuditSummary;
   readonly routers: RouterUsageSummary;
+  /** Since the start of the sidecars that run at the end. */
+  readonly bound: BoundSummary;
 }
 
 export interface SessionReport {
@@ -61,6 +64,7 @@
     ]);
     clearTimeout(stopRecording);
     const routers = await usage.stop();
+    const bound = await readBound(fleet.engines);
     await fleet.collectExecutions();
     return {
       results,
@@ -69,6 +73,7 @@
         skew: sampler.summarize(),
         calls: fleet.audit.summarize(results),
         routers,
+        bound,
       },
     };
   } finally {
--- a/packages/bench/src/report/load_summary.ts
+++ b/packages/bench/src/report/load_summary.ts
@@ -10,6 +10,7 @@
   readonly refused: number;
   readonly lost: number;
   readonly unsent: number;
+  readonly unfinished: number;
   /** Refusals and failures by reason. */
   readonly reasons: Readonly<Record<string, number>>;
   readonly first_token_p50_ms: number;
@@ -48,6 +49,7 @@
     refused: count("refused"),
     lost: count("lost"),
     unsent: count("unsent"),
+    unfinished: count("unfinished"),
     reasons: countReasons(results),
     first_token_p50_ms: round(percentile(firstTokens, 50)),
     first_token_p95_ms: round(percentile(firstTokens, 95)),
