--- a/packages/bench/src/experiments/control_experiment.ts
+++ b/packages/bench/src/experiments/control_experiment.ts
@@ -1,5 +1,10 @@
+import { benchBundle } from "../fleet/bench_bundle.js";
 import type { Fleet } from "../fleet/fleet.js";
-import { fleetOptions } from "../fleet/fleet_options.js";
+import {
+  DEFAULT_ENGINE,
+  fleetOptions,
+  poolLimits,
+} from "../fleet/fleet_options.js";
 import { sleep } from "../load/load_runner.js";
 import { runSession } from "../measure/load_session.js";
 import {
@@ -20,6 +25,13 @@
 /** Today's traffic as the design page counts it: 5 requests/s a router. */
 const REQUESTS_PER_S_PER_ROUTER = 5;
 const LIMIT_BYTES_PER_S = 4000;
+/** Engines that serve ten times today's traffic without a queue. */
+const ENGINE = {
+  ...DEFAULT_ENGINE,
+  maxBatch: 16,
+  prefillTokensPerS: 40_000,
+  decodePerRequestMs: 0.5,
+};
 /** Share by which the breakdown and the sockets may differ. */
 const BREAKDOWN_TOLERANCE = 0.02;
 
@@ -41,6 +53,11 @@
       engineCount: options.engines ?? 12,
       serviceCount: 0,
       hasFaultProxies: true,
+      engine: ENGINE,
+      bundle: benchBundle({
+        accounts: accountsOf(options.accounts),
+        model: poolLimits(ENGINE),
+      }),
     });
     const today = routers * REQUESTS_PER_S_PER_ROUTER;
     const arms = await this.withFleet(settings, async (fleet) => {
--- a/packages/bench/src/fleet/json_client.ts
+++ b/packages/bench/src/fleet/json_client.ts
@@ -10,6 +10,7 @@
   readonly method?: "GET" | "PUT" | "POST" | "DELETE";
   readonly body?: unknown;
   readonly headers?: Readonly<Record<string, string>>;
+  readonly timeoutMs?: number;
 }
 
 export interface JsonAnswer {
@@ -31,7 +32,7 @@
       ...call.headers,
     },
     body: hasBody ? JSON.stringify(call.body) : null,
-    signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+    signal: AbortSignal.timeout(call.timeoutMs ?? CALL_TIMEOUT_MS),
   });
   const text = await response.body.text();
   return { status: response.statusCode, body: parseOrText(text) };
--- a/packages/bench/src/measure/node_status.ts
+++ b/packages/bench/src/measure/node_status.ts
@@ -1,6 +1,9 @@
 import { callJson } from "../fleet/json_client.js";
 import type { EndpointNode, RouterNode } from "../fleet/nodes.js";
 
+/** A paused process must not hold up the samples of all others. */
+const STATUS_TIMEOUT_MS = 500;
+
 interface PlatformCalls {
   readonly calls: number;
   readonly bytes: number;
@@ -54,7 +57,7 @@
 
 async function readStatus<T>(url: string): Promise<T | undefined> {
   try {
-    const answer = await callJson(url);
+    const answer = await callJson(url, { timeoutMs: STATUS_TIMEOUT_MS });
     return answer.status === 200 ? answer.body as T : undefined;
   } catch {
     return undefined;
