Write whole log records and let errors of the reducer surface

The JSON logger printed only the message, because consola takes an object with a message apart. The caller server swallowed errors that were thrown while a request was dispatched and closed the caller's socket instead.

--- a/packages/daemon/src/logging/logger.ts
+++ b/packages/daemon/src/logging/logger.ts
@@ -22,7 +22,7 @@
       level: LogLevels[level],
       reporters: [{
         log: ({ args }) => {
-          process.stderr.write(`${JSON.stringify(args[0])}\n`);
+          process.stderr.write(`${JSON.stringify(args[0].record)}\n`);
         },
       }],
     });
@@ -30,14 +30,17 @@
 
   log(event: LogEventName, fields: LogFields = {}): void {
     const { code, level, message } = LOG_EVENTS[event];
+    // Consola takes an object with a message apart, so the record is wrapped.
     this.#consola[level]({
-      time: new Date().toISOString(),
-      level,
-      event: code,
-      name: event,
-      node: this.#nodeId,
-      message,
-      ...fields,
+      record: {
+        time: new Date().toISOString(),
+        level,
+        event: code,
+        name: event,
+        node: this.#nodeId,
+        message,
+        ...fields,
+      },
     });
   }
 }
--- a/packages/daemon/src/net/peer_connection.ts
+++ b/packages/daemon/src/net/peer_connection.ts
@@ -63,6 +63,7 @@
       () => this.close("handshake timed out"),
       HANDSHAKE_TIMEOUT_MS,
     );
+    options.meter.addSocket(socket);
     socket.setNoDelay(true);
     socket.on("data", (data) => this.#receive(data));
     socket.on("error", (error) => this.close(error.message));
@@ -100,6 +101,7 @@
     }
     this.#closed = true;
     clearTimeout(this.#timer);
+    this.#options.meter.removeSocket(this.#socket);
     this.#socket.destroy();
     const unsent = this.#queue;
     this.#queue = [];
@@ -121,12 +123,10 @@
   #write(message: Message): void {
     const frame = encodeFrame(message);
     this.#options.meter.add("sent", message, frame.length);
-    this.#options.meter.addSocketBytes(frame.length);
     this.#socket.write(frame);
   }
 
   #receive(data: Uint8Array): void {
-    this.#options.meter.addSocketBytes(data.length);
     this.#receivedBytes += data.length;
     if (!this.#peer && this.#receivedBytes > MAX_UNAUTHENTICATED_BYTES) {
       this.close("too many bytes before the handshake was complete");
--- a/packages/daemon/src/net/traffic_meter.ts
+++ b/packages/daemon/src/net/traffic_meter.ts
@@ -15,10 +15,17 @@
   readonly bytes: number;
 }
 
+/** The byte counters of a `net.Socket`. */
+export interface SocketCounters {
+  readonly bytesRead: number;
+  readonly bytesWritten: number;
+}
+
 /** Counts the bytes that peer connections carry, by kind of message. */
 export class TrafficMeter {
   readonly #rows = new Map<string, { messages: number; bytes: number }>();
-  #socketBytes = 0;
+  readonly #sockets = new Set<SocketCounters>();
+  #closedSocketBytes = 0;
 
   add(direction: Direction, message: Message, bytes: number): void {
     const key = `${direction} ${message.type}`;
@@ -28,13 +35,24 @@
     this.#rows.set(key, row);
   }
 
-  /** Adds bytes that a socket reports, to check the breakdown against. */
-  addSocketBytes(bytes: number): void {
-    this.#socketBytes += bytes;
+  /** Counts what a socket reports itself, to check the breakdown against. */
+  addSocket(socket: SocketCounters): void {
+    this.#sockets.add(socket);
+  }
+
+  removeSocket(socket: SocketCounters): void {
+    if (this.#sockets.delete(socket)) {
+      this.#closedSocketBytes += socket.bytesRead + socket.bytesWritten;
+    }
   }
 
+  /** Bytes that the sockets of peer connections carried in both directions. */
   get socketBytes(): number {
-    return this.#socketBytes;
+    let bytes = this.#closedSocketBytes;
+    for (const { bytesRead, bytesWritten } of this.#sockets) {
+      bytes += bytesRead + bytesWritten;
+    }
+    return bytes;
   }
 
   rows(): TrafficRow[] {
--- a/packages/daemon/src/router/caller_server.ts
+++ b/packages/daemon/src/router/caller_server.ts
@@ -152,17 +152,30 @@
       return;
     }
     this.#register(head.requestId, response);
+    const parsed = await this.#read(head, request, response);
+    if (parsed) {
+      this.#onRequest.fire(parsed);
+    }
+  }
+
+  /** Reads and parses a request; answers it itself when it is invalid. */
+  async #read(
+    head: RequestHead,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<CallerRequest | undefined> {
     try {
       const body = await readBody(request, this.#options);
-      this.#onRequest.fire(this.#parse(head, body));
+      return this.#parse(head, body);
     } catch (error) {
-      if (!(error instanceof CallerError)) {
+      if (error instanceof CallerError) {
+        response.setHeader("connection", "close");
+        this.sendError(head.requestId, error.answer);
+      } else {
         this.#responses.delete(head.requestId);
         response.destroy();
-        return;
       }
-      response.setHeader("connection", "close");
-      this.sendError(head.requestId, error.answer);
+      return undefined;
     }
   }
 
--- a/packages/daemon/src/router/router_status.ts
+++ b/packages/daemon/src/router/router_status.ts
@@ -96,13 +96,19 @@
   return [
     {
       name: "peer_bytes",
-      help: "Bytes exchanged with other anvildeal processes since the start",
-      labels: ["kind", "direction"],
-      read: () =>
-        services.meter.rows().map(({ kind, direction, bytes }) => ({
-          labels: { kind, direction },
-          value: bytes,
-        })),
+      help: "Bytes exchanged with anvildeal processes and the platform",
+      labels: ["kind", "direction", "control"],
+      read: () => [...peerRows(services), ...platformRows(services)],
+    },
+    {
+      name: "peer_socket_bytes",
+      help: "Bytes that the sockets of the same connections report",
+      labels: [],
+      read: () => [{
+        labels: {},
+        value: services.meter.socketBytes +
+          platformRows(services).reduce((sum, { value }) => sum + value, 0),
+      }],
     },
     {
       name: "store_calls",
@@ -116,3 +122,18 @@
     },
   ];
 }
+
+function peerRows(services: NodeServices) {
+  return services.meter.rows().map(({ kind, direction, control, bytes }) => ({
+    labels: { kind, direction, control: String(control) },
+    value: bytes,
+  }));
+}
+
+/** Every call of the platform keeps this process informed. */
+function platformRows(services: NodeServices) {
+  return Object.entries(services.storeTraffic).map(([kind, { bytes }]) => ({
+    labels: { kind: `store_${kind}`, direction: "both", control: "true" },
+    value: bytes,
+  }));
+}
