--- a/packages/stand-ins/src/model_engine_test.ts
+++ b/packages/stand-ins/src/model_engine_test.ts
@@ -121,9 +121,11 @@
       const id = response.headers.get("x-stream-id");
       const whole = await readStream(response);
       const rest = await readStream(
-        await fetch(`${engine.url}/v1/streams/${id}?from=5`),
+        await fetch(`${engine.url}/v1/streams/${id}?from=2`),
       );
-      expect(rest.ids).toEqual(whole.ids.slice(5));
+      // Role, text, finish reason and end are four events or more.
+      expect(whole.ids.length).toBeGreaterThanOrEqual(4);
+      expect(rest.ids).toEqual(whole.ids.slice(2));
       expect(engine.executions.toJSON().unidentified).toBe(1);
     });
 
@@ -161,6 +163,9 @@
       expect(events.map((event) => event.kind)).toContain("evicted");
       const state = await getJson<{ cached_hashes: string[] }>("/debug/state");
       expect(state.cached_hashes).toHaveLength(3);
+      // The first chat has lost its last block, not the one all others need.
+      const { usage } = await complete({});
+      expect(usage.prompt_tokens_details.cached_tokens).toBe(256);
     });
   });
 
@@ -187,12 +192,15 @@
     });
 
     it("reports outstanding work without the cached part", async () => {
-      await chat({}).then((r) => r.text());
+      await restart({ maxBatch: 1 });
+      await complete({});
       await engine.setFaults({ paused: true });
-      const response = await chat({ stream: true });
+      const running = await chat({ stream: true });
+      const waiting = await chat({ stream: true });
       // 2,806 characters are 702 tokens, of which two blocks are cached.
-      expect(engine.load.outstanding_tokens).toBe(702 - 512 + 40);
-      await response.body?.cancel();
+      expect(engine.load.outstanding_tokens).toBe(2 * (702 - 512 + 40));
+      await running.body?.cancel();
+      await waiting.body?.cancel();
     });
 
     it("hides present load from reports until the lag has passed", async () => {
--- a/packages/stand-ins/src/object_api_test.ts
+++ b/packages/stand-ins/src/object_api_test.ts
@@ -77,7 +77,7 @@
   });
 
   it("lists a prefix in key order and page by page", async () => {
-    for (const key of ["b/2", "b/1", "c/1", "b/3"]) {
+    for (const key of ["b/3", "b/1", "c/1", "b/2"]) {
       await put(key, key);
     }
     const page = await getJson("/objects?prefix=b/&limit=2&after=b/1");
--- a/packages/stand-ins/src/proxied_direction.ts
+++ b/packages/stand-ins/src/proxied_direction.ts
@@ -54,9 +54,6 @@
   }
 
   #onData(data: Buffer): void {
-    if (this.#silent) {
-      return;
-    }
     const part = data.subarray(0, this.#bytesLeft);
     this.#bytesLeft -= part.length;
     const isLast = this.#bytesLeft === 0;
