--- a/packages/stand-ins/src/model_engine.ts
+++ b/packages/stand-ins/src/model_engine.ts
@@ -228,7 +228,9 @@
       }
     };
     const onEnd = () => {
-      if (!this.hanging) {
+      if (this.hanging) {
+        this.hold(response);
+      } else {
         response.end();
       }
     };
--- a/packages/stand-ins/src/model_engine_test.ts
+++ b/packages/stand-ins/src/model_engine_test.ts
@@ -129,6 +129,23 @@
       expect(engine.executions.toJSON().unidentified).toBe(1);
     });
 
+    it("never continues a stream after a gap that an outage made", async () => {
+      await restart({ decodeBaseMs: 5 });
+      await engine.setFaults({ paused: true });
+      const response = await chat({ stream: true, max_tokens: 400 });
+      const id = response.headers.get("x-stream-id");
+      await engine.setFaults({ paused: false, outage: "hang" });
+      await waitFor(() => {
+        expect(engine.load.outstanding_tokens).toBeLessThan(400);
+      });
+      await engine.setFaults({ outage: "none", slow_factor: 0.01 });
+      await expect(response.body?.getReader().read()).rejects.toThrow();
+      const { text } = await readStream(
+        await fetch(`${engine.url}/v1/streams/${id}?from=0`),
+      );
+      expect(text).toBe(expectedAnswer(messages, 400));
+    });
+
     it("frees the slot of a cancelled stream", async () => {
       await engine.setFaults({ paused: true });
       const response = await chat({ stream: true });
