Resume engine streams by the id that the engine gives them

Cause: the sidecar asked for a silent stream by the attempt id, but the engine names streams itself in x-stream-id, so each resumption got 404 and each cancelled stream kept its slot. The head of a stream now waits for its first event, so that a failure before it is a proper error answer.

--- a/packages/core/src/router/finish_request.ts
+++ b/packages/core/src/router/finish_request.ts
@@ -65,7 +65,7 @@
   }
 }
 
-export function respondHead(
+function respondHead(
   ctx: RouterContext,
   request: RequestState,
   status: number,
--- a/packages/core/src/router/receive_answer.ts
+++ b/packages/core/src/router/receive_answer.ts
@@ -87,11 +87,9 @@
     // A continuation after a failed attempt; the caller has a head already.
     return { type: "accepted" };
   }
-  if (isStream(head)) {
-    respondHead(ctx, request, head.status, head.headers);
-  } else {
-    request.held = { head, parts: [], bytes: 0 };
-  }
+  // Without data the request can still be answered with a proper error, so
+  // that the head of a stream waits for its first event.
+  request.held = { head, parts: [], bytes: 0 };
   return { type: "accepted" };
 }
 
@@ -105,6 +103,9 @@
   attempt.resumeDeadlineMs = undefined;
   noteFirstData(ctx, request);
   request.chunkCount++;
+  if (request.held && isStream(request.held.head)) {
+    flushHeld(ctx, request);
+  }
   if (request.held) {
     holdChunk(ctx, request, chunk.data);
   } else {
--- a/packages/core/src/sidecar/engine_dialect.ts
+++ b/packages/core/src/sidecar/engine_dialect.ts
@@ -16,13 +16,18 @@
 export abstract class EngineDialect {
   abstract composeCall(submit: Submit): EngineCall;
 
+  /** Header of an answer in which the engine names the stream, if it does. */
+  get streamIdHeader(): string | undefined {
+    return undefined;
+  }
+
   /** Path that yields a stream from an event on, if streams can be resumed. */
-  resumePath(_attemptId: string, _fromEvent: number): string | undefined {
+  resumePath(_streamId: string, _fromEvent: number): string | undefined {
     return undefined;
   }
 
   /** Path whose `DELETE` frees the slot of a cancelled stream, if any. */
-  cancelPath(_attemptId: string): string | undefined {
+  cancelPath(_streamId: string): string | undefined {
     return undefined;
   }
 }
@@ -85,12 +90,16 @@
 
 /** OpenAI-compatible engine with stream ids, priorities and continuation. */
 export class ResumableOpenAiDialect extends OpenAiDialect {
-  override resumePath(attemptId: string, fromEvent: number): string {
-    return `/v1/streams/${encodeURIComponent(attemptId)}?from=${fromEvent}`;
+  override get streamIdHeader(): string {
+    return "x-stream-id";
+  }
+
+  override resumePath(streamId: string, fromEvent: number): string {
+    return `/v1/streams/${encodeURIComponent(streamId)}?from=${fromEvent}`;
   }
 
-  override cancelPath(attemptId: string): string {
-    return `/v1/streams/${encodeURIComponent(attemptId)}`;
+  override cancelPath(streamId: string): string {
+    return `/v1/streams/${encodeURIComponent(streamId)}`;
   }
 
   protected override extendBody(submit: Submit): Record<string, unknown> {
@@ -101,7 +110,6 @@
 
   protected override extendHeaders(submit: Submit): Record<string, string> {
     return {
-      "x-stream-id": submit.attemptId,
       "x-priority": String(submit.priority),
     };
   }
--- a/packages/daemon/src/engine/chat_event_reader.ts
+++ b/packages/daemon/src/engine/chat_event_reader.ts
@@ -1,4 +1,4 @@
-import type { Usage } from "@anvildeal/core";
+import { estimateTokens, type Usage } from "@anvildeal/core";
 import { createParser, type EventSourceParser } from "eventsource-parser";
 
 interface ChatEvent {
@@ -77,9 +77,9 @@
     if (event.usage) {
       this.#usage = usageOf(event.usage);
     }
-    if (event.choices?.[0]?.delta?.content) {
-      this.#outputTokens++;
-    }
+    // An event can carry several tokens, so they are estimated by length.
+    const content = event.choices?.[0]?.delta?.content ?? "";
+    this.#outputTokens += estimateTokens(content);
     const isUsageOnly = event.usage && event.choices?.length === 0;
     if (!isUsageOnly || this.#keepUsageEvent) {
       this.#pending += `data: ${data}\n\n`;
--- a/packages/daemon/src/engine/engine_client.ts
+++ b/packages/daemon/src/engine/engine_client.ts
@@ -41,6 +41,8 @@
 interface RunningCall {
   readonly controller: AbortController;
   body: Dispatcher.ResponseData["body"] | undefined;
+  /** Name that the engine gave the stream. */
+  streamId: string | undefined;
   paused: boolean;
 }
 
@@ -66,6 +68,7 @@
     const call = {
       controller: new AbortController(),
       body: undefined,
+      streamId: undefined,
       paused: false,
     };
     this.#calls.set(attemptId, call);
@@ -85,8 +88,10 @@
   abort(attemptId: string): void {
     const call = this.#calls.get(attemptId);
     call?.controller.abort();
-    const path = this.#dialect.cancelPath(attemptId);
-    if (call && path !== undefined) {
+    const path = call?.streamId === undefined
+      ? undefined
+      : this.#dialect.cancelPath(call.streamId);
+    if (path !== undefined) {
       void this.#agent.request({
         origin: this.#url,
         path,
@@ -190,6 +195,10 @@
       headersTimeout: 0,
       bodyTimeout: 0,
     });
+    const { streamIdHeader } = this.#dialect;
+    if (streamIdHeader !== undefined) {
+      call.streamId = response.headers[streamIdHeader]?.toString();
+    }
     if (submit.kind === "chat" && response.statusCode >= 500) {
       await response.body.dump();
       throw new EngineError(`engine answered ${response.statusCode}`, true);
@@ -239,8 +248,8 @@
     firstBody: Dispatcher.ResponseData["body"],
   ): Promise<void> {
     const reader = new ChatEventReader(engineCall.wantsUsage);
-    let body: Dispatcher.ResponseData["body"] | undefined = firstBody;
-    while (body) {
+    let body = firstBody;
+    for (;;) {
       call.body = body;
       const ended = await this.#readUntilSilent(attemptId, call, body, reader);
       if (reader.done) {
@@ -250,9 +259,8 @@
       if (call.controller.signal.aborted) {
         return;
       }
-      body = await this.#reopen(attemptId, call, reader, ended);
+      body = await this.#reopen(call, reader, ended);
     }
-    throw new EngineError("engine ended the stream early", true);
   }
 
   /** Resolves to true when the body ended, false when it went silent. */
@@ -292,12 +300,13 @@
   }
 
   async #reopen(
-    attemptId: string,
     call: RunningCall,
     reader: ChatEventReader,
     ended: boolean,
-  ): Promise<Dispatcher.ResponseData["body"] | undefined> {
-    const path = this.#dialect.resumePath(attemptId, reader.eventCount);
+  ): Promise<Dispatcher.ResponseData["body"]> {
+    const path = call.streamId === undefined
+      ? undefined
+      : this.#dialect.resumePath(call.streamId, reader.eventCount);
     if (path === undefined) {
       throw new EngineError(
         ended ? "engine ended the stream early" : "engine stream went silent",
@@ -316,7 +325,10 @@
     });
     if (response.statusCode !== 200) {
       await response.body.dump();
-      return undefined;
+      throw new EngineError(
+        `engine answered ${response.statusCode} to the resumption of a stream`,
+        true,
+      );
     }
     return response.body;
   }
--- a/packages/stand-ins/src/model_engine.ts
+++ b/packages/stand-ins/src/model_engine.ts
@@ -127,7 +127,8 @@
 
   protected override async handle(exchange: Exchange): Promise<void> {
     const { request, url } = exchange;
-    const streamId = /^\/v1\/streams\/([\w-]+)$/.exec(url.pathname)?.[1];
+    const encodedId = /^\/v1\/streams\/([^/]+)$/.exec(url.pathname)?.[1];
+    const streamId = encodedId && decodeURIComponent(encodedId);
     const call = `${request.method} ${streamId ? "/v1/streams" : url.pathname}`;
     switch (call) {
       case "POST /v1/chat/completions":
