--- a/packages/core/src/router/receive_answer.ts
+++ b/packages/core/src/router/receive_answer.ts
@@ -1,6 +1,6 @@
 import type { Millis } from "../clock.js";
 import type { Facts, MessageOf, RefusalReason } from "../wire/index.js";
-import { detachAttempt, flushHeld, respondHead } from "./finish_request.js";
+import { detachAttempt, flushHeld } from "./finish_request.js";
 import { sendTo } from "./place_request.js";
 import type { RequestMachineEvent } from "./request_machine.js";
 import {
@@ -77,7 +77,6 @@
 }
 
 export function receiveHead(
-  ctx: RouterContext,
   request: RequestState & { attempt: AttemptState },
   head: MessageOf<"head">,
 ): AnswerResult {
--- a/packages/core/src/router/reduce_router.ts
+++ b/packages/core/src/router/reduce_router.ts
@@ -301,7 +301,7 @@
     return;
   }
   const result = frame.type === "head"
-    ? receiveHead(ctx, request, frame)
+    ? receiveHead(request, frame)
     : frame.type === "chunk"
     ? receiveChunk(ctx, request, frame)
     : frame.type === "end"
