--- a/packages/cli/src/cli_test.ts
+++ b/packages/cli/src/cli_test.ts
@@ -1,11 +1,13 @@
 import { execFileSync } from "node:child_process";
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { AdminFixture } from "@anvildeal/daemon/testing";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { ADMIN_ROUTES } from "@anvildeal/daemon";
 import { runCli } from "./cli.js";
 import type { CliIo } from "./cli_io.js";
+import { COMMANDS } from "./commands.js";
 import { ExitCode } from "./exit_code.js";
 
 const BUNDLE = `
@@ -241,4 +243,35 @@
       expect(bash.trim()).toBe("approve");
     });
   });
+
+  describe("the pages", () => {
+    const pageOf = (name: string) =>
+      readFileSync(new URL(`../../../docs/${name}`, import.meta.url), "utf8");
+
+    it("list every call, command and exit code", () => {
+      const page = pageOf("api.md");
+      for (const { name, usage, options } of COMMANDS) {
+        const flags = options.map((option) => option.flags);
+        const line = ["anvildeal", name, usage, ...flags].filter(Boolean);
+        expect(page).toContain(`| \`${line.join(" ")}\` |`);
+      }
+      for (const [name, code] of Object.entries(ExitCode)) {
+        expect(page).toContain(`| ${code} | ${name} |`);
+      }
+      for (const { method, path, roles, needsStore } of ADMIN_ROUTES) {
+        const shown = roles.length === 1 ? roles[0] : "every role";
+        const call = `${method} ${path}`.replaceAll(/[?{}/.]/g, "\\$&");
+        const needs = needsStore ? "yes" : "no";
+        expect(page).toMatch(
+          new RegExp(`\\| \`${call}(\\?.*)?\` \\| ${shown} \\| ${needs} \\|`),
+        );
+      }
+    });
+
+    it("show a bundle that is valid", async () => {
+      const example = /```toml\n([^`]+)```/.exec(pageOf("configuration.md"));
+      writeFileSync(file, example![1]);
+      expect((await run("", ["config", "check", file])).code).toBe(0);
+    });
+  });
 });
