Read a version record before the fence that replaces it

Racing activations with lost and late writes showed a pointer with the digest of one change and the record of another: an activation read the record after a later one had fenced it off, and replaced the later one's record.

--- /dev/null
+++ b/packages/daemon/src/admin/activation_race_test.ts
@@ -0,0 +1,120 @@
+import type { ActivePointer, ConfigVersion } from "@anvildeal/core";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { describe, expect, it } from "vitest";
+import { AdminFixture } from "./admin_fixture.js";
+import type { StoreFault } from "./memory_object_store.js";
+
+const SEEDS = Array.from({ length: 24 }, (_, index) => index + 1);
+const ROUNDS = 4;
+const OPERATORS_PER_ROUND = 4;
+const FAULTS: readonly StoreFault[] = [
+  "unavailable",
+  "answer_lost",
+  "write_lost",
+  "applied_late",
+];
+/** Longer than a late write and than the resolution of a lost answer. */
+const SETTLE_MS = 150;
+
+interface Acceptance {
+  readonly pointer: ActivePointer;
+  readonly record: ConfigVersion;
+}
+
+/**
+ * Operators at several routers activate different proposals at once, while
+ * the store delays and loses calls. Guards against a pointer that names other
+ * content than its record, a version that goes back, and an answer that does
+ * not tell what happened.
+ */
+describe("racing activations with faults", () => {
+  for (const seed of SEEDS) {
+    it.concurrent(`keep one line of versions (seed ${seed})`, async () => {
+      const admin = await new AdminFixture().start();
+      try {
+        await race(admin, seed);
+      } finally {
+        await admin.dispose();
+      }
+    });
+  }
+});
+
+async function race(admin: AdminFixture, seed: number): Promise<void> {
+  const generator = xoroshiro128plus(seed);
+  const random = (below: number) => uniformInt(generator, 0, below - 1);
+  const accepted = recordAcceptances(admin);
+  const urls = [admin.url, await admin.startServer()];
+  const label = `seed ${seed}`;
+  for (let round = 0; round < ROUNDS; round++) {
+    admin.store.fault = () => undefined;
+    const proposals: { id: string; digest: string }[] = [];
+    for (let i = 0; i < OPERATORS_PER_ROUND; i++) {
+      proposals.push(await admin.proposeSigned(1 + round * 10 + i));
+    }
+    admin.store.fault = async () => {
+      for (let ticks = random(6); ticks > 0; ticks--) {
+        await new Promise((resolve) => setImmediate(resolve));
+      }
+      admin.clock.timeMs += random(6000);
+      return random(8) === 0 ? FAULTS[random(FAULTS.length)] : undefined;
+    };
+    const answers = await Promise.all(
+      proposals.map((proposal, i) => admin.activate(proposal, urls[i % 2])),
+    );
+    await new Promise((resolve) => setTimeout(resolve, SETTLE_MS));
+    const inForce = new Set(accepted.map(({ record }) => record.proposal_id));
+    answers.forEach(({ status, body }, i) => {
+      const outcome = `${label}: ${status} ${JSON.stringify(body)}`;
+      expect([200, 409, 503, 504], outcome).toContain(status);
+      if (status !== 504) {
+        expect(inForce.has(proposals[i].id), outcome).toBe(status === 200);
+      }
+    });
+  }
+  admin.store.fault = () => undefined;
+  admin.clock.timeMs += 60_000;
+  const last = await admin.activate(await admin.proposeSigned(99));
+  expect(last.status, `${label}: ${JSON.stringify(last.body)}`).toBe(200);
+  expectOneLine(admin, accepted, label);
+  const { body } = await admin.call("vera", "GET", "/history");
+  const records = accepted.map(({ record }) => record).toReversed();
+  expect(body.versions, label).toEqual(records);
+}
+
+function recordAcceptances(admin: AdminFixture): Acceptance[] {
+  const accepted: Acceptance[] = [];
+  admin.store.onApplied = (key) => {
+    if (key !== "config/active") {
+      return;
+    }
+    const pointer = admin.store.peek(key)?.value as ActivePointer;
+    if (accepted.at(-1)?.pointer.version === pointer.version) {
+      return;
+    }
+    const record = admin.store.peek(`config/versions/${pointer.version}`)
+      ?.value as ConfigVersion;
+    accepted.push({ pointer, record });
+  };
+  return accepted;
+}
+
+function expectOneLine(
+  admin: AdminFixture,
+  accepted: readonly Acceptance[],
+  label: string,
+): void {
+  accepted.forEach(({ pointer, record }, index) => {
+    const { version, digest } = pointer;
+    const before = accepted[index - 1]?.pointer.version ?? 0;
+    expect(record.digest, label).toBe(digest);
+    expect(record.based_on_version, label).toBe(before);
+    expect(version, label).toBeGreaterThan(before);
+    if (index > 0) {
+      expect(version, label).toBe(before + 1);
+    }
+    expect(admin.store.peek(`config/versions/${version}`)?.value, label)
+      .toEqual(record);
+  });
+}
--- a/packages/daemon/src/admin/activation_service.ts
+++ b/packages/daemon/src/admin/activation_service.ts
@@ -32,9 +32,10 @@
  * Makes a signed-off proposal the version in force.
  *
  * The record `config/versions/<n>` is written first, then `config/active` is
- * moved to it. Only the writer of the record may move the pointer: whoever
- * replaces the record of an interrupted activation first rewrites the pointer
- * unchanged, so that a late update of the interrupted one fails.
+ * moved to it. Only the last writer of the record may move the pointer: whoever
+ * replaces the record of an interrupted activation first reads it, then
+ * rewrites the pointer unchanged, and then replaces the record as it was read.
+ * A late update of the pointer or of the record by another activation fails.
  */
 export class ActivationService {
   constructor(
@@ -159,9 +160,10 @@
       return record;
     }
     this.#refuseWhileInProgress(holder.value, record);
+    // The record was read before the fence. Read afterwards, it could be that
+    // of a later fence, whose owner would then move the pointer to this record.
     const fencedVersion = await this.#fence(record, active);
-    const latest = await this.repository.readVersion(record.version);
-    await this.#writeRecord(record, latest?.objectVersion);
+    await this.#writeRecord(record, holder.objectVersion);
     await this.#movePointer(record, fencedVersion);
     return record;
   }
@@ -187,7 +189,7 @@
 
   async #writeRecord(
     record: ConfigVersion,
-    ifVersion: number | undefined,
+    ifVersion: number,
   ): Promise<void> {
     try {
       await this.#writeOwnRecord(record, ifVersion);
--- a/packages/daemon/src/admin/admin_api_test.ts
+++ b/packages/daemon/src/admin/admin_api_test.ts
@@ -1,5 +1,11 @@
-import { afterEach, beforeEach, describe, expect, it } from "vitest";
-import { AdminFixture, CLIENT_KEY, sampleBundle } from "./admin_fixture.js";
+import { request } from "node:http";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import {
+  type AdminAnswer,
+  AdminFixture,
+  CLIENT_KEY,
+  sampleBundle,
+} from "./admin_fixture.js";
 import type { StoreFault } from "./memory_object_store.js";
 import { sha256Hex } from "./digest.js";
 
@@ -34,6 +40,12 @@
     };
   }
 
+  /** Id of the proposal whose activation wrote the record of a version. */
+  function holderOf(version: number): string | undefined {
+    const record = admin.store.peek(`config/versions/${version}`)?.value;
+    return (record as { proposal_id: string } | undefined)?.proposal_id;
+  }
+
   /** Overwrites a stored object as somebody with access to the store could. */
   async function tamper(
     key: string,
@@ -239,6 +251,76 @@
       expect(second.body.error.message).toContain("anna");
     });
 
+    it("fence off a paused activation before its record is replaced", async () => {
+      await activateNew(1);
+      const paused = await admin.proposeSigned(2);
+      const other = await admin.proposeSigned(3);
+      let resume = () => {};
+      const resumed = new Promise<void>((resolve) => {
+        resume = resolve;
+      });
+      const answers: Promise<AdminAnswer>[] = [];
+      let isPaused = false;
+      admin.store.fault = async (operation, key) => {
+        if (operation === "read" || key !== "config/active") {
+          return undefined;
+        }
+        if (!isPaused) {
+          isPaused = true;
+          await resumed;
+          return undefined;
+        }
+        if (holderOf(2) === other.id) {
+          // The record is replaced; the paused update goes first.
+          resume();
+          await answers[0];
+        }
+        return undefined;
+      };
+      answers.push(admin.activate(paused));
+      await vi.waitUntil(() => isPaused);
+      admin.clock.timeMs += 60_000;
+      expect((await admin.activate(other)).status).toBe(200);
+      expect((await answers[0]).status).toBe(409);
+      expect(admin.store.peek("config/active")?.value)
+        .toEqual({ version: 2, digest: other.digest });
+    });
+
+    it("keep a paused activation from replacing a later record", async () => {
+      await activateNew(1);
+      failFirstWrite("config/active", "unavailable");
+      await admin.activate(await admin.proposeSigned(2));
+      const paused = await admin.proposeSigned(3);
+      const other = await admin.proposeSigned(4);
+      let resume = () => {};
+      const resumed = new Promise<void>((resolve) => {
+        resume = resolve;
+      });
+      const answers: Promise<AdminAnswer>[] = [];
+      let state: "running" | "fenced" | "paused" = "running";
+      admin.store.fault = async (operation, key) => {
+        if (key === "config/versions/2" && state === "fenced") {
+          state = "paused";
+          await resumed;
+        } else if (operation === "write" && key === "config/active") {
+          if (state === "running") {
+            state = "fenced";
+          } else if (holderOf(2) === other.id) {
+            resume();
+            await answers[0];
+          }
+        }
+        return undefined;
+      };
+      admin.clock.timeMs += 60_000;
+      answers.push(admin.activate(paused));
+      await vi.waitUntil(() => state === "paused");
+      admin.clock.timeMs += 60_000;
+      expect((await admin.activate(other)).status).toBe(200);
+      expect((await answers[0]).status).toBe(409);
+      expect(holderOf(2)).toBe(other.id);
+    });
+
     for (const first of [true, false]) {
       const which = first ? "first" : "later";
       it(`keep a paused ${which} activation from moving the pointer`, async () => {
@@ -282,6 +364,8 @@
       for (const key of writes) {
         it(`is resolved by reading back (${fault} at ${key})`, async () => {
           await activateNew(1);
+          const applied: string[] = [];
+          admin.store.onApplied = (written) => applied.push(written);
           failFirstWrite(key, fault);
           const change = await admin.proposeSigned(2);
           expect((await admin.activate(change)).body).toMatchObject({
@@ -291,10 +375,29 @@
           expect(await accepted()).toEqual([2, 1]);
           const { body } = await admin.call("vera", "GET", "/proposals");
           expect(body.proposals).toHaveLength(2);
+          // One section, the proposal, its sign-off, the record, the pointer.
+          expect(applied).toHaveLength(5);
         });
       }
     }
 
+    it("is read back before anything is written again", async () => {
+      const change = await admin.proposeSigned(1);
+      const calls: string[] = [];
+      admin.store.fault = (operation, key) => {
+        if (key !== "config/active") {
+          return undefined;
+        }
+        calls.push(operation);
+        return calls.filter((call) => call === "write").length === 1 &&
+            operation === "write"
+          ? "answer_lost"
+          : undefined;
+      };
+      expect((await admin.activate(change)).status).toBe(200);
+      expect(calls).toEqual(["read", "write", "read"]);
+    });
+
     it("is resolved for a sign-off", async () => {
       const { body } = await admin.call("paula", "POST", "/proposals", {
         files: [{ file: "b.toml", bundle: sampleBundle() }],
@@ -433,6 +536,25 @@
       expect(chunked.status).toBe(413);
     });
 
+    it("is refused by its announced size before it arrives", async () => {
+      const status = await new Promise((resolve, reject) => {
+        const call = request(`${admin.url}/admin/v1/revert`, {
+          method: "POST",
+          headers: {
+            authorization: "Bearer paula-key",
+            "content-length": 100_000,
+          },
+        });
+        call.once("response", (answer) => {
+          resolve(answer.statusCode);
+          call.destroy();
+        });
+        call.once("error", reject);
+        call.flushHeaders();
+      });
+      expect(status).toBe(413);
+    });
+
     it("that is malformed is answered with all issues", async () => {
       const answer = await admin.call("paula", "POST", "/revert", {
         version: "one",
--- a/packages/daemon/src/admin/admin_fixture.ts
+++ b/packages/daemon/src/admin/admin_fixture.ts
@@ -123,10 +123,13 @@
   async proposeSigned(
     weight = 1,
   ): Promise<{ id: string; digest: string }> {
-    const { body } = await this.call("paula", "POST", "/proposals", {
+    const { status, body } = await this.call("paula", "POST", "/proposals", {
       files: [{ file: "bundle.toml", bundle: sampleBundle(weight) }],
       note: `weight ${weight}`,
     });
+    if (status !== 201) {
+      throw new Error(`Proposing failed: ${JSON.stringify(body)}`);
+    }
     const { id, digest } = body;
     await this.call("anna", "POST", `/proposals/${id}/sign-off`, { digest });
     return { id, digest };
--- a/packages/daemon/src/admin/memory_object_store.ts
+++ b/packages/daemon/src/admin/memory_object_store.ts
@@ -15,7 +15,12 @@
   /** A write takes effect and its answer is lost. */
   | "answer_lost"
   /** A write has no effect and its answer is lost. */
-  | "write_lost";
+  | "write_lost"
+  /** A write whose answer is lost takes effect up to `LATE_MS` later. */
+  | "applied_late";
+
+/** Shorter than the time for which a lost answer is resolved. */
+const LATE_MS = 60;
 
 /**
  * Object store in memory for tests, with the semantics of docs/design.md
@@ -32,6 +37,13 @@
     key: string,
   ) => StoreFault | undefined | Promise<StoreFault | undefined> = () =>
     undefined;
+  /** Called after each write that took effect. */
+  onApplied: (key: string) => void = () => {};
+
+  /** Reads without faults. */
+  peek(key: string): StoredObject | undefined {
+    return structuredClone(this.#objects.get(key));
+  }
 
   async get(key: string): Promise<StoredObject | undefined> {
     await this.#failRead(key);
@@ -89,9 +101,26 @@
     if (fault === "unavailable") {
       throw new StoreUnavailableError("The store is down");
     }
-    if (fault === "write_lost") {
+    if (fault === "applied_late") {
+      setTimeout(() => this.#applyLate(key, value, ifVersion), LATE_MS);
+    }
+    if (fault === "write_lost" || fault === "applied_late") {
       throw new StoreUnknownOutcomeError("The answer was lost");
     }
+    const version = this.#apply(key, value, ifVersion);
+    if (fault === "answer_lost") {
+      throw new StoreUnknownOutcomeError("The answer was lost");
+    }
+    return version;
+  }
+
+  #applyLate(key: string, value: unknown, ifVersion: number | undefined): void {
+    if (this.#objects.get(key)?.version === ifVersion) {
+      this.#apply(key, value, ifVersion);
+    }
+  }
+
+  #apply(key: string, value: unknown, ifVersion: number | undefined): number {
     const current = this.#objects.get(key);
     if (current?.version !== ifVersion) {
       throw new StoreConflictError(key, structuredClone(current));
@@ -103,9 +132,7 @@
     } else {
       this.#objects.set(key, { key, version, value: structuredClone(value) });
     }
-    if (fault === "answer_lost") {
-      throw new StoreUnknownOutcomeError("The answer was lost");
-    }
+    this.onApplied(key);
     return version;
   }
 }
