--- a/packages/daemon/src/admin/admin_api.ts
+++ b/packages/daemon/src/admin/admin_api.ts
@@ -65,6 +65,7 @@
     this.#directory = new OperatorDirectory(
       repository,
       services.clientKeys,
+      services.clock,
       () => this.#log("operators_stale", {}),
     );
     this.#proposals = new ProposalService(
--- a/packages/daemon/src/admin/admin_api_test.ts
+++ b/packages/daemon/src/admin/admin_api_test.ts
@@ -506,6 +506,25 @@
       expect(await statusWith("Bearer vera-key")).toBe(200);
     });
 
+    it("ends when the operator is removed", async () => {
+      expect(await statusWith("Bearer vera-key")).toBe(200);
+      await tamper("config/operators", () => ({ operators: [] }));
+      admin.clock.timeMs += 1000;
+      expect(await statusWith("Bearer vera-key")).toBe(401);
+    });
+
+    it("costs the store one read a second, whoever calls", async () => {
+      let reads = 0;
+      admin.store.fault = (_operation, key) => {
+        reads += key === "config/operators" ? 1 : 0;
+        return undefined;
+      };
+      for (let i = 0; i < 5; i++) {
+        await statusWith("Bearer wrong");
+      }
+      expect(reads).toBe(1);
+    });
+
     it("is refused to the key of a client account", async () => {
       expect(await statusWith(`Bearer ${CLIENT_KEY}`)).toBe(403);
     });
@@ -606,6 +625,7 @@
     it("calls that need it get 503 and the others work", async () => {
       await admin.call("root", "GET", "/status");
       admin.stopStore();
+      admin.clock.timeMs += 60_000;
       const history = await admin.call("root", "GET", "/history");
       expect([history.status, history.body.error.code])
         .toEqual([503, "store_unavailable"]);
@@ -621,6 +641,7 @@
         .toBe(202);
       expect((await admin.call("root", "GET", "/report/burn")).status)
         .toBe(200);
+      expect(admin.logs.map(({ name }) => name)).toContain("operators_stale");
     });
   });
 
--- a/packages/daemon/src/admin/operator_directory.ts
+++ b/packages/daemon/src/admin/operator_directory.ts
@@ -1,5 +1,6 @@
 import { timingSafeEqual } from "node:crypto";
 import {
+  type Clock,
   type Operator,
   type OperatorRole,
   type Operators,
@@ -10,15 +11,22 @@
 import type { ConfigRepository } from "./config_repository.js";
 import { sha256Hex } from "./digest.js";
 
+/**
+ * Age up to which operators are used without another read, so that calls
+ * without a valid key cannot use up the read rate of the object API.
+ */
+const FRESH_MS = 1000;
 const BEARER = /^Bearer ([\x21-\x7e]{1,512})$/i;
 
 /** Finds the operator of a request by the hash of the bearer token. */
 export class OperatorDirectory {
   #lastRead: Operators | undefined;
+  #lastReadMs = Number.NEGATIVE_INFINITY;
 
   constructor(
     private readonly repository: ConfigRepository,
     private readonly clientKeys: ClientKeys,
+    private readonly clock: Clock,
     private readonly onStale: () => void,
   ) {}
 
@@ -54,10 +62,15 @@
   async read(): Promise<Operators> {
     const stored = await this.repository.readOperators();
     this.#lastRead = stored?.value ?? { operators: [] };
+    this.#lastReadMs = this.clock.nowMs();
     return this.#lastRead;
   }
 
   async #operators(allowStale: boolean): Promise<Operators> {
+    const ageMs = this.clock.nowMs() - this.#lastReadMs;
+    if (this.#lastRead !== undefined && ageMs < FRESH_MS) {
+      return this.#lastRead;
+    }
     try {
       return await this.read();
     } catch (error) {
