Take empty lists of an account as access to everything

The router treats an empty list of pools or services that way, so the effect of a change named too few accounts.

--- a/packages/core/src/config/bundle_diff.ts
+++ b/packages/core/src/config/bundle_diff.ts
@@ -124,15 +124,16 @@
   }
   const all = bundles.flatMap((bundle) => bundle.accounts);
   const usesChanged = (account: Account) =>
-    account.pools.some((pool) => pools.has(pool)) ||
-    account.services.some((service) => services.has(service));
+    allowsAny(account.pools, pools) || allowsAny(account.services, services);
   const accounts = new Set(
     all.filter((a) => changedAccounts.has(a.name) || usesChanged(a))
       .map((a) => a.name),
   );
+  const allPools = bundles.flatMap((b) => b.pools.map((pool) => pool.name));
   for (const account of all) {
     if (changedAccounts.has(account.name)) {
-      account.pools.forEach((pool) => pools.add(pool));
+      const allowed = account.pools.length > 0 ? account.pools : allPools;
+      allowed.forEach((pool) => pools.add(pool));
     }
   }
   return {
@@ -143,6 +144,16 @@
   };
 }
 
+/** Whether an account's list allows one of the names; an empty one does. */
+function allowsAny(
+  list: readonly string[],
+  names: ReadonlySet<string>,
+): boolean {
+  return list.length === 0
+    ? names.size > 0
+    : list.some((name) => names.has(name));
+}
+
 function trafficShare(
   touched: ReadonlySet<string>,
   accounts: readonly Account[],
--- a/packages/core/src/config/bundle_rules.ts
+++ b/packages/core/src/config/bundle_rules.ts
@@ -160,7 +160,7 @@
   const allowed =
     "must be one of the account's services, else the route has no effect";
   return routes.flatMap((route, i) =>
-    route === undefined || services === undefined ||
+    route === undefined || !services?.length ||
       services.includes(route.service)
       ? []
       : [issue(
