Test admission and the object store client

Rounding of refills could refuse a take after the named time and lose a tenth request of the retry budget; both are fixed.

--- a/packages/core/src/admission/fair_level.ts
+++ b/packages/core/src/admission/fair_level.ts
@@ -53,7 +53,7 @@
     let state = this.#accounts.get(account);
     if (state === undefined) {
       this.#dropOldAccounts();
-      state = { entries: [], startTag: this.#virtualTime };
+      state = { entries: [], startTag: 0 };
       this.#accounts.set(account, state);
     }
     if (state.entries.length === 0) {
@@ -101,7 +101,7 @@
     const own = this.#accounts.get(account);
     const ownAhead = own?.entries.slice(0, positionOf(own.entries, entry)) ??
       [];
-    let tag = own?.startTag ?? this.#virtualTime;
+    let tag = own?.startTag ?? 0;
     if (!own || own.entries.length === 0) {
       tag = Math.max(tag, this.#virtualTime);
     }
--- /dev/null
+++ b/packages/core/src/admission/fair_queue_test.ts
@@ -0,0 +1,297 @@
+import * as fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import type { AdmissionQueue, QueuedRequest } from "./admission_queue.js";
+import { FairQueue } from "./fair_queue.js";
+import { FirstComeQueue } from "./first_come_queue.js";
+
+// fast-check prints the seed and the path of a failing case.
+const PROPERTY = { seed: 20_261, numRuns: 200 };
+
+type Operation =
+  | {
+    readonly type: "push";
+    readonly request: Omit<QueuedRequest, "attemptId">;
+  }
+  | { readonly type: "take" }
+  | { readonly type: "remove"; readonly index: number };
+
+const weights: Record<string, number> = { a: 1, b: 2, c: 0.5, d: 1 };
+
+function requestOf(maxPriority: number) {
+  return fc.record({
+    account: fc.constantFrom(...Object.keys(weights)),
+    priority: fc.integer({ min: 0, max: maxPriority }),
+    workTokens: fc.integer({ min: 0, max: 1_000 }),
+    deadlineMs: fc.option(fc.integer({ min: 0, max: 50 }), { nil: undefined }),
+  }).map(({ deadlineMs, ...request }) => ({
+    ...request,
+    weight: weights[request.account],
+    ...(deadlineMs === undefined ? {} : { deadlineMs }),
+  }));
+}
+
+function operationsOf(maxPriority: number): fc.Arbitrary<Operation[]> {
+  const push = requestOf(maxPriority).map((request) =>
+    ({ type: "push", request }) as const
+  );
+  const remove = fc.nat(99).map((index) =>
+    ({ type: "remove", index }) as const
+  );
+  return fc.array(
+    fc.oneof(
+      { weight: 4, arbitrary: push },
+      { weight: 2, arbitrary: fc.constant({ type: "take" } as const) },
+      { weight: 1, arbitrary: remove },
+    ),
+    // The default size would hardly ever fill a queue.
+    { maxLength: 120, size: "max" },
+  );
+}
+
+/** Applies operations and calls `check` with what each one did. */
+function run(
+  queue: AdmissionQueue,
+  operations: readonly Operation[],
+  check: (step: {
+    readonly pushed?: QueuedRequest;
+    readonly out?: QueuedRequest | undefined;
+    readonly waitingBefore: readonly QueuedRequest[];
+  }) => void,
+): void {
+  operations.forEach((operation, n) => {
+    const waitingBefore = [...queue];
+    if (operation.type === "push") {
+      const pushed = { ...operation.request, attemptId: `r${n}` };
+      check({ pushed, out: queue.push(pushed), waitingBefore });
+    } else if (operation.type === "take") {
+      check({ out: queue.take(), waitingBefore });
+    } else {
+      const id = waitingBefore[operation.index % (waitingBefore.length || 1)]
+        ?.attemptId ?? "none";
+      check({ out: queue.remove(id), waitingBefore });
+    }
+  });
+}
+
+function drain(queue: AdmissionQueue): QueuedRequest[] {
+  const taken: QueuedRequest[] = [];
+  for (let next = queue.take(); next; next = queue.take()) {
+    taken.push(next);
+  }
+  return taken;
+}
+
+const sumWork = (requests: readonly QueuedRequest[]) =>
+  requests.reduce((sum, request) => sum + request.workTokens, 0);
+
+const queues = {
+  FairQueue: (max: number) => new FairQueue(max),
+  FirstComeQueue: (max: number) => new FirstComeQueue(max),
+};
+
+describe.each(Object.entries(queues))("%s", (_name, create) => {
+  describe("accounting", () => {
+    it("keeps its bound, loses nothing and returns to no work", () => {
+      fc.assert(
+        fc.property(operationsOf(2), fc.integer({ min: 1, max: 20 }), (
+          operations,
+          max,
+        ) => {
+          const queue = create(max);
+          let waiting = 0;
+          run(queue, operations, ({ pushed, out }) => {
+            waiting += (pushed ? 1 : 0) - (out ? 1 : 0);
+            expect(queue.size).toBe(waiting);
+            expect(queue.size).toBeLessThanOrEqual(max);
+            expect(queue.workTokens).toBe(sumWork([...queue]));
+            expect(out !== undefined && queue.has(out.attemptId)).toBe(false);
+          });
+          expect(drain(queue)).toHaveLength(waiting);
+          expect(queue.workTokens).toBe(0);
+        }),
+        PROPERTY,
+      );
+    });
+
+    it("rejects an attempt that waits already", () => {
+      const queue = create(5);
+      const request = { ...base, attemptId: "x" };
+      queue.push(request);
+      expect(() => queue.push(request)).toThrow(RangeError);
+    });
+  });
+
+  describe("workAheadOf", () => {
+    it("is the work that is served before the request", () => {
+      fc.assert(
+        fc.property(operationsOf(2), requestOf(2), (operations, request) => {
+          const queue = create(500);
+          run(queue, operations, () => {});
+          const added = { ...request, attemptId: "added" };
+          const ahead = queue.workAheadOf(added);
+          queue.push(added);
+          const order = drain(queue);
+          const before = order.slice(0, order.indexOf(added));
+          expect(ahead).toBe(sumWork(before));
+        }),
+        PROPERTY,
+      );
+    });
+  });
+});
+
+const base = { account: "a", weight: 1, priority: 5, workTokens: 10 };
+
+describe("FairQueue", () => {
+  describe("order", () => {
+    it("serves by priority and within an account by deadline", () => {
+      fc.assert(
+        fc.property(operationsOf(3), (operations) => {
+          const queue = new FairQueue(500);
+          run(queue, operations, () => {});
+          const order = drain(queue);
+          order.forEach((request, i) => {
+            const later = order.slice(i + 1);
+            const overtaken = later.filter((other) =>
+              other.priority > request.priority ||
+              (other.priority === request.priority &&
+                other.account === request.account &&
+                (other.deadlineMs ?? Infinity) <
+                  (request.deadlineMs ?? Infinity))
+            );
+            expect(overtaken).toEqual([]);
+          });
+        }),
+        PROPERTY,
+      );
+    });
+
+    // Shares are stated per interval in which both accounts wait throughout.
+    it("keeps accounts that wait within the stated difference", () => {
+      const work = fc.integer({ min: 1, max: 1_000 });
+      fc.assert(
+        fc.property(
+          fc.array(work, { minLength: 40, maxLength: 40 }),
+          fc.array(work, { minLength: 40, maxLength: 40 }),
+          fc.integer({ min: 0, max: 30 }),
+          (worksA, worksB, head) => {
+            const queue = new FairQueue(200);
+            const add = (account: string, works: number[]) =>
+              works.forEach((workTokens, n) =>
+                queue.push({
+                  ...base,
+                  account,
+                  weight: weights[account],
+                  workTokens,
+                  attemptId: `${account}${n}`,
+                })
+              );
+            // An account that was idle must not catch up on that time.
+            queue.push({ ...base, account: "b", weight: 2, attemptId: "old" });
+            queue.take();
+            add("a", worksA);
+            // Service before the other account arrives must not count.
+            for (let n = 0; n < head; n++) {
+              queue.take();
+            }
+            add("b", worksB);
+            const limit = Math.max(...worksA) / weights.a +
+              Math.max(...worksB) / weights.b;
+            const served: Record<string, number> = { a: 0, b: 0 };
+            const left: Record<string, number> = { a: 40 - head, b: 40 };
+            while (left.a > 0 && left.b > 0) {
+              const { account, workTokens } = queue.take() as QueuedRequest;
+              served[account] += workTokens / weights[account];
+              left[account]--;
+              expect(Math.abs(served.a - served.b)).toBeLessThanOrEqual(limit);
+            }
+          },
+        ),
+        PROPERTY,
+      );
+    });
+
+    it("does not let requests without tokens hold back other accounts", () => {
+      const queue = new FairQueue(10);
+      for (let n = 0; n < 5; n++) {
+        queue.push({ ...base, workTokens: 0, attemptId: `a${n}` });
+      }
+      queue.push({ ...base, account: "b", attemptId: "b" });
+      const order = drain(queue).map((request) => request.account);
+      expect(order.indexOf("b")).toBeLessThanOrEqual(1);
+    });
+
+    it("costs an account nothing when its request is cancelled", () => {
+      const queue = new FairQueue(10);
+      queue.push({ ...base, workTokens: 1_000, attemptId: "cancelled" });
+      queue.remove("cancelled");
+      queue.push({ ...base, attemptId: "a" });
+      queue.push({ ...base, account: "b", attemptId: "b" });
+      expect(queue.take()?.attemptId).toBe("a");
+    });
+
+    it("keeps the order when it forgets accounts that are idle", () => {
+      const queue = new FairQueue(10);
+      queue.push({ ...base, workTokens: 1e6, attemptId: "big" });
+      queue.take();
+      for (let n = 0; n < 300; n++) {
+        queue.push({ ...base, account: `x${n}`, attemptId: `x${n}` });
+        queue.take();
+      }
+      queue.push({ ...base, attemptId: "a" });
+      queue.push({ ...base, account: "b", attemptId: "b" });
+      expect(queue.take()?.attemptId).toBe("b");
+    });
+  });
+
+  describe("when it is full", () => {
+    it("drops from the account most over its share, lowest priority", () => {
+      fc.assert(
+        fc.property(operationsOf(2), (operations) => {
+          const queue = new FairQueue(8);
+          run(queue, operations, ({ out, pushed, waitingBefore }) => {
+            if (pushed === undefined || out === undefined) {
+              return;
+            }
+            expect(waitingBefore).toHaveLength(8);
+            const all = [...waitingBefore, pushed];
+            const share = (account: string) =>
+              all.filter((request) => request.account === account)
+                .reduce(
+                  (sum, { weight, workTokens }) =>
+                    sum + Math.max(workTokens, 1) / weight,
+                  0,
+                );
+            const largest = Math.max(...all.map((r) => share(r.account)));
+            expect(share(out.account)).toBeCloseTo(largest, 6);
+            const lower = all.filter((request) =>
+              request.account === out.account &&
+              request.priority < out.priority
+            );
+            expect(lower).toEqual([]);
+          });
+        }),
+        PROPERTY,
+      );
+    });
+
+    it("drops the new request when the accounts are equal", () => {
+      const queue = new FairQueue(2);
+      queue.push({ ...base, workTokens: 5, attemptId: "a1" });
+      queue.push({ ...base, account: "b", attemptId: "b" });
+      const added = { ...base, workTokens: 5, attemptId: "a2" };
+      expect(queue.push(added)).toBe(added);
+    });
+  });
+});
+
+describe("FirstComeQueue", () => {
+  it("serves in order of arrival and drops the newest", () => {
+    const queue = new FirstComeQueue(2);
+    queue.push({ ...base, priority: 0, attemptId: "1" });
+    queue.push({ ...base, priority: 9, attemptId: "2" });
+    const third = { ...base, priority: 9, attemptId: "3" };
+    expect(queue.push(third)).toBe(third);
+    expect(drain(queue).map((r) => r.attemptId)).toEqual(["1", "2"]);
+  });
+});
--- /dev/null
+++ b/packages/core/src/admission/load_bound_test.ts
@@ -0,0 +1,220 @@
+import * as fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import type { DigestEntry } from "../wire/messages.js";
+import { JOIN_GRACE_MS, LoadBound } from "./load_bound.js";
+import {
+  LOAD_ENTRY_FORGET_MS,
+  LOAD_ENTRY_FRESH_MS,
+  MAX_DIGEST_ENTRIES,
+  PoolLoadTable,
+} from "./pool_load_table.js";
+
+const PROPERTY = { seed: 20_262, numRuns: 300 };
+const NOW_MS = 1_000_000;
+
+function entry(
+  endpointId: string,
+  loadTokens: number,
+  overrides: Partial<DigestEntry> = {},
+): DigestEntry {
+  return {
+    endpointId,
+    incarnation: 1,
+    loadTokens,
+    state: "active",
+    address: `${endpointId}:1`,
+    ageMs: 0,
+    ...overrides,
+  };
+}
+
+function tableOf(...entries: DigestEntry[]): PoolLoadTable {
+  const table = new PoolLoadTable("self");
+  table.merge(entries, NOW_MS);
+  return table;
+}
+
+function boundOf(table: PoolLoadTable, joinedAtMs = 0): LoadBound {
+  const options = { multiple: 1.25, floorTokens: 100, capacityTokens: 10_000 };
+  return new LoadBound(options, table, joinedAtMs);
+}
+
+describe("PoolLoadTable", () => {
+  describe("merge", () => {
+    // Entries arrive over several peers in any order and more than once.
+    it("ends with the newest incarnation and least age in any order", () => {
+      const arbitrary = fc.array(
+        fc.record({
+          endpointId: fc.constantFrom("p", "q", "self"),
+          incarnation: fc.integer({ min: 1, max: 3 }),
+          ageMs: fc.integer({ min: 0, max: 4_000 }),
+        }),
+        { maxLength: 12, size: "max" },
+      );
+      fc.assert(
+        fc.property(arbitrary, (stated) => {
+          const table = new PoolLoadTable("self");
+          stated.forEach(({ ageMs, endpointId, incarnation }, n) => {
+            const one = entry(endpointId, n, { incarnation, ageMs: ageMs + n });
+            // Digests arrive 1 ms apart, so the age at arrival differs.
+            table.merge([one], NOW_MS + n);
+          });
+          const held = table.digest(entry("self", 0), NOW_MS + 100).slice(1);
+          for (const id of ["p", "q"]) {
+            const rank = (row: { incarnation: number; ageMs: number }) =>
+              row.incarnation * 1e6 - row.ageMs;
+            const best = stated.filter((row) => row.endpointId === id)
+              .sort((a, b) => rank(b) - rank(a))[0];
+            const row = held.find((other) => other.endpointId === id);
+            expect(row?.incarnation).toBe(best?.incarnation);
+            expect(row?.ageMs).toBe(best && best.ageMs + 100);
+          }
+          expect(held.some((row) => row.endpointId === "self")).toBe(false);
+        }),
+        PROPERTY,
+      );
+    });
+  });
+
+  describe("digest", () => {
+    it("holds the own entry and the 31 freshest others", () => {
+      const entries = Array.from(
+        { length: 50 },
+        (_, n) => entry(`p${n}`, n, { ageMs: (n * 37) % 50 }),
+      );
+      const digest = tableOf(...entries).digest(entry("self", 7), NOW_MS);
+      expect(digest).toHaveLength(MAX_DIGEST_ENTRIES);
+      expect(digest[0]).toMatchObject({ endpointId: "self", ageMs: 0 });
+      const ages = digest.slice(1).map(({ ageMs }) => ageMs);
+      expect(ages).toEqual(Array.from({ length: 31 }, (_, n) => n));
+    });
+
+    it("never passes on entries that are not fresh", () => {
+      const table = tableOf(entry("p", 1));
+      const lateMs = NOW_MS + LOAD_ENTRY_FRESH_MS + 1;
+      expect(table.digest(entry("self", 0), lateMs)).toHaveLength(1);
+    });
+  });
+
+  describe("summarize", () => {
+    it("counts listed peers, and forgets unlisted ones that are silent", () => {
+      const table = tableOf(entry("p", 10), entry("q", 20));
+      table.setListedPeers(["q", "r", "self"]);
+      expect(table.summarize(NOW_MS)).toEqual({
+        knownPeers: 3,
+        freshPeers: 2,
+        freshLoadTokens: 30,
+      });
+      const lateMs = NOW_MS + LOAD_ENTRY_FORGET_MS + 1;
+      expect(table.summarize(lateMs)).toEqual({
+        knownPeers: 2,
+        freshPeers: 0,
+        freshLoadTokens: 0,
+      });
+    });
+
+    it("leaves peers out that take no work", () => {
+      const table = tableOf(
+        entry("p", 10),
+        entry("q", 0, { state: "draining" }),
+        entry("r", 0, { state: "down" }),
+      );
+      expect(table.summarize(NOW_MS)).toMatchObject({
+        knownPeers: 1,
+        freshLoadTokens: 10,
+      });
+      expect(table.leastLoaded(3, NOW_MS).map((row) => row.endpointId))
+        .toEqual(["p"]);
+    });
+  });
+});
+
+describe("LoadBound", () => {
+  describe("where it is enforced", () => {
+    it("never admits above the bound and refuses nothing below it", () => {
+      const load = fc.integer({ min: 0, max: 2_000 });
+      fc.assert(
+        fc.property(
+          fc.array(load, { minLength: 2, maxLength: 12 }),
+          load,
+          load,
+          (loads, loadTokens, workTokens) => {
+            const table = tableOf(...loads.map((l, n) => entry(`p${n}`, l)));
+            const bound = boundOf(table);
+            const decision = bound.decide({ loadTokens, workTokens }, NOW_MS);
+            const total = loadTokens + workTokens;
+            const mean = (loads.reduce((sum, l) => sum + l, 0) + total) /
+              (loads.length + 1);
+            expect(decision.rule).toBe("enforced");
+            expect(decision.admitted)
+              .toBe(total <= Math.max(1.25 * mean, 100));
+            const { admitted, exceeded, refusedByBound } = bound.counters;
+            expect(admitted.enforced + refusedByBound).toBe(1);
+            expect(exceeded.enforced).toBe(0);
+            const named = decision.alternatives.map((row) => row.loadTokens);
+            const least = [...loads].sort((a, b) => a - b).slice(0, 3);
+            expect(named).toEqual(decision.admitted ? [] : least);
+          },
+        ),
+        PROPERTY,
+      );
+    });
+
+    it("leaves entries older than 5 s out of the mean", () => {
+      const old = entry("old", 9_000, { ageMs: LOAD_ENTRY_FRESH_MS });
+      const bound = boundOf(tableOf(entry("p", 0), entry("q", 0), old));
+      const request = { loadTokens: 0, workTokens: 1_000 };
+      expect(bound.decide(request, NOW_MS).admitted).toBe(true);
+      expect(bound.decide(request, NOW_MS + 1).admitted).toBe(false);
+    });
+  });
+
+  describe("where only the capacity counts", () => {
+    const above = { loadTokens: 0, workTokens: 5_000 };
+    const cases = {
+      small_pool: boundOf(tableOf(entry("p", 0))),
+      after_join: boundOf(
+        tableOf(entry("p", 0), entry("q", 0)),
+        NOW_MS - JOIN_GRACE_MS + 1,
+      ),
+      unknown_pool: boundOf(tableOf(
+        entry("p", 0),
+        entry("q", 0, { ageMs: LOAD_ENTRY_FRESH_MS + 1 }),
+        entry("r", 0, { ageMs: LOAD_ENTRY_FRESH_MS + 1 }),
+      )),
+      ignored: boundOf(tableOf(entry("p", 0), entry("q", 0))),
+    } as const;
+    it.each(Object.entries(cases))(
+      "admits up to the capacity and counts it: %s",
+      (rule, bound) => {
+        const ignoreBound = rule === "ignored";
+        expect(bound.decide({ ...above, ignoreBound }, NOW_MS))
+          .toMatchObject({ admitted: true, rule, aboveBound: true });
+        expect(
+          bound.decide(
+            { loadTokens: 9_000, workTokens: 1_001, ignoreBound },
+            NOW_MS,
+          )
+            .admitted,
+        ).toBe(false);
+        expect(bound.counters).toMatchObject({
+          admitted: { [rule]: 1 },
+          exceeded: { [rule]: 1 },
+          refusedByCapacity: 1,
+          refusedByBound: 0,
+        });
+      },
+    );
+
+    it("enforces the bound with half of the peers fresh", () => {
+      const bound = boundOf(tableOf(
+        entry("p", 0),
+        entry("q", 0, { ageMs: LOAD_ENTRY_FRESH_MS + 1 }),
+      ));
+      expect(bound.decide(above, NOW_MS)).toMatchObject({
+        admitted: false,
+        rule: "enforced",
+      });
+    });
+  });
+});
--- a/packages/core/src/admission/retry_budget.ts
+++ b/packages/core/src/admission/retry_budget.ts
@@ -7,14 +7,14 @@
 }
 
 export interface RetryBudgetOptions {
-  /** Retries allowed for each request. */
-  readonly ratio: number;
+  /** Requests that earn one retry. */
+  readonly requestsPerRetry: number;
   readonly account: RetryBudgetLimits;
   readonly router: RetryBudgetLimits;
 }
 
 const DEFAULT_OPTIONS: RetryBudgetOptions = {
-  ratio: 0.1,
+  requestsPerRetry: 10,
   account: { initialRetries: 1, maxRetries: 10 },
   router: { initialRetries: 10, maxRetries: 100 },
 };
@@ -23,46 +23,60 @@
  * Limits retries to a share of the requests of an account and of the router.
  *
  * The balances are filled by requests and not by time, so a router without
- * traffic earns no retries. The number of accounts is bounded by the
+ * traffic earns no retries. They are counted in requests, which are whole
+ * numbers and free of rounding. The number of accounts is bounded by the
  * configuration; {@link RetryBudget.forget} removes one that left it.
  */
 export class RetryBudget {
-  readonly #options: RetryBudgetOptions;
-  readonly #accounts = new Map<string, number>();
-  #router: number;
+  readonly #cost: number;
+  readonly #account: RetryBudgetLimits;
+  readonly #router: RetryBudgetLimits;
+  readonly #accountBalances = new Map<string, number>();
+  #routerBalance: number;
 
   constructor(options: Partial<RetryBudgetOptions> = {}) {
-    this.#options = { ...DEFAULT_OPTIONS, ...options };
-    this.#router = this.#options.router.initialRetries;
+    const { account, requestsPerRetry, router } = {
+      ...DEFAULT_OPTIONS,
+      ...options,
+    };
+    this.#cost = requestsPerRetry;
+    this.#account = account;
+    this.#router = router;
+    this.#routerBalance = router.initialRetries * this.#cost;
   }
 
   /** Notes a request of a caller; retries are not noted. */
   noteRequest(account: string): void {
-    const { account: accountLimits, ratio, router } = this.#options;
-    const balance = this.#balance(account);
-    this.#accounts.set(
+    this.#accountBalances.set(
       account,
-      Math.min(accountLimits.maxRetries, balance + ratio),
+      Math.min(
+        this.#account.maxRetries * this.#cost,
+        this.#balanceOf(account) + 1,
+      ),
+    );
+    this.#routerBalance = Math.min(
+      this.#router.maxRetries * this.#cost,
+      this.#routerBalance + 1,
     );
-    this.#router = Math.min(router.maxRetries, this.#router + ratio);
   }
 
   /** Takes a retry from both balances if each of them allows it. */
   tryRetry(account: string): boolean {
-    const balance = this.#balance(account);
-    if (balance < 1 || this.#router < 1) {
+    const balance = this.#balanceOf(account);
+    if (balance < this.#cost || this.#routerBalance < this.#cost) {
       return false;
     }
-    this.#accounts.set(account, balance - 1);
-    this.#router -= 1;
+    this.#accountBalances.set(account, balance - this.#cost);
+    this.#routerBalance -= this.#cost;
     return true;
   }
 
   forget(account: string): void {
-    this.#accounts.delete(account);
+    this.#accountBalances.delete(account);
   }
 
-  #balance(account: string): number {
-    return this.#accounts.get(account) ?? this.#options.account.initialRetries;
+  #balanceOf(account: string): number {
+    return this.#accountBalances.get(account) ??
+      this.#account.initialRetries * this.#cost;
   }
 }
--- a/packages/core/src/admission/token_bucket.ts
+++ b/packages/core/src/admission/token_bucket.ts
@@ -1,5 +1,11 @@
 import type { Millis } from "../clock.js";
 
+/**
+ * Absorbs the rounding of refills, so that a take succeeds after the time that
+ * `waitMs` named.
+ */
+const ROUNDING = 1e-9;
+
 /** Rate limit with a burst allowance; starts full. */
 export class TokenBucket {
   #ratePerS: number;
@@ -17,17 +23,17 @@
   /** Takes `count` if that many are available, else takes nothing. */
   tryTake(count: number, nowMs: Millis): boolean {
     this.#refill(nowMs);
-    if (this.#available < count) {
+    if (this.#available + ROUNDING < count) {
       return false;
     }
-    this.#available -= count;
+    this.#available = Math.max(0, this.#available - count);
     return true;
   }
 
   /** Time until `count` are available; infinite if they never will be. */
   waitMs(count: number, nowMs: Millis): Millis {
     this.#refill(nowMs);
-    if (this.#available >= count) {
+    if (this.#available + ROUNDING >= count) {
       return 0;
     }
     if (count > this.#burst || this.#ratePerS <= 0) {
--- /dev/null
+++ b/packages/daemon/src/store/object_server_test_fixture.ts
@@ -0,0 +1,196 @@
+import type { StoredObject } from "@anvildeal/core";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+
+/** What happens to one request instead of the usual answer. */
+export type ServerFault =
+  /** The connection is reset before or after the request takes effect. */
+  | { type: "reset"; applied: boolean }
+  /** The connection is reset; a write takes effect at `applyDelayed`. */
+  | { type: "delay" }
+  /** No answer; the connection stays open. */
+  | { type: "silent" }
+  /** Another answer, without an effect. */
+  | { type: "answer"; status: number; body: string }
+  /** The request takes effect; the answer ends half-way. */
+  | { type: "cut" };
+
+/** The object API over HTTP for tests of its client, with scripted faults. */
+export class ObjectServer {
+  readonly objects = new Map<string, StoredObject>();
+  /** Faults of the next requests other than watches; `undefined` is none. */
+  readonly faults: (ServerFault | undefined)[] = [];
+  /** Fault of all requests while `faults` is empty. */
+  outage: ServerFault | undefined;
+  readonly sockets: Socket[] = [];
+  readonly silentSockets = new Set<Socket>();
+  readonly requests: string[] = [];
+  readonly #server: Server;
+  readonly #versions = new Map<string, number>();
+  readonly #delayed: (() => void)[] = [];
+  readonly #watchers = new Set<() => void>();
+
+  private constructor() {
+    this.#server = createServer((request, response) => {
+      void this.#serve(request, response);
+    });
+    this.#server.on("connection", (socket) => this.sockets.push(socket));
+  }
+
+  static async start(): Promise<ObjectServer> {
+    const server = new ObjectServer();
+    await new Promise<void>((resolve) =>
+      server.#server.listen(0, "127.0.0.1", resolve)
+    );
+    return server;
+  }
+
+  get url(): string {
+    const { port } = this.#server.address() as AddressInfo;
+    return `http://127.0.0.1:${port}`;
+  }
+
+  /** Lets the delayed writes take effect if their conditions then hold. */
+  applyDelayed(): void {
+    for (const apply of this.#delayed.splice(0)) {
+      apply();
+    }
+  }
+
+  async dispose(): Promise<void> {
+    const closed = new Promise((resolve) => this.#server.close(resolve));
+    this.#server.closeAllConnections();
+    await closed;
+  }
+
+  async #serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const body = Buffer.concat(await request.toArray() as Buffer[]);
+    this.requests.push(`${request.method} ${request.url}`);
+    const url = new URL(request.url ?? "", "http://unused");
+    const [, kind, ...rest] = url.pathname.split("/");
+    const key = rest.map(decodeURIComponent).join("/");
+    if (this.silentSockets.has(request.socket)) {
+      return;
+    }
+    if (kind === "watch") {
+      this.#watch(key, url, response);
+      return;
+    }
+    const apply = () => this.#apply(request, url, key, body);
+    const fault = this.faults.length > 0 ? this.faults.shift() : this.outage;
+    if (fault === undefined) {
+      send(response, ...apply());
+      return;
+    }
+    this.#fail(fault, response, apply);
+  }
+
+  #fail(
+    fault: ServerFault,
+    response: ServerResponse,
+    apply: () => [number, unknown],
+  ): void {
+    switch (fault.type) {
+      case "reset":
+        if (fault.applied) {
+          apply();
+        }
+        response.destroy();
+        break;
+      case "delay":
+        this.#delayed.push(apply);
+        response.destroy();
+        break;
+      case "answer":
+        response.writeHead(fault.status).end(fault.body);
+        break;
+      case "cut": {
+        const text = JSON.stringify(apply()[1] ?? {});
+        response.writeHead(200, { "content-length": text.length });
+        response.write(text.slice(0, 1), () => response.destroy());
+        break;
+      }
+      case "silent":
+        break;
+    }
+  }
+
+  #apply(
+    request: IncomingMessage,
+    url: URL,
+    key: string,
+    body: Buffer,
+  ): [number, unknown] {
+    if (key === "") {
+      return [200, { items: this.#list(url.searchParams) }];
+    }
+    const current = this.objects.get(key);
+    if (request.method === "GET") {
+      return current === undefined ? [404, {}] : [200, current];
+    }
+    const isDelete = request.method === "DELETE";
+    if (isDelete && current === undefined) {
+      return [404, {}];
+    }
+    const condition = request.headers["if-none-match"] === "*"
+      ? undefined
+      : request.headers["if-match"];
+    if (condition !== (current && `"${current.version}"`)) {
+      return [412, current ?? null];
+    }
+    const version = (this.#versions.get(key) ?? 0) + 1;
+    this.#versions.set(key, version);
+    if (isDelete) {
+      this.objects.delete(key);
+      return [204, undefined];
+    }
+    const value: unknown = JSON.parse(body.toString());
+    this.objects.set(key, { key, version, value });
+    for (const watcher of this.#watchers) {
+      watcher();
+    }
+    return [200, { version }];
+  }
+
+  #list(query: URLSearchParams): StoredObject[] {
+    return [...this.objects.values()]
+      .filter(({ key }) => key.startsWith(query.get("prefix") ?? ""))
+      .filter(({ key }) => key > (query.get("after") ?? ""))
+      .sort((a, b) => a.key < b.key ? -1 : 1)
+      .slice(0, Number(query.get("limit")));
+  }
+
+  #watch(key: string, url: URL, response: ServerResponse): void {
+    const after = Number(url.searchParams.get("after"));
+    const answer = () => {
+      const current = this.objects.get(key);
+      if (current !== undefined && current.version > after) {
+        finish(200, current);
+      }
+    };
+    const finish = (status: number, body?: unknown) => {
+      clearTimeout(timer);
+      this.#watchers.delete(answer);
+      send(response, status, body);
+    };
+    const timeoutMs = Number(url.searchParams.get("timeout_ms"));
+    const timer = setTimeout(() => finish(304), timeoutMs);
+    this.#watchers.add(answer);
+    response.on("close", () => finish(304));
+    answer();
+  }
+}
+
+function send(response: ServerResponse, status: number, body?: unknown): void {
+  if (!response.destroyed && !response.writableEnded) {
+    response.writeHead(status).end(body && JSON.stringify(body));
+  }
+}
