--- a/packages/core/src/router/receive_answer.ts
+++ b/packages/core/src/router/receive_answer.ts
@@ -1,6 +1,6 @@
 import type { Millis } from "../clock.js";
 import type { Facts, MessageOf, RefusalReason } from "../wire/index.js";
-import { detachAttempt, flushHeld, respondHead } from "./finish_request.js";
+import { detachAttempt, flushHeld } from "./finish_request.js";
 import { sendTo } from "./place_request.js";
 import type { RequestMachineEvent } from "./request_machine.js";
 import {
@@ -77,7 +77,6 @@
 }
 
 export function receiveHead(
-  ctx: RouterContext,
   request: RequestState & { attempt: AttemptState },
   head: MessageOf<"head">,
 ): AnswerResult {
@@ -87,11 +86,9 @@
     // A continuation after a failed attempt; the caller has a head already.
     return { type: "accepted" };
   }
-  if (isStream(head)) {
-    respondHead(ctx, request, head.status, head.headers);
-  } else {
-    request.held = { head, parts: [], bytes: 0 };
-  }
+  // Without data the request can still be answered with a proper error, so
+  // that the head of a stream waits for its first event.
+  request.held = { head, parts: [], bytes: 0 };
   return { type: "accepted" };
 }
 
@@ -105,6 +102,9 @@
   attempt.resumeDeadlineMs = undefined;
   noteFirstData(ctx, request);
   request.chunkCount++;
+  if (request.held && isStream(request.held.head)) {
+    flushHeld(ctx, request);
+  }
   if (request.held) {
     holdChunk(ctx, request, chunk.data);
   } else {
--- a/packages/stand-ins/src/object_api_test.ts
+++ b/packages/stand-ins/src/object_api_test.ts
@@ -77,7 +77,7 @@
   });
 
   it("lists a prefix in key order and page by page", async () => {
-    for (const key of ["b/2", "b/1", "c/1", "b/3"]) {
+    for (const key of ["b/3", "b/1", "c/1", "b/2"]) {
       await put(key, key);
     }
     const page = await getJson("/objects?prefix=b/&limit=2&after=b/1");
@@ -110,6 +110,11 @@
       expect((await get("/objects/a")).status).toBe(200);
     });
 
+    it("ends an outage by itself for callers without control port", async () => {
+      await setFaults({ outage: "refuse", outage_ms: 20 });
+      await waitFor(() => get("/stats"));
+    });
+
     it("does not apply a write that hangs in an outage", async () => {
       await setFaults({ outage: "hang" });
       const write = put("a", 1).catch(() => "reset");
