--- /dev/null
+++ b/packages/core/src/config_sync/config_sync_property_test.ts
@@ -0,0 +1,386 @@
+import * as fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import { BundleSchema } from "../config/bundle_schema.js";
+import { manifestDigest, splitBundle } from "../config/config_sections.js";
+import type { Message } from "../wire/messages.js";
+import { ACTIVE_KEY, sectionKey, versionKey } from "./config_objects.js";
+import {
+  type ConfigSyncEffect,
+  type ConfigSyncEvent,
+  type ConfigSyncState,
+  createConfigSyncState,
+  reduceConfigSync,
+  type VersionedValue,
+  versionInForce,
+} from "./index.js";
+
+const SEED = 20_261_203;
+const TICK_MS = 250;
+/** Long enough for the longest retry, staleness and watch delays in turn. */
+const SETTLE_TICKS = 240;
+/** Added to the weight that tells an unaccepted bundle from an accepted one. */
+const UNACCEPTED = 500;
+
+type EventInput = ConfigSyncEvent extends infer E
+  ? E extends ConfigSyncEvent ? Omit<E, "nowMs"> : never
+  : never;
+
+interface Flight {
+  readonly to: string;
+  /** Answers of the store are lost with the process that asked. */
+  readonly incarnation: number;
+  readonly input: EventInput;
+}
+
+interface Watch {
+  readonly watchId: number;
+  readonly after: number;
+  readonly untilMs: number;
+}
+
+interface Process {
+  readonly id: string;
+  readonly role: "router" | "sidecar";
+  state: ConfigSyncState;
+  incarnation: number;
+  paused: boolean;
+}
+
+function digest(content: string): string {
+  let hash = 7;
+  for (let i = 0; i < content.length; i++) {
+    hash = (Math.imul(hash, 31) + content.charCodeAt(i)) >>> 0;
+  }
+  return hash.toString(16).padStart(8, "0").repeat(3);
+}
+
+const contents = new Map<number, ReturnType<typeof makeContent>>();
+
+function makeContent(weight: number) {
+  const bundle = BundleSchema.parse({
+    accounts: [
+      { name: "wiki", key_hashes: ["a".repeat(64)], weight },
+      { name: "grants", key_hashes: ["b".repeat(64)] },
+    ],
+    pools: [{ name: "chat", kind: "model", models: ["m"] }],
+  });
+  return { bundle, ...splitBundle(bundle, digest) };
+}
+
+function contentOf(weight: number) {
+  const content = contents.get(weight) ?? makeContent(weight);
+  contents.set(weight, content);
+  return content;
+}
+
+/** A few processes, the store and the network between them, in one thread. */
+class Fleet {
+  readonly processes: Process[] = [];
+  readonly flights: Flight[] = [];
+  readonly objects = new Map<string, VersionedValue>();
+  readonly watches = new Map<string, Watch>();
+  nowMs = 0;
+  storeUp = true;
+  accepted = 0;
+
+  constructor(seed: number) {
+    for (const id of ["r0", "r1", "r2", "s0"]) {
+      const role = id.startsWith("r") ? "router" : "sidecar";
+      const state = this.#newState(role, seed);
+      this.processes.push({ id, role, state, incarnation: 0, paused: false });
+    }
+    this.processes.forEach((process) => this.restart(process, seed));
+  }
+
+  /** Highest version in force in any process. */
+  get highest(): number {
+    return Math.max(
+      ...this.processes.map(({ state }) => versionInForce(state)),
+    );
+  }
+
+  accept(): void {
+    if (!this.storeUp || this.accepted >= 90) {
+      return;
+    }
+    this.accepted++;
+    this.#writeVersion(this.accepted, this.accepted);
+    const { manifest } = contentOf(this.accepted);
+    const pointer = {
+      version: this.accepted,
+      digest: manifestDigest(manifest, digest),
+    };
+    this.objects.set(ACTIVE_KEY, { version: this.accepted, value: pointer });
+    for (const process of this.processes) {
+      this.#answerWatch(process);
+    }
+  }
+
+  /** An interrupted activation leaves its record behind the pointer. */
+  writeUnaccepted(): void {
+    if (this.storeUp) {
+      this.#writeVersion(this.accepted + 1, this.accepted + 1 + UNACCEPTED);
+    }
+  }
+
+  setStoreUp(up: boolean): void {
+    this.storeUp = up;
+    for (const process of this.processes) {
+      const watch = this.watches.get(process.id);
+      if (!up && watch !== undefined) {
+        this.watches.delete(process.id);
+        const { watchId } = watch;
+        this.#toSelf(process, { type: "watch_failed", watchId });
+      }
+    }
+  }
+
+  restart(process: Process, seed: number): void {
+    process.incarnation++;
+    process.paused = false;
+    process.state = this.#newState(process.role, seed + process.incarnation);
+    this.watches.delete(process.id);
+    const seedPeerIds = this.#peersOf(process);
+    this.#handle(process, { type: "started", seedPeerIds });
+    if (process.id !== "r2" && process.role === "router") {
+      this.#handle(process, { type: "election_changed", elected: true });
+    }
+  }
+
+  tick(process: Process): void {
+    const watch = this.watches.get(process.id);
+    if (watch !== undefined && this.nowMs >= watch.untilMs) {
+      this.watches.delete(process.id);
+      const { watchId } = watch;
+      const input = { type: "watch_returned", watchId, object: undefined };
+      this.#toSelf(process, input as EventInput);
+    }
+    if (!process.paused) {
+      const peerIds = this.#peersOf(process);
+      this.#handle(process, { type: "tick", peerIds });
+    }
+  }
+
+  deliver(index: number, keep: boolean): void {
+    const flight = this.flights[index % Math.max(1, this.flights.length)];
+    if (flight === undefined) {
+      return;
+    }
+    const process = this.processes.find((item) => item.id === flight.to)!;
+    const isMessage = flight.incarnation === 0;
+    if (process.paused) {
+      return;
+    }
+    if (!keep) {
+      this.flights.splice(this.flights.indexOf(flight), 1);
+    }
+    if (isMessage || process.incarnation === flight.incarnation) {
+      this.#handle(process, flight.input);
+    }
+  }
+
+  /** A probe and its reply name the versions of a router and a sidecar. */
+  probe(index: number): void {
+    const router = this.processes[index % 3]!;
+    const sidecar = this.processes[3]!;
+    for (const [from, to] of [[router, sidecar], [sidecar, router]] as const) {
+      if (!from.paused) {
+        const configVersion = versionInForce(from.state);
+        const peerId = from.id;
+        const input = {
+          type: "version_hinted",
+          peerId,
+          configVersion,
+        } as const;
+        this.flights.push({ to: to.id, incarnation: 0, input });
+      }
+    }
+  }
+
+  /** Everything works again: messages arrive in order and none is lost. */
+  settle(storeUp: boolean): void {
+    this.setStoreUp(storeUp);
+    this.processes.forEach((process) => process.paused = false);
+    const isSettled = () =>
+      this.processes.every(({ state }) =>
+        versionInForce(state) === (storeUp ? this.accepted : this.highest)
+      );
+    for (let i = 0; i < SETTLE_TICKS && !isSettled(); i++) {
+      this.nowMs += TICK_MS;
+      this.processes.forEach((process) => this.tick(process));
+      this.probe(i);
+      for (let n = 0; n < 500 && this.flights.length > 0; n++) {
+        this.deliver(0, false);
+      }
+    }
+  }
+
+  #newState(role: "router" | "sidecar", seed: number): ConfigSyncState {
+    return createConfigSyncState({ role, seed, digest, watchMode: "elected" });
+  }
+
+  #peersOf(process: Process): string[] {
+    return this.processes.map((item) => item.id).filter((id) =>
+      id !== process.id && id.startsWith("r")
+    );
+  }
+
+  #writeVersion(version: number, weight: number): void {
+    const { manifest, sections } = contentOf(weight);
+    const key = versionKey(version);
+    const before = this.objects.get(key)?.version ?? 0;
+    const value = { version, manifest };
+    this.objects.set(key, { version: before + 1, value });
+    for (const [name, content] of Object.entries(sections)) {
+      this.objects.set(sectionKey(name), { version: 1, value: content });
+    }
+  }
+
+  #handle(process: Process, input: EventInput): void {
+    const event = { ...input, nowMs: this.nowMs } as ConfigSyncEvent;
+    let before = versionInForce(process.state);
+    for (const effect of reduceConfigSync(process.state, event)) {
+      if (effect.type === "apply") {
+        expect(effect.version).toBeGreaterThan(before);
+        expect(effect.version).toBeLessThanOrEqual(this.accepted);
+        expect(effect.bundle).toEqual(contentOf(effect.version).bundle);
+        before = effect.version;
+      }
+      this.#run(process, effect);
+    }
+    expect(versionInForce(process.state)).toBe(before);
+  }
+
+  #run(process: Process, effect: ConfigSyncEffect): void {
+    if (effect.type === "send") {
+      const message = structuredClone(effect.message) as Message & {
+        type: "config_query" | "config_state";
+      };
+      const input = {
+        type: "message_received",
+        peerId: process.id,
+        message,
+      } as const;
+      this.flights.push({ to: effect.peerId, incarnation: 0, input });
+    } else if (effect.type === "read_objects") {
+      this.#toSelf(process, this.#read(effect.requestId, effect.keys));
+    } else if (effect.type === "start_watch") {
+      const { watchId, afterVersion: after } = effect;
+      const untilMs = this.nowMs + effect.timeoutMs;
+      if (this.storeUp) {
+        this.watches.set(process.id, { watchId, after, untilMs });
+        this.#answerWatch(process);
+      } else {
+        this.#toSelf(process, { type: "watch_failed", watchId });
+      }
+    } else if (effect.type === "stop_watch") {
+      this.watches.delete(process.id);
+    }
+  }
+
+  #read(requestId: number, keys: readonly string[]): EventInput {
+    if (!this.storeUp) {
+      return { type: "read_failed", requestId };
+    }
+    const found = keys.flatMap((key) => {
+      const object = this.objects.get(key);
+      return object === undefined ? [] : [[key, object] as const];
+    });
+    return { type: "objects_read", requestId, objects: new Map(found) };
+  }
+
+  #answerWatch(process: Process): void {
+    const watch = this.watches.get(process.id);
+    const object = this.objects.get(ACTIVE_KEY);
+    if (watch && object && object.version > watch.after) {
+      this.watches.delete(process.id);
+      const { watchId } = watch;
+      this.#toSelf(process, { type: "watch_returned", watchId, object });
+    }
+  }
+
+  #toSelf(process: Process, input: EventInput): void {
+    const { id: to, incarnation } = process;
+    this.flights.push({ to, incarnation, input });
+  }
+}
+
+const index = fc.nat({ max: 40 });
+const processIndex = fc.nat({ max: 3 });
+const step = fc.oneof(
+  { weight: 20, arbitrary: fc.record({ op: fc.constant("deliver"), index }) },
+  { weight: 3, arbitrary: fc.record({ op: fc.constant("repeat"), index }) },
+  { weight: 3, arbitrary: fc.record({ op: fc.constant("drop"), index }) },
+  { weight: 8, arbitrary: fc.record({ op: fc.constant("tick"), index }) },
+  { weight: 4, arbitrary: fc.record({ op: fc.constant("accept"), index }) },
+  { weight: 4, arbitrary: fc.record({ op: fc.constant("probe"), index }) },
+  { weight: 2, arbitrary: fc.record({ op: fc.constant("unaccepted"), index }) },
+  { weight: 2, arbitrary: fc.record({ op: fc.constant("store"), index }) },
+  {
+    weight: 2,
+    arbitrary: fc.record({ op: fc.constant("pause"), index: processIndex }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({ op: fc.constant("restart"), index: processIndex }),
+  },
+);
+
+function applyStep(
+  fleet: Fleet,
+  { op, index: i }: { op: string; index: number },
+) {
+  const process = fleet.processes[i % fleet.processes.length]!;
+  switch (op) {
+    case "deliver":
+      return fleet.deliver(i, false);
+    case "repeat":
+      return fleet.deliver(i, true);
+    case "drop":
+      return void fleet.flights.splice(i, 1);
+    case "tick":
+      fleet.nowMs += TICK_MS * (1 + (i % 8));
+      return fleet.processes.forEach((item) => fleet.tick(item));
+    case "accept":
+      return fleet.accept();
+    case "probe":
+      return fleet.probe(i);
+    case "unaccepted":
+      return fleet.writeUnaccepted();
+    case "store":
+      return fleet.setStoreUp(!fleet.storeUp);
+    case "pause":
+      process.paused = !process.paused;
+      return;
+    case "restart":
+      return fleet.restart(process, i);
+  }
+}
+
+describe("reduceConfigSync in a fleet", () => {
+  const run = (storeUpAtEnd: boolean) =>
+    fc.property(
+      fc.nat({ max: 1000 }),
+      fc.array(step, { minLength: 20, maxLength: 150, size: "max" }),
+      (seed, steps) => {
+        const fleet = new Fleet(seed);
+        steps.forEach((item) => applyStep(fleet, item));
+        fleet.settle(storeUpAtEnd);
+        const versions = fleet.processes.map(({ state }) =>
+          versionInForce(state)
+        );
+        const newest = storeUpAtEnd ? fleet.accepted : fleet.highest;
+        expect(versions).toEqual(versions.map(() => newest));
+      },
+    );
+
+  // Each apply is also checked: never lower, never a bundle that was not
+  // accepted under its number.
+  it("converges on the accepted version once the store answers", () => {
+    fc.assert(run(true), { seed: SEED, numRuns: 300, endOnFailure: true });
+  });
+
+  it("converges on the highest version held while the store is down", () => {
+    fc.assert(run(false), { seed: SEED, numRuns: 300, endOnFailure: true });
+  });
+});
--- a/packages/core/src/config_sync/config_sync_state.ts
+++ b/packages/core/src/config_sync/config_sync_state.ts
@@ -58,6 +58,8 @@
   wanted: boolean;
   /** Id of the watch in progress. */
   activeId: number | undefined;
+  /** A watch that has not ended by then is given up. */
+  untilMs: Millis;
   failures: number;
   nextStartMs: Millis;
 }
@@ -123,6 +125,7 @@
     watch: {
       wanted: options.watchMode === "always" && options.role === "router",
       activeId: undefined,
+      untilMs: Number.POSITIVE_INFINITY,
       failures: 0,
       nextStartMs: Number.NEGATIVE_INFINITY,
     },
--- a/packages/core/src/config_sync/reduce_config_sync.ts
+++ b/packages/core/src/config_sync/reduce_config_sync.ts
@@ -139,6 +139,7 @@
     retryNow(state, nowMs, effects);
   }
   comparePeers(state, nowMs, effects);
+  expireWatch(state, nowMs, effects);
   updateWatch(state, nowMs, effects);
   expirePointerRead(state, nowMs, effects);
   readPointerWhenStale(state, nowMs, effects);
@@ -306,6 +307,7 @@
     return;
   }
   watch.activeId = state.nextId++;
+  watch.untilMs = nowMs + WATCH_TIMEOUT_MS + STORE_READ_LIMIT_MS;
   effects.push({
     type: "start_watch",
     watchId: watch.activeId,
@@ -347,10 +349,31 @@
     effects.push(count("late_answer"));
     return;
   }
+  failWatch(state, event.nowMs, effects);
+}
+
+/** Recovers from a watch whose end never arrived. */
+function expireWatch(
+  state: ConfigSyncState,
+  nowMs: Millis,
+  effects: ConfigSyncEffect[],
+): void {
+  const { watch } = state;
+  if (watch.activeId !== undefined && nowMs >= watch.untilMs) {
+    effects.push({ type: "stop_watch", watchId: watch.activeId });
+    failWatch(state, nowMs, effects);
+  }
+}
+
+function failWatch(
+  state: ConfigSyncState,
+  nowMs: Millis,
+  effects: ConfigSyncEffect[],
+): void {
+  const { watch } = state;
   watch.activeId = undefined;
-  const delayMs = storeRetryMs(state, watch.failures);
+  watch.nextStartMs = nowMs + storeRetryMs(state, watch.failures);
   watch.failures++;
-  watch.nextStartMs = event.nowMs + delayMs;
   effects.push(count("store_failed"));
 }
 
