--- /dev/null
+++ b/packages/daemon/src/config_sync/config_sync_host_test.ts
@@ -0,0 +1,357 @@
+import { createHash } from "node:crypto";
+import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import {
+  type Bundle,
+  BundleSchema,
+  Clock,
+  createMembershipState,
+  manifestDigest,
+  type MembershipState,
+  type Message,
+  ObjectStore,
+  reduceMembership,
+  splitBundle,
+  type StoredObject,
+  StoreUnavailableError,
+  usableEndpoints,
+  type WatchOptions,
+} from "@anvildeal/core";
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import {
+  ConfigSyncHost,
+  InstanceListClient,
+  InstanceListHost,
+  type PeerTransport,
+  type SyncReporter,
+  SystemTimers,
+  type TimerHandle,
+  type Timers,
+} from "./index.js";
+
+/** Time that passes only when a test says so. */
+class ManualTime extends Clock implements Timers {
+  #nowMs = 0;
+  readonly #timers = new Set<{ atMs: number; callback: () => void }>();
+
+  nowMs(): number {
+    return this.#nowMs;
+  }
+
+  wallMs(): number {
+    return this.#nowMs;
+  }
+
+  after(delayMs: number, callback: () => void): TimerHandle {
+    const timer = { atMs: this.#nowMs + delayMs, callback };
+    this.#timers.add(timer);
+    return { cancel: () => this.#timers.delete(timer) };
+  }
+
+  get pendingTimers(): number {
+    return this.#timers.size;
+  }
+
+  /** Runs the timers that fall due, and what they cause, in small steps. */
+  async advance(durationMs: number): Promise<void> {
+    const endMs = this.#nowMs + durationMs;
+    while (this.#nowMs < endMs) {
+      this.#nowMs = Math.min(endMs, this.#nowMs + 50);
+      for (const timer of this.#timers) {
+        if (timer.atMs <= this.#nowMs) {
+          this.#timers.delete(timer);
+          timer.callback();
+        }
+      }
+      await settle();
+    }
+  }
+}
+
+async function settle(): Promise<void> {
+  for (let i = 0; i < 20; i++) {
+    await Promise.resolve();
+  }
+}
+
+/** Store in memory that can be down or never answer a watch. */
+class MemoryStore extends ObjectStore {
+  readonly objects = new Map<string, StoredObject>();
+  readonly reads: string[] = [];
+  readonly watchers = new Set<() => void>();
+  down = false;
+  silentWatches = false;
+
+  override async get(key: string): Promise<StoredObject | undefined> {
+    this.reads.push(key);
+    this.#check();
+    return this.objects.get(key);
+  }
+
+  override async create(key: string, value: unknown): Promise<number> {
+    return this.update(key, value, 0);
+  }
+
+  override async update(
+    key: string,
+    value: unknown,
+    ifVersion: number,
+  ): Promise<number> {
+    const version = ifVersion + 1;
+    this.objects.set(key, { key, version, value });
+    this.watchers.forEach((notify) => notify());
+    return version;
+  }
+
+  override async delete(key: string): Promise<void> {
+    this.objects.delete(key);
+  }
+
+  override async list(): Promise<StoredObject[]> {
+    return [...this.objects.values()];
+  }
+
+  override watch(
+    key: string,
+    options: WatchOptions,
+  ): Promise<StoredObject | undefined> {
+    return new Promise((resolve, reject) => {
+      const notify = () => {
+        const object = this.objects.get(key);
+        if (
+          object && object.version > options.afterVersion &&
+          !this.silentWatches
+        ) {
+          this.watchers.delete(notify);
+          resolve(object);
+        }
+      };
+      this.watchers.add(notify);
+      options.signal?.addEventListener("abort", () => {
+        this.watchers.delete(notify);
+        reject(new StoreUnavailableError("aborted"));
+      });
+      notify();
+    });
+  }
+
+  #check(): void {
+    if (this.down) {
+      throw new StoreUnavailableError("the store is down");
+    }
+  }
+}
+
+const sha256 = (text: string) =>
+  createHash("sha256").update(text, "utf8").digest("hex");
+
+function bundleOf(version: number): Bundle {
+  return BundleSchema.parse({
+    accounts: [{ name: "wiki", key_hashes: [sha256("k")], weight: version }],
+    pools: [{ name: "chat", kind: "model", models: ["m"] }],
+  });
+}
+
+async function accept(store: MemoryStore, version: number): Promise<void> {
+  const { manifest, sections } = splitBundle(bundleOf(version), sha256);
+  for (const [digest, content] of Object.entries(sections)) {
+    await store.create(`config/sections/${digest}`, content);
+  }
+  await store.create(`config/versions/${version}`, { version, manifest });
+  const digest = manifestDigest(manifest, sha256);
+  await store.update("config/active", { version, digest }, version - 1);
+}
+
+const LATENCY_MS = 10;
+const silent: SyncReporter = { log: () => {}, count: () => {} };
+
+describe("ConfigSyncHost", () => {
+  let time: ManualTime;
+  let store: MemoryStore;
+  let hosts: Map<string, ConfigSyncHost>;
+
+  beforeEach(() => {
+    time = new ManualTime();
+    store = new MemoryStore();
+    hosts = new Map();
+  });
+
+  afterEach(() => {
+    hosts.forEach((host) => host.dispose());
+  });
+
+  const open = (id: string, watchMode: "elected" | "always" = "elected") => {
+    const transport: PeerTransport = {
+      send: (peerId, message: Message) => {
+        if (
+          message.type === "config_query" || message.type === "config_state"
+        ) {
+          const deliver = () => hosts.get(peerId)?.handleMessage(id, message);
+          time.after(LATENCY_MS, deliver);
+        }
+      },
+      peers: () => [...hosts.keys()].filter((peerId) => peerId !== id),
+    };
+    const host = new ConfigSyncHost({
+      role: "router",
+      watchMode,
+      seed: hosts.size,
+      store,
+      transport,
+      clock: time,
+      timers: time,
+      reporter: silent,
+    });
+    hosts.set(id, host);
+    return host;
+  };
+
+  it("applies accepted versions on the watcher and on its peers", async () => {
+    await accept(store, 1);
+    const watcher = open("r1");
+    const other = open("r2");
+    const applied: number[] = [];
+    other.on("configApplied", ({ version, bundle }) => {
+      applied.push(version);
+      expect(bundle).toEqual(bundleOf(version));
+    });
+    watcher.start([]);
+    watcher.setElected(true);
+    other.start([]);
+    await time.advance(500);
+    await accept(store, 2);
+    await time.advance(2000);
+    expect(applied).toEqual([1, 2]);
+    expect(watcher.applied?.bundle).toEqual(bundleOf(2));
+    // The other router fetches from the watcher instead.
+    expect(store.reads.filter((key) => key === "config/versions/2"))
+      .toHaveLength(1);
+  });
+
+  it("starts from its seed peers while the store is down", async () => {
+    await accept(store, 1);
+    const first = open("r1");
+    first.start([]);
+    await time.advance(500);
+    store.down = true;
+    const second = open("r2");
+    second.start(["r1"]);
+    expect(second.applied).toBeUndefined();
+    await time.advance(1500);
+    expect(second.version).toBe(1);
+  });
+
+  it("replaces a watch whose connection went silent", async () => {
+    await accept(store, 1);
+    const watcher = open("r1", "always");
+    watcher.start([]);
+    await time.advance(500);
+    store.silentWatches = true;
+    await accept(store, 2);
+    store.silentWatches = false;
+    await time.advance(4000);
+    expect(watcher.version).toBe(2);
+  });
+
+  it("leaves no timer, watch or event behind when disposed", async () => {
+    await accept(store, 1);
+    const host = open("r1", "always");
+    let applied = 0;
+    host.on("configApplied", () => applied++);
+    host.start([]);
+    await settle();
+    host.dispose();
+    await accept(store, 2);
+    await time.advance(3000);
+    expect(applied).toBe(1);
+    expect(time.pendingTimers).toBe(0);
+    expect(store.watchers.size).toBe(0);
+  });
+});
+
+describe("InstanceListHost", () => {
+  let server: Server;
+  let answer: { status: number; body: unknown };
+  let conditions: (string | undefined)[];
+  let client: InstanceListClient;
+  let state: MembershipState;
+  let logs: string[];
+
+  beforeEach(async () => {
+    conditions = [];
+    logs = [];
+    answer = { status: 200, body: undefined };
+    server = createServer((request, response) => {
+      const condition = request.headers["if-none-match"];
+      conditions.push(condition);
+      const unchanged = answer.status === 200 && condition === '"4"';
+      response.writeHead(unchanged ? 304 : answer.status, { etag: '"4"' });
+      response.end(unchanged ? undefined : JSON.stringify(answer.body));
+    });
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", () => resolve())
+    );
+    const { port } = server.address() as AddressInfo;
+    client = new InstanceListClient({
+      url: `http://127.0.0.1:${port}`,
+      requestTimeoutMs: 2000,
+      timers: new SystemTimers(),
+    });
+    state = createMembershipState({
+      selfId: "r1",
+      role: "router",
+      failureDomain: "a",
+      seed: 1,
+    });
+  });
+
+  afterEach(async () => {
+    await client.dispose();
+    await new Promise((resolve) => server.close(resolve));
+  });
+
+  /** Runs one poll and resolves with the type of the event it caused. */
+  const poll = async (): Promise<string> =>
+    new Promise((resolve) => {
+      const host: InstanceListHost = new InstanceListHost({
+        client,
+        transport: { send: () => {}, peers: () => [] },
+        clock: new ManualTime(),
+        reporter: { log: (_, text) => logs.push(text), count: () => {} },
+        dispatch: (event) => {
+          reduceMembership(state, event).forEach((effect) => host.run(effect));
+          host.dispose();
+          resolve(event.type);
+        },
+      });
+      host.run({ type: "poll_list" });
+    });
+
+  it("feeds the list to the reducer and polls conditionally", async () => {
+    answer.body = {
+      version: 4,
+      instances: [{
+        instance_id: "e1",
+        role: "endpoint",
+        pool: "chat",
+        address: "127.0.0.1:7000",
+        failure_domain: "a",
+        state: "live",
+      }],
+    };
+    expect(await poll()).toBe("list_received");
+    expect(usableEndpoints(state, "chat", 0)).toHaveLength(1);
+    expect(await poll()).toBe("list_not_modified");
+    expect(conditions).toEqual([undefined, '"4"']);
+  });
+
+  it.each([
+    ["an error status", 500, {}],
+    ["a list of another form", 200, { instances: [{ id: "e1" }] }],
+  ])("reports %s as a failed poll", async (_, status, body) => {
+    answer = { status, body };
+    expect(await poll()).toBe("list_failed");
+    expect(logs[0]).toMatch(/instance list/);
+    expect(state.listVersion).toBe(-1);
+  });
+});
