Read the store when no peer knows of a recent look at it

Hearing any peer held off the read of config/active, so a fleet without a watcher could stay equally uninformed. Messages now carry the time since the store was known to have nothing newer. The instance list is polled by every process at least once a minute for the same reason.

--- a/packages/core/src/config_sync/config_sync_property_test.ts
+++ b/packages/core/src/config_sync/config_sync_property_test.ts
@@ -1,9 +1,8 @@
 import * as fc from "fast-check";
 import { describe, expect, it } from "vitest";
-import { BundleSchema } from "../config/bundle_schema.js";
-import { manifestDigest, splitBundle } from "../config/config_sections.js";
 import type { Message } from "../wire/messages.js";
 import { ACTIVE_KEY, sectionKey, versionKey } from "./config_objects.js";
+import { contentOf, testDigest } from "./config_sync_test_bundles.js";
 import {
   type ConfigSyncEffect,
   type ConfigSyncEvent,
@@ -46,33 +45,6 @@
   paused: boolean;
 }
 
-function digest(content: string): string {
-  let hash = 7;
-  for (let i = 0; i < content.length; i++) {
-    hash = (Math.imul(hash, 31) + content.charCodeAt(i)) >>> 0;
-  }
-  return hash.toString(16).padStart(8, "0").repeat(3);
-}
-
-const contents = new Map<number, ReturnType<typeof makeContent>>();
-
-function makeContent(weight: number) {
-  const bundle = BundleSchema.parse({
-    accounts: [
-      { name: "wiki", key_hashes: ["a".repeat(64)], weight },
-      { name: "grants", key_hashes: ["b".repeat(64)] },
-    ],
-    pools: [{ name: "chat", kind: "model", models: ["m"] }],
-  });
-  return { bundle, ...splitBundle(bundle, digest) };
-}
-
-function contentOf(weight: number) {
-  const content = contents.get(weight) ?? makeContent(weight);
-  contents.set(weight, content);
-  return content;
-}
-
 /** A few processes, the store and the network between them, in one thread. */
 class Fleet {
   readonly processes: Process[] = [];
@@ -105,12 +77,9 @@
     }
     this.accepted++;
     this.#writeVersion(this.accepted, this.accepted);
-    const { manifest } = contentOf(this.accepted);
-    const pointer = {
-      version: this.accepted,
-      digest: manifestDigest(manifest, digest),
-    };
-    this.objects.set(ACTIVE_KEY, { version: this.accepted, value: pointer });
+    const { digest } = contentOf(this.accepted);
+    const version = this.accepted;
+    this.objects.set(ACTIVE_KEY, { version, value: { version, digest } });
     for (const process of this.processes) {
       this.#answerWatch(process);
     }
@@ -216,7 +185,8 @@
   }
 
   #newState(role: "router" | "sidecar", seed: number): ConfigSyncState {
-    return createConfigSyncState({ role, seed, digest, watchMode: "elected" });
+    const watchMode = "elected";
+    return createConfigSyncState({ role, seed, digest: testDigest, watchMode });
   }
 
   #peersOf(process: Process): string[] {
@@ -305,26 +275,13 @@
   }
 }
 
-const index = fc.nat({ max: 40 });
-const processIndex = fc.nat({ max: 3 });
-const step = fc.oneof(
-  { weight: 20, arbitrary: fc.record({ op: fc.constant("deliver"), index }) },
-  { weight: 3, arbitrary: fc.record({ op: fc.constant("repeat"), index }) },
-  { weight: 3, arbitrary: fc.record({ op: fc.constant("drop"), index }) },
-  { weight: 8, arbitrary: fc.record({ op: fc.constant("tick"), index }) },
-  { weight: 4, arbitrary: fc.record({ op: fc.constant("accept"), index }) },
-  { weight: 4, arbitrary: fc.record({ op: fc.constant("probe"), index }) },
-  { weight: 2, arbitrary: fc.record({ op: fc.constant("unaccepted"), index }) },
-  { weight: 2, arbitrary: fc.record({ op: fc.constant("store"), index }) },
-  {
-    weight: 2,
-    arbitrary: fc.record({ op: fc.constant("pause"), index: processIndex }),
-  },
-  {
-    weight: 2,
-    arbitrary: fc.record({ op: fc.constant("restart"), index: processIndex }),
-  },
-);
+const ops = "deliver ".repeat(20) + "tick ".repeat(8) + "accept ".repeat(4) +
+  "probe ".repeat(4) + "repeat ".repeat(3) + "drop ".repeat(3) +
+  "unaccepted unaccepted store store pause pause restart restart";
+const step = fc.record({
+  op: fc.constantFrom(...ops.split(" ")),
+  index: fc.nat({ max: 40 }),
+});
 
 function applyStep(
   fleet: Fleet,
--- a/packages/core/src/config_sync/config_sync_state.ts
+++ b/packages/core/src/config_sync/config_sync_state.ts
@@ -93,8 +93,8 @@
   pointerFailures: number;
   /** Earliest next read of `config/active` after a failed one. */
   nextPointerReadMs: Millis;
-  /** Time at which any peer or the store last named its version. */
-  lastHeardMs: Millis;
+  /** Time at which the store is known to have had no newer version. */
+  checkedMs: Millis;
   /** Addition to the staleness limit, so that routers read one by one. */
   staleJitterMs: Millis;
   nextCompareMs: Millis;
@@ -132,7 +132,7 @@
     pointerRead: undefined,
     pointerFailures: 0,
     nextPointerReadMs: Number.NEGATIVE_INFINITY,
-    lastHeardMs: Number.NEGATIVE_INFINITY,
+    checkedMs: Number.NEGATIVE_INFINITY,
     staleJitterMs: 0,
     nextCompareMs: Number.NEGATIVE_INFINITY,
     nextRetryMs: Number.POSITIVE_INFINITY,
--- a/packages/core/src/config_sync/reduce_config_sync.ts
+++ b/packages/core/src/config_sync/reduce_config_sync.ts
@@ -26,8 +26,10 @@
 /** Peers with which a router compares its version each second. */
 const COMPARE_PEERS = 2;
 /**
- * A process that has heard no version for this long reads `config/active`
- * itself. Sidecars hear of versions with their digests twice a second.
+ * A process reads `config/active` itself when it has heard for this long from
+ * no peer that knows of a look at the store. Hearing peers alone would not do:
+ * without a watcher all of them could be equally uninformed. Sidecars rely on
+ * the versions in probes and digests instead.
  */
 const ROUTER_STALE_MS = 5_000;
 const SIDECAR_STALE_MS = 60_000;
@@ -80,7 +82,9 @@
       applyMessage(state, event, effects);
       return;
     case "version_hinted":
-      noteHeard(state, nowMs);
+      if (state.options.role === "sidecar") {
+        noteChecked(state, nowMs);
+      }
       noteHolder(state, event.peerId, event.configVersion, nowMs, effects);
       return;
     case "election_changed":
@@ -161,7 +165,7 @@
   const asked = unanswered.length > 0 ? unanswered : known;
   for (const peerId of pickRandom(state.random, asked, MAX_START_ASKS)) {
     record.askedPeerIds.add(peerId);
-    sendQuery(state, peerId, effects);
+    sendQuery(state, peerId, nowMs, effects);
   }
 }
 
@@ -179,7 +183,7 @@
   }
   state.nextCompareMs = nowMs + COMPARE_INTERVAL_MS;
   for (const peerId of pickRandom(state.random, state.peerIds, COMPARE_PEERS)) {
-    sendQuery(state, peerId, effects);
+    sendQuery(state, peerId, nowMs, effects);
     effects.push(count("compare_sent"));
   }
 }
@@ -187,6 +191,7 @@
 function sendQuery(
   state: ConfigSyncState,
   peerId: string,
+  nowMs: Millis,
   effects: ConfigSyncEffect[],
 ): void {
   const message: MessageOf<"config_query"> = {
@@ -194,6 +199,7 @@
     configVersion: versionInForce(state),
     haveSections: [],
     wantContent: false,
+    ...checkedField(state, nowMs),
   };
   if (state.listVersion !== undefined) {
     message.listVersion = state.listVersion;
@@ -207,10 +213,12 @@
   effects: ConfigSyncEffect[],
 ): void {
   const { nowMs, peerId, message } = event;
-  noteHeard(state, nowMs);
+  if (message.checkedMsAgo !== undefined) {
+    noteChecked(state, nowMs - message.checkedMsAgo);
+  }
   if (message.type === "config_query") {
     noteHolder(state, peerId, message.configVersion, nowMs, effects);
-    answerQuery(state, peerId, message, effects);
+    answerQuery(state, event, message, effects);
     return;
   }
   const { configVersion, manifest, sections } = message;
@@ -231,7 +239,7 @@
 
 function answerQuery(
   state: ConfigSyncState,
-  peerId: string,
+  { peerId, nowMs }: EventOf<"message_received">,
   query: MessageOf<"config_query">,
   effects: ConfigSyncEffect[],
 ): void {
@@ -244,6 +252,7 @@
   const message: MessageOf<"config_state"> = {
     type: "config_state",
     configVersion,
+    ...checkedField(state, nowMs),
   };
   if (isBehind && query.wantContent) {
     message.manifest = { ...state.manifest };
@@ -267,8 +276,18 @@
   return sections;
 }
 
-function noteHeard(state: ConfigSyncState, nowMs: Millis): void {
-  state.lastHeardMs = nowMs;
+function noteChecked(state: ConfigSyncState, checkedMs: Millis): void {
+  state.checkedMs = Math.max(state.checkedMs, checkedMs);
+}
+
+/** Field of a message that passes on when the store was last looked at. */
+function checkedField(
+  state: ConfigSyncState,
+  nowMs: Millis,
+): { checkedMsAgo?: Millis } {
+  return Number.isFinite(state.checkedMs)
+    ? { checkedMsAgo: Math.max(0, Math.round(nowMs - state.checkedMs)) }
+    : {};
 }
 
 function noteHolder(
@@ -330,7 +349,7 @@
   }
   watch.activeId = undefined;
   watch.failures = 0;
-  noteHeard(state, nowMs);
+  noteChecked(state, nowMs);
   if (object !== undefined && object.version > state.pointerStoreVersion) {
     notePointer(state, object, nowMs, effects);
     updateWatch(state, nowMs, effects);
@@ -396,7 +415,7 @@
     notePointerReadFailed(state, nowMs, effects);
     return;
   }
-  noteHeard(state, nowMs);
+  noteChecked(state, nowMs);
   state.pointerFailures = 0;
   state.nextPointerReadMs = nowMs;
   state.staleJitterMs = jitterMs(state, 2 * MAX_STALE_JITTER_MS);
@@ -414,11 +433,11 @@
   const limitMs = state.options.role === "router"
     ? ROUTER_STALE_MS
     : SIDECAR_STALE_MS;
-  const heardLately = nowMs < state.lastHeardMs + limitMs + state.staleJitterMs;
+  const checkedLately = nowMs < state.checkedMs + limitMs + state.staleJitterMs;
   const firstRead = state.start !== undefined && state.nextId === 1;
   if (
     state.pointerRead !== undefined || nowMs < state.nextPointerReadMs ||
-    (heardLately && !firstRead)
+    (checkedLately && !firstRead)
   ) {
     return;
   }
--- a/packages/core/src/config_sync/reduce_config_sync_test.ts
+++ b/packages/core/src/config_sync/reduce_config_sync_test.ts
@@ -1,8 +1,7 @@
 import { beforeEach, describe, expect, it } from "vitest";
-import { type Bundle, BundleSchema } from "../config/bundle_schema.js";
-import { manifestDigest, splitBundle } from "../config/config_sections.js";
 import type { Message } from "../wire/messages.js";
 import { ACTIVE_KEY, sectionKey, versionKey } from "./config_objects.js";
+import { contentOf, testDigest } from "./config_sync_test_bundles.js";
 import {
   type ConfigSyncEffect,
   type ConfigSyncEvent,
@@ -23,32 +22,6 @@
   { type: T }
 >;
 
-/** Short and not cryptographic; the reducer only compares its results. */
-function digest(content: string): string {
-  let hash = 7;
-  for (const char of content) {
-    hash = (Math.imul(hash, 31) + char.charCodeAt(0)) >>> 0;
-  }
-  return hash.toString(16).padStart(8, "0").repeat(3);
-}
-
-/** Version n has one pool and two accounts, of which one has weight n. */
-function bundleOf(version: number): Bundle {
-  const keyHash = (digit: string) => digit.repeat(64);
-  return BundleSchema.parse({
-    accounts: [
-      { name: "wiki", key_hashes: [keyHash("a")], weight: version },
-      { name: "grants", key_hashes: [keyHash("b")] },
-    ],
-    pools: [{ name: "chat", kind: "model", models: ["m"] }],
-  });
-}
-
-function contentOf(version: number) {
-  const { manifest, sections } = splitBundle(bundleOf(version), digest);
-  return { manifest, sections, digest: manifestDigest(manifest, digest) };
-}
-
 function stateMessage(version: number): Message & { type: "config_state" } {
   const { manifest, sections } = contentOf(version);
   return {
@@ -84,7 +57,7 @@
     state = createConfigSyncState({
       role: "router",
       seed: 1,
-      digest,
+      digest: testDigest,
       watchMode: "elected",
       ...options,
     });
@@ -140,7 +113,7 @@
         storeObjects(3),
       );
       expect(only(effects, "apply")).toMatchObject([
-        { version: 3, bundle: bundleOf(3) },
+        { version: 3, bundle: contentOf(3).bundle },
       ]);
       expect(isServing(state)).toBe(true);
     });
@@ -213,7 +186,7 @@
       const message = answer!.message as Message & { type: "config_state" };
       expect(Object.keys(message.sections!)).toHaveLength(1);
       expect(only(receive(12, "p1", message), "apply"))
-        .toMatchObject([{ version: 2, bundle: bundleOf(2) }]);
+        .toMatchObject([{ version: 2, bundle: contentOf(2).bundle }]);
     });
 
     it("asks another peer, then the store, when the first is silent", () => {
@@ -259,8 +232,8 @@
       const effects = receive(10, "p1", {
         type: "config_state",
         configVersion: 2,
-        manifest: { pools: digest(content) },
-        sections: { [digest(content)]: content },
+        manifest: { pools: testDigest(content) },
+        sections: { [testDigest(content)]: content },
       });
       expect(only(effects, "apply")).toEqual([]);
       expect(versionInForce(state)).toBe(1);
@@ -336,10 +309,19 @@
       expect(delays[2]).toBeGreaterThan(delays[1]!);
     });
 
-    it("reads the pointer itself after 5 s without news", () => {
+    it("reads the pointer itself after 5 s without news of the store", () => {
       startAt(1);
-      at(3000, { type: "version_hinted", peerId: "p1", configVersion: 1 });
+      const query = {
+        type: "config_query",
+        configVersion: 1,
+        haveSections: [] as string[],
+        wantContent: false,
+      } as const;
+      receive(3500, "p1", { ...query, checkedMsAgo: 500 });
       expect(only(tick(7900), "read_objects")).toEqual([]);
+      // A peer that knows no more than this one does not count as news.
+      receive(10_000, "p1", { ...query, checkedMsAgo: 7000 });
+      at(10_000, { type: "version_hinted", peerId: "s1", configVersion: 1 });
       expect(only(tick(10_100), "read_objects"))
         .toMatchObject([{ keys: [ACTIVE_KEY] }]);
     });
--- a/packages/core/src/membership/membership_property_test.ts
+++ b/packages/core/src/membership/membership_property_test.ts
@@ -152,19 +152,15 @@
   }
 
   #query(from: Router, to: number): void {
-    const { listVersion } = from.state;
     const message = {
-      type: "config_query",
+      type: "config_query" as const,
       configVersion: 0,
       haveSections: [],
       wantContent: false,
-      listVersion,
-    } as const;
-    const input = {
-      type: "message_received",
-      peerId: from.id,
-      message: { ...message, haveSections: [] as string[] },
-    } as const;
+      listVersion: from.state.listVersion,
+    };
+    const peerId = from.id;
+    const input = { type: "message_received", peerId, message } as const;
     this.flights.push({ router: to, input });
   }
 
@@ -221,25 +217,10 @@
   }
 }
 
+const ops = "deliver deliver deliver deliver deliver repeat drop change poll " +
+  "poll drain answer restart_endpoint restart_router fail wait";
 const step = fc.record({
-  op: fc.constantFrom(
-    "deliver",
-    "deliver",
-    "deliver",
-    "deliver",
-    "deliver",
-    "repeat",
-    "drop",
-    "change",
-    "poll",
-    "poll",
-    "drain",
-    "answer",
-    "restart_endpoint",
-    "restart_router",
-    "fail",
-    "wait",
-  ),
+  op: fc.constantFrom(...ops.split(" ")),
   index: fc.nat({ max: 30 }),
   router: fc.nat({ max: 2 }),
 });
--- a/packages/core/src/membership/membership_state.ts
+++ b/packages/core/src/membership/membership_state.ts
@@ -76,6 +76,7 @@
   pollInFlight: boolean;
   pollFailures: number;
   nextPollMs: Millis;
+  lastPollMs: Millis;
 }
 
 export const ROUTER_LIST_STALE_MS = 5_000;
@@ -100,5 +101,6 @@
     pollInFlight: false,
     pollFailures: 0,
     nextPollMs: Number.NEGATIVE_INFINITY,
+    lastPollMs: Number.NEGATIVE_INFINITY,
   };
 }
--- a/packages/core/src/membership/reduce_membership.ts
+++ b/packages/core/src/membership/reduce_membership.ts
@@ -14,6 +14,11 @@
 
 /** Interval at which an elected router polls the instance list. */
 export const LIST_POLL_INTERVAL_MS = 1_000;
+/**
+ * Every process polls at least this often, because peers that agree on a
+ * version may all have missed a newer one.
+ */
+const MAX_POLL_INTERVAL_MS = 60_000;
 /** Longest pause between polls while the instance list does not answer. */
 const MAX_POLL_BACKOFF_MS = 10_000;
 /** Number of routers to which a router passes on a new list. */
@@ -47,6 +52,7 @@
   }
   if (!state.pollInFlight && nowMs >= state.nextPollMs) {
     state.pollInFlight = true;
+    state.lastPollMs = nowMs;
     effects.push({ type: "poll_list" });
   }
   return effects;
@@ -196,7 +202,10 @@
   if (!state.elected) {
     const { listStaleAfterMs } = state.options;
     const jitter = jitterMs(state, listStaleAfterMs);
-    state.nextPollMs = nowMs + listStaleAfterMs + jitter;
+    state.nextPollMs = Math.min(
+      nowMs + listStaleAfterMs,
+      Math.max(nowMs, state.lastPollMs + MAX_POLL_INTERVAL_MS),
+    ) + jitter;
   }
 }
 
--- a/packages/core/src/membership/reduce_membership_test.ts
+++ b/packages/core/src/membership/reduce_membership_test.ts
@@ -60,6 +60,18 @@
     });
   const fail = (nowMs: number, instanceId: string) =>
     at(nowMs, { type: "connect_failed", instanceId });
+  const query = (nowMs: number, listVersion: number) =>
+    at(nowMs, {
+      type: "message_received",
+      peerId: "r2",
+      message: {
+        type: "config_query",
+        configVersion: 0,
+        haveSections: [],
+        wantContent: false,
+        listVersion,
+      },
+    });
   const usable = (nowMs: number) =>
     usableEndpoints(state, "chat", nowMs).map((view) => view.endpointId);
 
@@ -86,17 +98,7 @@
         peerId: "r2",
         message: { baseVersion: 1, instances: [], removedIds: ["e1"] },
       });
-      const reply = at(2, {
-        type: "message_received",
-        peerId: "r2",
-        message: {
-          type: "config_query",
-          configVersion: 0,
-          haveSections: [],
-          wantContent: false,
-          listVersion: -1,
-        },
-      }).find((effect) => effect.type === "send");
+      const reply = query(2, -1).find((effect) => effect.type === "send");
       expect(reply?.message.instances).toHaveLength(5);
     });
 
@@ -242,8 +244,17 @@
       expect(polls(1000)).toBe(0);
       expect(polls(1001)).toBe(1);
       list(1002, 2, [row("r1", { state: "leaving" })]);
+      const hear = (nowMs: number) =>
+        query(nowMs, 2).filter((effect) => effect.type === "poll_list");
       expect([2100, 6000].map(polls)).toEqual([0, 0]);
       expect(polls(10_000)).toBe(1);
+      at(10_000, { type: "list_not_modified" });
+      for (let nowMs = 11_000; nowMs < 70_000; nowMs += 1000) {
+        expect(hear(nowMs)).toEqual([]);
+      }
+      // Peers that agree may all have missed a change.
+      hear(75_000);
+      expect(polls(80_000)).toBe(1);
     });
   });
 });
--- a/packages/core/src/wire/messages.ts
+++ b/packages/core/src/wire/messages.ts
@@ -226,6 +226,8 @@
   wantContent: z.boolean(),
   /** Version of the instance list that a router holds. */
   listVersion: z.number().optional(),
+  /** Time since the store is known to have had no newer version. */
+  checkedMsAgo: z.number().nonnegative().optional(),
 });
 
 const ConfigStateSchema = z.object({
@@ -233,6 +235,7 @@
   configVersion: z.int().nonnegative(),
   manifest: z.record(z.string(), z.string()).optional(),
   sections: z.record(z.string(), z.string()).optional(),
+  checkedMsAgo: z.number().nonnegative().optional(),
 });
 
 /** Rows of the instance list that a router relays to its peers. */
