--- a/packages/core/src/config_sync/config_sync_state.ts
+++ b/packages/core/src/config_sync/config_sync_state.ts
@@ -58,6 +58,8 @@
   wanted: boolean;
   /** Id of the watch in progress. */
   activeId: number | undefined;
+  /** A watch that has not ended by then is given up. */
+  untilMs: Millis;
   failures: number;
   nextStartMs: Millis;
 }
@@ -91,8 +93,8 @@
   pointerFailures: number;
   /** Earliest next read of `config/active` after a failed one. */
   nextPointerReadMs: Millis;
-  /** Time at which any peer or the store last named its version. */
-  lastHeardMs: Millis;
+  /** Time at which the store is known to have had no newer version. */
+  checkedMs: Millis;
   /** Addition to the staleness limit, so that routers read one by one. */
   staleJitterMs: Millis;
   nextCompareMs: Millis;
@@ -123,13 +125,14 @@
     watch: {
       wanted: options.watchMode === "always" && options.role === "router",
       activeId: undefined,
+      untilMs: Number.POSITIVE_INFINITY,
       failures: 0,
       nextStartMs: Number.NEGATIVE_INFINITY,
     },
     pointerRead: undefined,
     pointerFailures: 0,
     nextPointerReadMs: Number.NEGATIVE_INFINITY,
-    lastHeardMs: Number.NEGATIVE_INFINITY,
+    checkedMs: Number.NEGATIVE_INFINITY,
     staleJitterMs: 0,
     nextCompareMs: Number.NEGATIVE_INFINITY,
     nextRetryMs: Number.POSITIVE_INFINITY,
