--- a/packages/core/src/placement/cache_aware_policy.ts
+++ b/packages/core/src/placement/cache_aware_policy.ts
@@ -3,6 +3,7 @@
   type Candidate,
   PlacementPolicy,
   type PlacementRequest,
+  type RankingKeys,
   type ShortlistOptions,
 } from "./placement_policy.js";
 
@@ -23,6 +24,10 @@
  * first token.
  */
 export class CacheAwarePolicy extends PlacementPolicy {
+  override rankingKey(keys: RankingKeys): string {
+    return keys.placementKey;
+  }
+
   override shortlist(
     rankedIds: readonly string[],
     options: ShortlistOptions,
--- a/packages/core/src/placement/placement_policy.ts
+++ b/packages/core/src/placement/placement_policy.ts
@@ -47,12 +47,24 @@
     randomBelow: RandomBelow,
   ): Candidate[];
 
+  /** Requests with the same key get the same stable order of endpoints. */
+  rankingKey(keys: RankingKeys): string {
+    return keys.chatId;
+  }
+
   /** Whether the decision needs facts of the candidates at all. */
   get needsProbes(): boolean {
     return true;
   }
 }
 
+/** What the stable order of endpoints can depend on. */
+export interface RankingKeys {
+  readonly chatId: string;
+  /** Start of the prompt, shared by chats about the same page. */
+  readonly placementKey: string;
+}
+
 export interface ShortlistOptions {
   readonly count: number;
   readonly lastEndpointId?: string;
--- a/packages/core/src/router/place_request.ts
+++ b/packages/core/src/router/place_request.ts
@@ -59,7 +59,7 @@
   const { options, chatEndpoints, randomBelow } = ctx.state;
   const views = allowedEndpoints(ctx, request);
   const rankedIds = rankByRendezvous(
-    request.request.chatId,
+    options.placement.rankingKey(request.request),
     views.map((view) => view.endpointId),
   );
   const domains = new Map(
--- a/packages/core/src/router/router_event.ts
+++ b/packages/core/src/router/router_event.ts
@@ -21,6 +21,8 @@
   readonly stream: boolean;
   /** Name of the chat that the caller gave, or a digest of its start. */
   readonly chatId: string;
+  /** Requests with the same key prefer the same endpoints. */
+  readonly placementKey: string;
   readonly blockHashes: readonly bigint[];
   readonly promptTokens: number;
   readonly maxOutputTokens?: number | undefined;
--- a/packages/daemon/src/router/parse_request.ts
+++ b/packages/daemon/src/router/parse_request.ts
@@ -1,9 +1,11 @@
 import { createHash } from "node:crypto";
 import type { IncomingMessage } from "node:http";
 import {
+  BLOCK_CHARS,
   type CallerRequest,
   estimateTokens,
   type PrefixHasher,
+  promptText,
 } from "@anvildeal/core";
 import { z } from "zod";
 import { CallerError } from "./caller_error.js";
@@ -41,6 +43,12 @@
   "upgrade",
 ]);
 
+/**
+ * Blocks of the opening that the placement key covers. 1,024 tokens reach past
+ * a system prompt of common length into the page that chats share.
+ */
+const PLACEMENT_PREFIX_BLOCKS = 4;
+
 const SERVICE_PATH = /^\/services\/([^/?]+)(\/[^?]*)?(\?.*)?$/;
 
 /** What of a request is known before its body. */
@@ -64,6 +72,8 @@
     content: textOf(message.content),
   }));
   const text = messages.map((message) => message.content).join("");
+  const chatId = chatIdOf(head, keyHash, chat, messages);
+  const blockHashes = hasher.blockHashes(messages);
   return {
     ...commonFields(head, body, keyHash),
     kind: "chat",
@@ -71,8 +81,9 @@
     headers: {},
     target: chat.model,
     stream: chat.stream === true,
-    chatId: chatIdOf(head, keyHash, chat, messages),
-    blockHashes: hasher.blockHashes(messages),
+    chatId,
+    placementKey: placementKeyOf(blockHashes, messages) ?? chatId,
+    blockHashes,
     promptTokens: estimateTokens(text),
     maxOutputTokens: chat.max_completion_tokens ?? chat.max_tokens ??
       undefined,
@@ -90,6 +101,7 @@
   }
   const [, service, path = "/", query = ""] = match;
   const keyHash = keyHashOf(head);
+  const chatId = headerOf(head, "anvildeal-chat") ?? `${keyHash}/${service}`;
   return {
     ...commonFields(head, body, keyHash),
     kind: "service",
@@ -97,7 +109,8 @@
     headers: passedHeaders(head.headers),
     target: decodeURIComponent(service),
     stream: false,
-    chatId: headerOf(head, "anvildeal-chat") ?? `${keyHash}/${service}`,
+    chatId,
+    placementKey: chatId,
     blockHashes: [],
     promptTokens: 0,
   };
@@ -175,6 +188,23 @@
   return sha256(`${keyHash}/${chat.model}/${start}`).slice(0, 24);
 }
 
+/**
+ * Key of the stable order of endpoints: the start of the prompt. Chats about
+ * the same page then meet at the endpoints that hold the page. Only blocks of
+ * the opening messages count, so that the key stays the same as a chat grows;
+ * undefined when the opening is shorter than a block.
+ */
+function placementKeyOf(
+  blockHashes: readonly bigint[],
+  messages: readonly { role: string; content: string }[],
+): string | undefined {
+  const firstUser = messages.findIndex(({ role }) => role === "user");
+  const opening = messages.slice(0, firstUser + 1);
+  const openingBlocks = Math.floor(promptText(opening).length / BLOCK_CHARS);
+  const depth = Math.min(openingBlocks, PLACEMENT_PREFIX_BLOCKS);
+  return blockHashes[depth - 1]?.toString(36);
+}
+
 function deadlineOf(head: RequestHead): number | undefined {
   const value = headerOf(head, "anvildeal-deadline-ms");
   if (value === undefined) {
