--- /dev/null
+++ b/packages/daemon/src/execution/execution_host_test.ts
@@ -0,0 +1,377 @@
+import {
+  type CallRefusal,
+  Clock,
+  EXPIRY_MARGIN_MS,
+  RECORD_RETENTION_MS,
+} from "@anvildeal/core";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { HttpObjectStore } from "../store/http_object_store.js";
+import {
+  ObjectServer,
+  type ServerFault,
+} from "../store/object_server_test_fixture.js";
+import { ExecutionHost, type KeyedCallHandle } from "./execution_host.js";
+import { OwnRecordExpiry } from "./own_record_expiry.js";
+import { RecordSweeper } from "./record_sweeper.js";
+
+/** Clock of the system that can jump ahead; its monotonic time can stop. */
+class TestClock extends Clock {
+  aheadMs = 0;
+  #stoppedAtMs: number | undefined;
+
+  stop(): void {
+    this.#stoppedAtMs = performance.now();
+  }
+
+  nowMs(): number {
+    return (this.#stoppedAtMs ?? performance.now()) + this.aheadMs;
+  }
+
+  wallMs(): number {
+    return Date.now() + this.aheadMs;
+  }
+}
+
+const realSetTimeout = setTimeout;
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => realSetTimeout(resolve, ms));
+}
+
+let server: ObjectServer;
+let store: HttpObjectStore;
+let clock: TestClock;
+let hosts: ExecutionHost[];
+
+beforeEach(async () => {
+  server = await ObjectServer.start();
+  store = new HttpObjectStore({ url: server.url, requestTimeoutMs: 1_000 });
+  clock = new TestClock();
+  hosts = [];
+});
+
+afterEach(async () => {
+  vi.useRealTimers();
+  hosts.forEach((host) => host.dispose());
+  await store.dispose();
+  await server.dispose();
+});
+
+function startHost(): ExecutionHost {
+  const host = new ExecutionHost({ store, clock, endpointId: "e" });
+  hosts.push(host);
+  return host;
+}
+
+interface Attempt {
+  readonly handle: KeyedCallHandle;
+  /** Answers so far; a correct host gives exactly one. */
+  readonly answers: ("start" | CallRefusal)[];
+  readonly answered: Promise<"start" | CallRefusal>;
+}
+
+function begin(host: ExecutionHost, idempotencyKey = "k"): Attempt {
+  const answers: Attempt["answers"] = [];
+  let resolve: (answer: "start" | CallRefusal) => void;
+  const answered = new Promise<"start" | CallRefusal>((done) => {
+    resolve = done;
+  });
+  const note = (answer: "start" | CallRefusal) => {
+    answers.push(answer);
+    resolve(answer);
+  };
+  const handle = host.begin({
+    attemptId: "a",
+    account: "account",
+    idempotencyKey,
+    fingerprint: "f",
+    startByMs: clock.nowMs() + 30_000,
+  }, {
+    startCall: () => note("start"),
+    refuseCall: note,
+  });
+  return { handle, answers, answered };
+}
+
+const answer = {
+  status: 201,
+  headers: { "content-type": "text/plain" },
+  body: new TextEncoder().encode("done"),
+};
+
+function recordState(): unknown {
+  const [object] = server.objects.values();
+  return (object?.value as { state?: string } | undefined)?.state;
+}
+
+describe("ExecutionHost", () => {
+  describe("while the store answers", () => {
+    it("starts a call once and gives its answer to a repeat", async () => {
+      const first = begin(startHost());
+      expect(await first.answered).toBe("start");
+      expect(await begin(startHost()).answered).toMatchObject({
+        reason: "duplicate_running",
+        outcome: "unknown",
+      });
+      first.handle.finished(answer);
+      await vi.waitFor(() => expect(recordState()).toBe("finished"));
+      expect(await begin(startHost()).answered).toMatchObject({
+        reason: "duplicate_finished",
+        answer,
+      });
+      expect([...server.objects.keys()][0]).toMatch(/^calls\/[0-9a-f]{64}$/);
+    });
+
+    it("lets another attempt run after a call that did not run", async () => {
+      const host = startHost();
+      const first = begin(host);
+      await first.answered;
+      first.handle.failed("not-run");
+      await vi.waitFor(() => expect(recordState()).toBeUndefined(), 5_000);
+      expect(await begin(host).answered).toBe("start");
+    });
+
+    it("removes the claim of an attempt that is cancelled", async () => {
+      const host = startHost();
+      const attempt = begin(host);
+      attempt.handle.cancel();
+      expect(attempt.answers).toMatchObject([{
+        outcome: "not-run",
+        reason: "cancelled",
+      }]);
+      await vi.waitFor(() => {
+        expect(server.requests.join()).toContain("DELETE");
+        expect(recordState()).toBeUndefined();
+      }, 5_000);
+      expect(attempt.answers).toHaveLength(1);
+    });
+  });
+
+  describe("when the answer to a create is lost", () => {
+    it.each([true, false])("runs once (applied: %s)", async (applied) => {
+      server.faults.push({ type: "reset", applied });
+      const attempt = begin(startHost());
+      expect(await attempt.answered).toBe("start");
+      expect(await begin(startHost()).answered).not.toBe("start");
+    });
+
+    it("never runs an attempt whose create takes effect late", async () => {
+      server.faults.push({ type: "delay" });
+      server.outage = { type: "reset", applied: false };
+      const host = startHost();
+      const attempt = begin(host);
+      expect(await attempt.answered).toMatchObject({
+        outcome: "not-run",
+        reason: "store_unavailable",
+      });
+      server.applyDelayed();
+      expect(recordState()).toBe("started");
+      server.outage = undefined;
+      await vi.waitFor(() => expect(recordState()).toBeUndefined(), 20_000);
+      expect(attempt.answers).toHaveLength(1);
+      expect(await begin(host).answered).toBe("start");
+    });
+  });
+
+  describe("while the store is down", () => {
+    it("goes on removing a record until the store answers", async () => {
+      server.faults.push({ type: "delay" });
+      server.outage = { type: "reset", applied: false };
+      const attempt = begin(startHost());
+      await attempt.answered;
+      vi.useFakeTimers({ toFake: ["setTimeout", "clearTimeout"] });
+      const readsBefore = server.requests.length;
+      for (let n = 0; n < 20; n++) {
+        await pause(20);
+        vi.advanceTimersByTime(60_000);
+      }
+      expect(server.requests.length).toBeGreaterThan(readsBefore + 4);
+      server.applyDelayed();
+      server.outage = undefined;
+      for (let n = 0; n < 20 && recordState() !== undefined; n++) {
+        await pause(50);
+        vi.advanceTimersByTime(60_000);
+      }
+      expect(recordState()).toBeUndefined();
+    });
+
+    it("refuses at once and leaves nothing to remove", async () => {
+      await server.dispose();
+      const host = startHost();
+      expect(await begin(host).answered).toMatchObject({
+        outcome: "not-run",
+        reason: "store_unavailable",
+        retryAfterMs: 5_000,
+      });
+      expect(host.pendingRemovals).toBe(0);
+      server = await ObjectServer.start();
+    });
+
+    it("records the answer once the store is back", async () => {
+      const attempt = begin(startHost());
+      await attempt.answered;
+      server.outage = { type: "answer", status: 503, body: "{}" };
+      attempt.handle.finished(answer);
+      await vi.waitFor(() => {
+        const updates = server.requests.filter((line) => line.includes("PUT"));
+        expect(updates.length).toBeGreaterThan(1);
+      });
+      server.outage = undefined;
+      await vi.waitFor(() => expect(recordState()).toBe("finished"), 20_000);
+    });
+  });
+
+  describe("with random faults over real connections", () => {
+    const SEED = 20_265;
+
+    it(`runs each key at most once (seed ${SEED})`, async () => {
+      const random = xoroshiro128plus(SEED);
+      const faults: (ServerFault | undefined)[] = [
+        { type: "reset", applied: true },
+        { type: "reset", applied: false },
+        { type: "delay" },
+        { type: "cut" },
+        { type: "answer", status: 503, body: "{}" },
+        { type: "answer", status: 429, body: "{}" },
+        ...Array.from({ length: 6 }, () => undefined),
+      ];
+      const choose = <T>(items: readonly T[]) =>
+        items[(random.next() >>> 0) % items.length];
+      const fleet = [startHost(), startHost()];
+      const runs = new Map<string, number>();
+      for (let round = 0; round < 60; round++) {
+        server.faults.push(
+          ...Array.from({ length: 12 }, () => choose(faults)),
+        );
+        const key = `k${round % 20}`;
+        const attempts = fleet.map((host) => begin(host, key));
+        const answers = await Promise.all(attempts.map((a) => a.answered));
+        server.applyDelayed();
+        const started = answers.filter((one) => one === "start").length;
+        runs.set(key, (runs.get(key) ?? 0) + started);
+        attempts.forEach(({ answers, handle }) => {
+          expect(answers).toHaveLength(1);
+          handle.finished(answer);
+        });
+      }
+      expect(Math.max(...runs.values())).toBe(1);
+    });
+  });
+});
+
+describe("RecordSweeper", () => {
+  const expiresAtMs = () => Date.now() - EXPIRY_MARGIN_MS;
+  const record = (expiresAtMs: number) => ({
+    state: "started",
+    attemptId: "a",
+    claimId: "c",
+    fingerprint: "f",
+    endpointId: "e",
+    startedAtMs: expiresAtMs - RECORD_RETENTION_MS,
+    expiresAtMs,
+  });
+
+  /** Returns the keys of the records that must be kept. */
+  async function fill(): Promise<string[]> {
+    for (let n = 0; n < 25; n++) {
+      await store.create(`calls/old${n}`, record(expiresAtMs() - 1));
+      await store.create(`calls/new${n}`, record(expiresAtMs() + 60_000));
+    }
+    // Written by another version, or below another prefix.
+    await store.create("calls/other", { state: "new", expiresAtMs: 0 });
+    await store.create("other/old", record(0));
+    const kept = [...server.objects.keys()].filter((key) =>
+      !key.startsWith("calls/old")
+    );
+    return kept.sort();
+  }
+
+  function startSweeper(callsPerS: number, pageRecords = 7): RecordSweeper {
+    return new RecordSweeper({
+      store,
+      clock,
+      callsPerS,
+      pageRecords,
+      restMs: 10,
+    });
+  }
+
+  it("deletes exactly the expired records, also after failed calls", async () => {
+    const kept = await fill();
+    // The first call fails, and so do the first two deletes: the fifth call
+    // lists the first page that has expired records.
+    const lists = [undefined, undefined, undefined, undefined];
+    server.faults.push(
+      { type: "reset", applied: false },
+      ...lists,
+      { type: "reset", applied: false },
+      { type: "reset", applied: true },
+    );
+    const sweeper = startSweeper(2_000);
+    sweeper.setElected(true);
+    await vi.waitFor(
+      () => expect([...server.objects.keys()].sort()).toEqual(kept),
+      20_000,
+    );
+    const { pages } = sweeper.counters;
+    await vi.waitFor(
+      () => expect(sweeper.counters.pages).toBeGreaterThan(pages + 10),
+      20_000,
+    );
+    sweeper.dispose();
+    expect([...server.objects.keys()].sort()).toEqual(kept);
+    expect(sweeper.counters.failed).toBeGreaterThan(0);
+  });
+
+  it("makes no calls unless it is elected", async () => {
+    await fill();
+    const before = server.requests.length;
+    const sweeper = startSweeper(2_000, 50);
+    sweeper.setElected(false);
+    sweeper.setElected(true);
+    sweeper.setElected(false);
+    await vi.waitFor(() => expect(sweeper.counters.pages).toBe(1));
+    await pause(100);
+    sweeper.dispose();
+    const calls = server.requests.slice(before);
+    expect(calls.filter((line) => line.startsWith("DELETE"))).toEqual([]);
+    expect(calls.filter((line) => line.includes("prefix"))).toHaveLength(1);
+  });
+
+  // A faster sweep would take the store away from keyed calls.
+  it("makes no more calls than its rate allows", async () => {
+    await fill();
+    const before = server.requests.length;
+    clock.stop();
+    const sweeper = startSweeper(1_000);
+    sweeper.setElected(true);
+    for (let call = 1; call <= 5; call++) {
+      await vi.waitFor(() =>
+        expect(server.requests.length).toBe(before + call)
+      );
+      // Timers go on, but no time passes for the rate.
+      await pause(20);
+      expect(server.requests.length).toBe(before + call);
+      clock.aheadMs++;
+    }
+    sweeper.dispose();
+  });
+});
+
+describe("OwnRecordExpiry", () => {
+  it("deletes own records only once they have expired", async () => {
+    const expiry = new OwnRecordExpiry({ store, clock, checkIntervalMs: 5 });
+    const expiresAtMs = clock.wallMs() + RECORD_RETENTION_MS;
+    const version = await store.create("calls/own", 1);
+    expiry.add({ key: "calls/own", version, expiresAtMs });
+    clock.aheadMs = RECORD_RETENTION_MS + EXPIRY_MARGIN_MS - 60_000;
+    await pause(50);
+    expect(server.objects.size).toBe(1);
+    clock.aheadMs += 60_000;
+    await vi.waitFor(() => expect(server.objects.size).toBe(0), 20_000);
+    expiry.dispose();
+    expect(server.requests.filter((line) => line.startsWith("DELETE")))
+      .toHaveLength(1);
+  });
+});
