Allow many pending calls of the object store client without a warning

Each pending call listens to the signal of dispose, and Node.js reported a leak from the eleventh on. The test server polls for watches, which takes fewer lines.

--- a/packages/core/src/execution/keyed_call_test.ts
+++ b/packages/core/src/execution/keyed_call_test.ts
@@ -18,7 +18,6 @@
 } from "./keyed_call_machine.js";
 import {
   type RecordRemovalEffect,
-  type RecordRemovalEvent,
   type RecordRemovalStep,
   startRecordRemoval,
   stepRecordRemoval,
@@ -30,12 +29,8 @@
 const START_WINDOW_MS = 5_000;
 
 type Effect = KeyedCallEffect | RecordRemovalEffect;
-type Report =
-  & (
-    | Omit<KeyedCallEvent, "nowMs" | "wallMs">
-    | Omit<RecordRemovalEvent, "wallMs">
-  )
-  & { type: string };
+/** Event of either machine before the time is added. */
+type Report = { readonly type: string } & Record<string, unknown>;
 
 /** A store call of an actor; the answer may be given long after the effect. */
 interface Call {
@@ -218,23 +213,23 @@
     switch (effect.type) {
       case "create_record":
         return object === undefined
-          ? { type: "created", version: this.#write(effect.record) } as Report
-          : { type: "create_conflicted", current: object } as Report;
+          ? { type: "created", version: this.#write(effect.record) }
+          : { type: "create_conflicted", current: object };
       case "read_record":
-        return { type: "record_read", current: object } as Report;
+        return { type: "record_read", current: object };
       case "update_record":
         if (object?.version !== effect.ifVersion) {
-          return { type: "update_conflicted" } as Report;
+          return { type: "update_conflicted" };
         }
         this.#write(effect.record);
-        return { type: "updated" } as Report;
+        return { type: "updated" };
       case "delete_record":
         if (object?.version !== effect.ifVersion) {
-          return { type: "delete_conflicted" } as Report;
+          return { type: "delete_conflicted" };
         }
         this.#lastVersion++;
         this.object = undefined;
-        return { type: "deleted" } as Report;
+        return { type: "deleted" };
       default:
         throw new Error(`${effect.type} is not a store call`);
     }
@@ -265,11 +260,11 @@
 
   #wake(actor: Actor): void {
     actor.wakes--;
-    actor.step({ type: "wake" } as Report);
+    actor.step({ type: "wake" });
   }
 
   #cancel(attempt: Attempt): void {
-    attempt.step({ type: "cancel" } as Report);
+    attempt.step({ type: "cancel" });
     // The answer must not wait for the store.
     expect(attempt.answers).toHaveLength(1);
   }
@@ -278,12 +273,12 @@
     attempt.call = "ended";
     const body = new TextEncoder().encode(attempt.record.claimId);
     const answer = { status: 200, headers: {}, body };
-    attempt.step({ type: "call_finished", answer } as Report);
+    attempt.step({ type: "call_finished", answer });
   }
 
   #fail(attempt: Attempt, outcome: "unknown" | "not-run"): void {
     attempt.call = outcome === "not-run" ? "not-run" : "ended";
-    attempt.step({ type: "call_failed", outcome } as Report);
+    attempt.step({ type: "call_failed", outcome });
   }
 
   #sweep(): void {
@@ -310,7 +305,7 @@
 }
 
 function answerOf(effect: Effect, result: string): Report {
-  return { type: effect.type.replace("record", result) } as unknown as Report;
+  return { type: effect.type.replace("record", result) };
 }
 
 const schedules = fc.array(fc.nat(1_000_000), {
--- a/packages/daemon/src/store/http_object_store.ts
+++ b/packages/daemon/src/store/http_object_store.ts
@@ -9,6 +9,7 @@
   StoreUnknownOutcomeError,
   type WatchOptions,
 } from "@anvildeal/core";
+import { setMaxListeners } from "node:events";
 import { Agent } from "undici";
 import { z } from "zod";
 import {
@@ -73,6 +74,8 @@
     this.#requestTimeoutMs = options.requestTimeoutMs;
     this.#onCall = options.onCall ?? (() => {});
     this.#agent = this.#openAgent();
+    // Each pending call listens; Node.js warns of a leak above ten.
+    setMaxListeners(0, this.#disposed.signal);
   }
 
   async get(key: string): Promise<StoredObject | undefined> {
--- a/packages/daemon/src/store/http_object_store_test.ts
+++ b/packages/daemon/src/store/http_object_store_test.ts
@@ -65,6 +65,15 @@
       expect(await store.get(KEY)).toBeUndefined();
     });
 
+    it("runs many calls at once without a warning of a leak", async () => {
+      const warnings: Error[] = [];
+      const note = (warning: Error) => warnings.push(warning);
+      process.on("warning", note);
+      await Promise.all(Array.from({ length: 30 }, () => store.get(KEY)));
+      process.off("warning", note);
+      expect(warnings).toEqual([]);
+    });
+
     it("reports the object that a write conflicts with", async () => {
       await store.create(KEY, "held");
       const current = { key: KEY, version: 1, value: "held" };
--- a/packages/daemon/src/store/object_server_test_fixture.ts
+++ b/packages/daemon/src/store/object_server_test_fixture.ts
@@ -33,7 +33,6 @@
   readonly #server: Server;
   readonly #versions = new Map<string, number>();
   readonly #delayed: (() => void)[] = [];
-  readonly #watchers = new Set<() => void>();
 
   private constructor() {
     this.#server = createServer((request, response) => {
@@ -81,14 +80,12 @@
       return;
     }
     if (kind === "watch") {
-      this.#watch(key, url, response);
-      return;
+      return this.#watch(key, url, response);
     }
     const apply = () => this.#apply(request, url, key, body);
     const fault = this.faults.length > 0 ? this.faults.shift() : this.outage;
     if (fault === undefined) {
-      send(response, ...apply());
-      return;
+      return send(response, ...apply());
     }
     this.#fail(fault, response, apply);
   }
@@ -154,9 +151,6 @@
     }
     const value: unknown = JSON.parse(body.toString());
     this.objects.set(key, { key, version, value });
-    for (const watcher of this.#watchers) {
-      watcher();
-    }
     return [200, { version }];
   }
 
@@ -168,24 +162,19 @@
       .slice(0, Number(query.get("limit")));
   }
 
-  #watch(key: string, url: URL, response: ServerResponse): void {
+  /** Polls, because a test has at most a few watches. */
+  async #watch(key: string, url: URL, response: ServerResponse): Promise<void> {
     const after = Number(url.searchParams.get("after"));
-    const answer = () => {
+    const timeoutMs = Number(url.searchParams.get("timeout_ms"));
+    const endMs = performance.now() + timeoutMs;
+    while (performance.now() < endMs && !response.destroyed) {
       const current = this.objects.get(key);
       if (current !== undefined && current.version > after) {
-        finish(200, current);
+        return send(response, 200, current);
       }
-    };
-    const finish = (status: number, body?: unknown) => {
-      clearTimeout(timer);
-      this.#watchers.delete(answer);
-      send(response, status, body);
-    };
-    const timeoutMs = Number(url.searchParams.get("timeout_ms"));
-    const timer = setTimeout(() => finish(304), timeoutMs);
-    this.#watchers.add(answer);
-    response.on("close", () => finish(304));
-    answer();
+      await new Promise((resolve) => setTimeout(resolve, 5));
+    }
+    send(response, 304);
   }
 }
 
