--- a/packages/core/src/placement/cache_aware_policy.ts
+++ b/packages/core/src/placement/cache_aware_policy.ts
@@ -13,11 +13,17 @@
  */
 export const HYSTERESIS_MS: Millis = 20;
 
+/**
+ * Prefill counts more than the time it takes: it delays the other requests of
+ * the engine and evicts blocks that other chats would have reused.
+ */
+export const PREFILL_WEIGHT = 4;
+
 /**
  * Time that a token above the pool's mean load costs others. It keeps a warm
  * endpoint from drawing every request until its queue is full.
  */
-export const IMBALANCE_COST_MS_PER_TOKEN = 0.02;
+export const IMBALANCE_COST_MS_PER_TOKEN = 0.005;
 
 /**
  * Weighs cache reuse against load in one cost: the estimated time to the
@@ -79,7 +85,7 @@
   }
 }
 
-/** Estimated time to the first token with the cost of imbalance added. */
+/** Estimated time to the first token with what the choice costs others. */
 export function estimateCostMs(
   candidate: Candidate,
   request: PlacementRequest,
@@ -92,6 +98,7 @@
   const loadAfter = candidate.loadTokens + uncachedTokens +
     request.outputTokens;
   const excessTokens = Math.max(0, loadAfter - candidate.poolMeanTokens);
-  return candidate.queueWaitMs + prefillMs + candidate.penaltyMs +
+  return candidate.queueWaitMs + PREFILL_WEIGHT * prefillMs +
+    candidate.penaltyMs +
     excessTokens * IMBALANCE_COST_MS_PER_TOKEN;
 }
--- a/packages/core/src/router/finish_request.ts
+++ b/packages/core/src/router/finish_request.ts
@@ -103,9 +103,13 @@
 export function answerError(
   ctx: RouterContext,
   request: RequestState,
-  error: ErrorAnswer,
+  refusal: ErrorAnswer,
 ): void {
   const { requestId } = request.request;
+  // What the last attempt says of itself is not true of the earlier ones.
+  const error: ErrorAnswer = request.executions > 0
+    ? { ...refusal, outcome: "unknown" }
+    : refusal;
   if (request.headSent) {
     ctx.effects.push({ type: "respond_abort", requestId });
   } else {
--- a/packages/core/src/router/router_state.ts
+++ b/packages/core/src/router/router_state.ts
@@ -54,6 +54,7 @@
   incarnation: number | undefined;
   lastReceivedMs: Millis;
   lastSentMs: Millis;
+  lastPingMs: Millis;
   /** Attempts and probes that wait for a frame of this endpoint. */
   readonly attemptIds: Set<string>;
   readonly probeIds: Set<string>;
@@ -191,6 +192,7 @@
       incarnation: undefined,
       lastReceivedMs: 0,
       lastSentMs: 0,
+      lastPingMs: 0,
       attemptIds: new Set(),
       probeIds: new Set(),
     };
--- a/packages/core/src/router/watch_connections.ts
+++ b/packages/core/src/router/watch_connections.ts
@@ -50,7 +50,8 @@
       loseConnection(ctx, endpointId, [], advance);
       continue;
     }
-    if (nowMs - contact.lastSentMs >= HEARTBEAT_MS) {
+    if (needsPing(contact, nowMs)) {
+      contact.lastPingMs = nowMs;
       sendTo(ctx, endpointId, { type: "ping" });
     }
   }
@@ -128,6 +129,16 @@
   }
 }
 
+/**
+ * Either direction may be quiet: a router that only sends acknowledgements
+ * still has to provoke a frame from the sidecar.
+ */
+function needsPing(contact: EndpointContact, nowMs: Millis): boolean {
+  const quietSinceMs = Math.min(contact.lastSentMs, contact.lastReceivedMs);
+  return nowMs - quietSinceMs >= HEARTBEAT_MS &&
+    nowMs - contact.lastPingMs >= HEARTBEAT_MS;
+}
+
 function isResumeOverdue(ctx: RouterContext, request: RequestState): boolean {
   const deadlineMs = request.attempt?.resumeDeadlineMs;
   return deadlineMs !== undefined && ctx.nowMs >= deadlineMs;
--- a/packages/core/src/sidecar/exchange_digests.ts
+++ b/packages/core/src/sidecar/exchange_digests.ts
@@ -69,7 +69,11 @@
   return {
     type: "digest",
     reply,
-    entries: state.table.digest(own, nowMs),
+    entries: state.table.digest(own, nowMs).map((entry) => ({
+      ...entry,
+      loadTokens: Math.round(entry.loadTokens),
+      ageMs: Math.round(entry.ageMs),
+    })),
     configVersion: state.configVersion,
   };
 }
--- a/packages/core/src/sidecar/sidecar_state.ts
+++ b/packages/core/src/sidecar/sidecar_state.ts
@@ -187,10 +187,11 @@
     endpointId: state.options.endpointId,
     incarnation: state.options.incarnation,
     state: state.mode,
-    loadTokens,
-    queueWaitMs: queueWaitMsOf(state),
-    poolMeanTokens: state.bound.poolMeanTokens(loadTokens, nowMs),
-    prefillTokensPerS: state.rates.prefillTokensPerS,
+    // Whole numbers take a third of the bytes of fractions on the wire.
+    loadTokens: Math.round(loadTokens),
+    queueWaitMs: Math.round(queueWaitMsOf(state)),
+    poolMeanTokens: Math.round(state.bound.poolMeanTokens(loadTokens, nowMs)),
+    prefillTokensPerS: Math.ceil(state.rates.prefillTokensPerS),
     configVersion: state.configVersion,
   };
 }
--- a/packages/core/src/wire/frame_codec.ts
+++ b/packages/core/src/wire/frame_codec.ts
@@ -1,4 +1,5 @@
 import { Decoder, Encoder } from "cbor-x";
+import { FIELD_CODES } from "./field_codes.js";
 import { type Message, MessageSchema } from "./messages.js";
 import { WireError } from "./wire_error.js";
 
@@ -7,8 +8,15 @@
 /** Upper limit of one frame in bytes, length prefix not counted. */
 export const MAX_FRAME_BYTES = 12 * 1024 * 1024;
 
-const encoder = new Encoder({ tagUint8Array: false, useRecords: false });
-const decoder = new Decoder({ tagUint8Array: false, useRecords: false });
+// `keyMap` is missing in the type declarations of cbor-x.
+const CODEC_OPTIONS = {
+  keyMap: FIELD_CODES,
+  mapsAsObjects: true,
+  tagUint8Array: false,
+  useRecords: false,
+};
+const encoder = new Encoder(CODEC_OPTIONS);
+const decoder = new Decoder(CODEC_OPTIONS);
 
 /** Encodes a message as a frame: 4 bytes of length, then a CBOR map. */
 export function encodeFrame(message: Message): Uint8Array {
--- a/packages/core/src/wire/frame_codec_test.ts
+++ b/packages/core/src/wire/frame_codec_test.ts
@@ -1,6 +1,8 @@
 import { describe, expect, it } from "vitest";
+import { z } from "zod";
+import { FIELD_CODES } from "./field_codes.js";
 import { encodeFrame, FrameDecoder } from "./frame_codec.js";
-import type { Message } from "./messages.js";
+import { type Message, MessageSchema } from "./messages.js";
 import { WireError } from "./wire_error.js";
 
 const chunk: Message = {
@@ -29,6 +31,38 @@
     });
   });
 
+  describe("with coded field names", () => {
+    it("codes every field of every message, so that none costs its name", () => {
+      const names = new Set<string>();
+      const collect = (schema: z.core.$ZodType) => {
+        if (schema instanceof z.ZodObject) {
+          for (const [name, field] of Object.entries(schema.shape)) {
+            names.add(name);
+            collect(field as z.core.$ZodType);
+          }
+        } else if (schema instanceof z.ZodArray) {
+          collect(schema.element);
+        } else if (schema instanceof z.ZodOptional) {
+          collect(schema.unwrap());
+        }
+      };
+      MessageSchema.options.forEach(collect);
+      expect([...names].filter((name) => !(name in FIELD_CODES))).toEqual([]);
+    });
+
+    it("leaves maps with free names as they are", () => {
+      const head: Message = {
+        type: "head",
+        attemptId: "a1",
+        seq: 0,
+        status: 200,
+        headers: { "status": "x", "1": "y", "content-type": "z" },
+      };
+      const [received] = new FrameDecoder().push(encodeFrame(head));
+      expect(received?.message).toEqual(head);
+    });
+  });
+
   describe("with invalid frames", () => {
     it("rejects a frame above the size limit before its body arrives", () => {
       const decoder = new FrameDecoder(16);
