--- a/packages/core/src/config_sync/config_sync_state.ts
+++ b/packages/core/src/config_sync/config_sync_state.ts
@@ -5,6 +5,7 @@
 import type { DigestFunction, Manifest } from "../config/config_sections.js";
 import type { ActivePointer } from "./config_objects.js";
 import { configMachine } from "./config_sync_machine.js";
+import { ParsedSections } from "./parsed_sections.js";
 
 export interface ConfigSyncOptions {
   readonly role: "router" | "sidecar";
@@ -77,6 +78,7 @@
   /** Content of the version in force. */
   manifest: Manifest;
   readonly sections: Map<string, string>;
+  readonly parsed: ParsedSections;
   /** Verified sections of versions that are not complete yet. */
   readonly collected: Map<string, string>;
   /** Highest version named by each peer, if above the one in force. */
@@ -115,6 +117,7 @@
     snapshot: initialTransition(configMachine)[0],
     manifest: {},
     sections: new Map(),
+    parsed: new ParsedSections(),
     collected: new Map(),
     holders: new Map(),
     pointer: undefined,
--- /dev/null
+++ b/packages/core/src/config_sync/parsed_sections.ts
@@ -0,0 +1,65 @@
+import { z } from "zod";
+import {
+  AccountSchema,
+  type Bundle,
+  ObjectiveSchema,
+  PoolSchema,
+  ServiceSchema,
+} from "../config/bundle_schema.js";
+import type { Manifest } from "../config/config_sections.js";
+
+const SECTION_SCHEMAS = {
+  accounts: z.array(AccountSchema),
+  pools: z.array(PoolSchema),
+  services: z.array(ServiceSchema),
+  objectives: z.array(ObjectiveSchema),
+};
+type SectionKind = keyof typeof SECTION_SCHEMAS;
+
+/**
+ * Parsed sections of the version in force.
+ *
+ * Parsing a bundle of 9,700 accounts as a whole blocks the event loop for
+ * about 0.2 s; a new version usually changes one section in 66.
+ */
+export class ParsedSections {
+  #byKindAndDigest = new Map<string, readonly unknown[]>();
+
+  /**
+   * Joins a complete version and keeps its sections for the next one.
+   *
+   * Throws when a section does not match the schema; the sections kept stay
+   * as they were. The caller has verified the digests.
+   */
+  join(manifest: Manifest, contentOf: (digest: string) => string): Bundle {
+    const parsed = new Map<string, readonly unknown[]>();
+    const parts: Record<SectionKind, unknown[]> = {
+      accounts: [],
+      pools: [],
+      services: [],
+      objectives: [],
+    };
+    for (const [name, digest] of Object.entries(manifest)) {
+      const kind = name.split("/")[0]!;
+      if (!isSectionKind(kind)) {
+        continue;
+      }
+      // Equal content, such as an empty list, can be of several kinds.
+      const key = `${kind}/${digest}`;
+      const items = this.#byKindAndDigest.get(key) ??
+        SECTION_SCHEMAS[kind].parse(JSON.parse(contentOf(digest)));
+      parsed.set(key, items);
+      parts[kind].push(...items);
+    }
+    if (parts.pools.length === 0) {
+      throw new RangeError("The configuration has no pool");
+    }
+    this.#byKindAndDigest = parsed;
+    return parts as Bundle;
+  }
+}
+
+/** Sections of an unknown kind come from a later release; they are ignored. */
+function isSectionKind(kind: string): kind is SectionKind {
+  return Object.hasOwn(SECTION_SCHEMAS, kind);
+}
--- a/packages/core/src/config_sync/reduce_config_sync_test.ts
+++ b/packages/core/src/config_sync/reduce_config_sync_test.ts
@@ -189,6 +189,21 @@
         .toMatchObject([{ version: 2, bundle: contentOf(2).bundle }]);
     });
 
+    // Parsing all accounts for each change would block the event loop.
+    it("parses only changed sections", () => {
+      const accountsAfter = (version: number) => {
+        const message = stateMessage(version);
+        const [apply] = only(receive(10, "p1", message), "apply");
+        expect(apply!.bundle).toEqual(contentOf(version).bundle);
+        const { accounts } = apply!.bundle;
+        return new Map(accounts.map((account) => [account.name, account]));
+      };
+      const before = accountsAfter(2);
+      const after = accountsAfter(3);
+      expect(after.get("grants")).toBe(before.get("grants"));
+      expect(after.get("wiki")).not.toBe(before.get("wiki"));
+    });
+
     it("asks another peer, then the store, when the first is silent", () => {
       tick(0, ["p1", "p2"]);
       at(10, { type: "version_hinted", peerId: "p1", configVersion: 2 });
--- a/packages/core/src/config_sync/version_control.ts
+++ b/packages/core/src/config_sync/version_control.ts
@@ -2,7 +2,7 @@
 import { transition } from "xstate";
 import type { Millis } from "../clock.js";
 import type { Bundle } from "../config/bundle_schema.js";
-import { joinBundle, manifestDigest } from "../config/config_sections.js";
+import { manifestDigest } from "../config/config_sections.js";
 import { pickRandom } from "../membership/pick_random.js";
 import { type ActivePointer, ActivePointerSchema } from "./config_objects.js";
 import type {
@@ -237,13 +237,10 @@
   candidate: CandidateManifest,
   effects: ConfigSyncEffect[],
 ): Bundle | undefined {
-  const sections: Record<string, string> = {};
-  for (const digest of Object.values(candidate.manifest)) {
-    const content = state.sections.get(digest) ?? state.collected.get(digest);
-    sections[digest] = content!;
-  }
+  const contentOf = (digest: string) =>
+    state.sections.get(digest) ?? state.collected.get(digest)!;
   try {
-    return joinBundle(candidate.manifest, sections, state.options.digest);
+    return state.parsed.join(candidate.manifest, contentOf);
   } catch (error) {
     effects.push(count("unreadable"), {
       type: "log",
