--- a/packages/core/src/config_sync/reduce_config_sync_test.ts
+++ b/packages/core/src/config_sync/reduce_config_sync_test.ts
@@ -244,14 +244,19 @@
 
     it("stays on its version when a newer one cannot be read", () => {
       const content = "[{}]";
-      const effects = receive(10, "p1", {
-        type: "config_state",
+      const unreadable = {
+        type: "config_state" as const,
         configVersion: 2,
         manifest: { pools: testDigest(content) },
         sections: { [testDigest(content)]: content },
-      });
+      };
+      const effects = receive(10, "p1", unreadable);
+      expect(only(effects, "log").map((effect) => effect.level))
+        .toEqual(["error"]);
       expect(only(effects, "apply")).toEqual([]);
       expect(versionInForce(state)).toBe(1);
+      // It is not parsed again each time that a peer sends it.
+      expect(only(receive(11, "p2", unreadable), "log")).toEqual([]);
       receive(20, "p1", stateMessage(3));
       expect(versionInForce(state)).toBe(3);
     });
