--- a/packages/core/src/config_sync/reduce_config_sync_test.ts
+++ b/packages/core/src/config_sync/reduce_config_sync_test.ts
@@ -189,6 +189,21 @@
         .toMatchObject([{ version: 2, bundle: contentOf(2).bundle }]);
     });
 
+    // Parsing all accounts for each change would block the event loop.
+    it("parses only changed sections", () => {
+      const accountsAfter = (version: number) => {
+        const message = stateMessage(version);
+        const [apply] = only(receive(10, "p1", message), "apply");
+        expect(apply!.bundle).toEqual(contentOf(version).bundle);
+        const { accounts } = apply!.bundle;
+        return new Map(accounts.map((account) => [account.name, account]));
+      };
+      const before = accountsAfter(2);
+      const after = accountsAfter(3);
+      expect(after.get("grants")).toBe(before.get("grants"));
+      expect(after.get("wiki")).not.toBe(before.get("wiki"));
+    });
+
     it("asks another peer, then the store, when the first is silent", () => {
       tick(0, ["p1", "p2"]);
       at(10, { type: "version_hinted", peerId: "p1", configVersion: 2 });
@@ -229,14 +244,19 @@
 
     it("stays on its version when a newer one cannot be read", () => {
       const content = "[{}]";
-      const effects = receive(10, "p1", {
-        type: "config_state",
+      const unreadable = {
+        type: "config_state" as const,
         configVersion: 2,
         manifest: { pools: testDigest(content) },
         sections: { [testDigest(content)]: content },
-      });
+      };
+      const effects = receive(10, "p1", unreadable);
+      expect(only(effects, "log").map((effect) => effect.level))
+        .toEqual(["error"]);
       expect(only(effects, "apply")).toEqual([]);
       expect(versionInForce(state)).toBe(1);
+      // It is not parsed again each time that a peer sends it.
+      expect(only(receive(11, "p2", unreadable), "log")).toEqual([]);
       receive(20, "p1", stateMessage(3));
       expect(versionInForce(state)).toBe(3);
     });
