--- a/packages/bench/src/experiments/repeat_experiment.ts
+++ b/packages/bench/src/experiments/repeat_experiment.ts
@@ -7,6 +7,7 @@
 import type { RequestResult } from "../load/request_result.js";
 import { clientKeys, MODEL_NAME } from "../fleet/bench_bundle.js";
 import type { AuditSummary } from "../measure/execution_audit.js";
+import { ratio } from "../report/load_summary.js";
 import { atLeast, exactly } from "../report/target.js";
 import { SeededRandom } from "../seeded_random.js";
 import {
@@ -31,7 +32,10 @@
   readonly answers_by_outcome: Readonly<Record<string, number>>;
   /** What callers were told about calls whose outcome stayed unknown. */
   readonly unknown_reasons: Readonly<Record<string, number>>;
+  /** Calls of which any answer was unknown. */
   readonly unknown_share: number;
+  /** Calls that never got a better answer, with or without a key. */
+  readonly finally_unknown: { readonly keyed: number; readonly plain: number };
 }
 
 /** Non-idempotent calls under resets, lost answers, outages and pauses. */
@@ -221,6 +225,27 @@
     answers: results.length,
     answers_by_outcome: byOutcome,
     unknown_reasons: unknownReasons,
-    unknown_share: audit.outcome_unknown / audit.non_idempotent_calls,
+    unknown_share: ratio(audit.outcome_unknown, audit.non_idempotent_calls),
+    finally_unknown: finallyUnknown(results),
+  };
+}
+
+function finallyUnknown(
+  results: readonly RequestResult[],
+): RepeatArm["finally_unknown"] {
+  const isWhole = new Set<string>();
+  const isUnknown = new Map<string, boolean>();
+  for (const { plan, verdict, outcome } of results) {
+    if (plan.kind === "call" && verdict === "whole") {
+      isWhole.add(plan.callId);
+    } else if (plan.kind === "call" && outcome !== "not-run") {
+      isUnknown.set(plan.callId, plan.idempotencyKey !== undefined);
+    }
+  }
+  const keyed = [...isUnknown].filter(([id]) => !isWhole.has(id))
+    .map(([, isKeyed]) => isKeyed);
+  return {
+    keyed: keyed.filter((isKeyed) => isKeyed).length,
+    plain: keyed.filter((isKeyed) => !isKeyed).length,
   };
 }
--- a/packages/bench/src/fleet/balancer.ts
+++ b/packages/bench/src/fleet/balancer.ts
@@ -27,7 +27,9 @@
     this.#isChecking = true;
     const urls = this.routers().map((router) => router.httpUrl);
     const states = await Promise.all(urls.map(isReady));
-    this.#readyUrls = urls.filter((_, index) => states[index]);
+    const ready = urls.filter((_, index) => states[index]);
+    // A busy machine may delay all checks; balancers then keep every instance.
+    this.#readyUrls = ready.length > 0 ? ready : urls;
     this.#isChecking = false;
   }
 
--- a/packages/bench/src/fleet/fleet_options.ts
+++ b/packages/bench/src/fleet/fleet_options.ts
@@ -27,8 +27,8 @@
   /** Puts a fault proxy between the routers and every sidecar. */
   readonly hasFaultProxies: boolean;
   /**
-   * Delay of the instance list by failure domain. Routers of different domains
-   * then see lists of different age.
+   * Delay of the instance list by failure domain once the fleet has started.
+   * Routers of different domains then see lists of different age.
    */
   readonly instanceListLagMs: readonly number[];
   /** Exit code of the bench when SIGINT or SIGTERM ends it. */
--- a/packages/bench/src/measure/config_monitor.ts
+++ b/packages/bench/src/measure/config_monitor.ts
@@ -37,11 +37,17 @@
   #storeAnswers = true;
   #reverts = 0;
   #isPolling = false;
+  #storeReads = 0;
 
   constructor(private readonly fleet: Fleet) {
     this.#timer = setInterval(() => void this.#poll(), POLL_MS);
   }
 
+  /** Reads of the object API by the monitor itself. */
+  get storeReads(): number {
+    return this.#storeReads;
+  }
+
   /** Changes that have not converged when it becomes false do not count. */
   set storeAnswers(answers: boolean) {
     this.#storeAnswers = answers;
@@ -121,6 +127,7 @@
   /** Learns of accepted changes whose answer was lost. */
   async #readActive(): Promise<void> {
     const { controlUrl } = this.fleet.objectApi;
+    this.#storeReads++;
     try {
       const answer = await callJson(`${controlUrl}/objects/config/active`);
       const object = answer.body as { readonly value: { version: number } };
--- a/packages/bench/src/measure/load_session.ts
+++ b/packages/bench/src/measure/load_session.ts
@@ -15,6 +15,12 @@
   type RouterUsageSummary,
 } from "./router_usage_meter.js";
 
+/**
+ * Load samples start this much later than the load. While the first requests
+ * arrive, the ratio of the highest to the mean load is the number of engines.
+ */
+const RAMP_MS = 2000;
+
 export interface SessionSummary {
   readonly load: LoadSummary;
   readonly skew: SkewSummary;
@@ -53,16 +59,20 @@
   });
   try {
     await usage.start();
-    sampler.isRecording = true;
     const lastMs = plan.at(-1)?.atMs ?? 0;
-    const stopRecording = setTimeout(() => {
-      sampler.isRecording = false;
-    }, lastMs);
+    const timers = [
+      setTimeout(() => {
+        sampler.isRecording = true;
+      }, Math.min(RAMP_MS, lastMs / 4)),
+      setTimeout(() => {
+        sampler.isRecording = false;
+      }, lastMs),
+    ];
     const [results] = await Promise.all([
       new LoadRunner(client, sampler).run(plan),
       options.during?.(client),
     ]);
-    clearTimeout(stopRecording);
+    timers.forEach(clearTimeout);
     const routers = await usage.stop();
     const bound = await readBound(fleet.engines);
     await fleet.collectExecutions();
