--- a/packages/stand-ins/src/model_engine.ts
+++ b/packages/stand-ins/src/model_engine.ts
@@ -127,7 +127,8 @@
 
   protected override async handle(exchange: Exchange): Promise<void> {
     const { request, url } = exchange;
-    const streamId = /^\/v1\/streams\/([\w-]+)$/.exec(url.pathname)?.[1];
+    const encodedId = /^\/v1\/streams\/([^/]+)$/.exec(url.pathname)?.[1];
+    const streamId = encodedId && decodeURIComponent(encodedId);
     const call = `${request.method} ${streamId ? "/v1/streams" : url.pathname}`;
     switch (call) {
       case "POST /v1/chat/completions":
@@ -228,7 +229,9 @@
       }
     };
     const onEnd = () => {
-      if (!this.hanging) {
+      if (this.hanging) {
+        this.hold(response);
+      } else {
         response.end();
       }
     };
--- a/packages/stand-ins/src/model_engine_test.ts
+++ b/packages/stand-ins/src/model_engine_test.ts
@@ -121,12 +121,31 @@
       const id = response.headers.get("x-stream-id");
       const whole = await readStream(response);
       const rest = await readStream(
-        await fetch(`${engine.url}/v1/streams/${id}?from=5`),
+        await fetch(`${engine.url}/v1/streams/${id}?from=2`),
       );
-      expect(rest.ids).toEqual(whole.ids.slice(5));
+      // Role, text, finish reason and end are four events or more.
+      expect(whole.ids.length).toBeGreaterThanOrEqual(4);
+      expect(rest.ids).toEqual(whole.ids.slice(2));
       expect(engine.executions.toJSON().unidentified).toBe(1);
     });
 
+    it("never continues a stream after a gap that an outage made", async () => {
+      await restart({ decodeBaseMs: 5 });
+      await engine.setFaults({ paused: true });
+      const response = await chat({ stream: true, max_tokens: 400 });
+      const id = response.headers.get("x-stream-id");
+      await engine.setFaults({ paused: false, outage: "hang" });
+      await waitFor(() => {
+        expect(engine.load.outstanding_tokens).toBeLessThan(400);
+      });
+      await engine.setFaults({ outage: "none", slow_factor: 0.01 });
+      await expect(response.body?.getReader().read()).rejects.toThrow();
+      const { text } = await readStream(
+        await fetch(`${engine.url}/v1/streams/${id}?from=0`),
+      );
+      expect(text).toBe(expectedAnswer(messages, 400));
+    });
+
     it("frees the slot of a cancelled stream", async () => {
       await engine.setFaults({ paused: true });
       const response = await chat({ stream: true });
@@ -161,6 +180,9 @@
       expect(events.map((event) => event.kind)).toContain("evicted");
       const state = await getJson<{ cached_hashes: string[] }>("/debug/state");
       expect(state.cached_hashes).toHaveLength(3);
+      // The first chat has lost its last block, not the one all others need.
+      const { usage } = await complete({});
+      expect(usage.prompt_tokens_details.cached_tokens).toBe(256);
     });
   });
 
@@ -187,12 +209,28 @@
     });
 
     it("reports outstanding work without the cached part", async () => {
-      await chat({}).then((r) => r.text());
+      await restart({ maxBatch: 1 });
+      await complete({});
       await engine.setFaults({ paused: true });
-      const response = await chat({ stream: true });
+      const running = await chat({ stream: true });
+      const waiting = await chat({ stream: true });
       // 2,806 characters are 702 tokens, of which two blocks are cached.
-      expect(engine.load.outstanding_tokens).toBe(702 - 512 + 40);
-      await response.body?.cancel();
+      expect(engine.load.outstanding_tokens).toBe(2 * (702 - 512 + 40));
+      await running.body?.cancel();
+      await waiting.body?.cancel();
+    });
+
+    it("slows each request down as the batch grows", async () => {
+      await restart({ decodeBaseMs: 10, decodePerRequestMs: 5 });
+      await engine.setFaults({ paused: true });
+      const first = await chat({ stream: true });
+      expect(engine.load.decode_tokens_per_s).toBeCloseTo(1000 / 15);
+      const second = await chat({ stream: true });
+      expect(engine.load.decode_tokens_per_s).toBeCloseTo(2 * 1000 / 20);
+      await engine.setFaults({ slow_factor: 4 });
+      expect(engine.load.decode_tokens_per_s).toBeCloseTo(2 * 1000 / 80);
+      await first.body?.cancel();
+      await second.body?.cancel();
     });
 
     it("hides present load from reports until the lag has passed", async () => {
