--- a/packages/daemon/src/router/router_host.ts
+++ b/packages/daemon/src/router/router_host.ts
@@ -3,6 +3,7 @@
   createPrefixHasher,
   createRouterState,
   listModels,
+  type MembershipEvent,
   type Message,
   type MessageOf,
   type Millis,
@@ -237,8 +238,22 @@
     this.#links.onRouterMessage(({ peerId, message }) =>
       this.#receiveSync(peerId, message)
     );
-    this.#links.onRouterReady(({ nodeId, configVersion }) =>
-      this.#configSync.noteVersion(nodeId, configVersion)
+    this.#links.onRouterReady(({ nodeId, incarnation, configVersion }) => {
+      this.#configSync.noteVersion(nodeId, configVersion);
+      this.#noteRouter({
+        type: "answered",
+        nowMs: this.#nowMs(),
+        instanceId: nodeId,
+        facts: { incarnation },
+      });
+    });
+    // Without this a dead watcher would stay elected until the list drops it.
+    this.#links.onRouterFailed((instanceId) =>
+      this.#noteRouter({
+        type: "connect_failed",
+        nowMs: this.#nowMs(),
+        instanceId,
+      })
     );
     this.#configSync.on(
       "configApplied",
@@ -305,6 +320,10 @@
     });
   }
 
+  #noteRouter(event: MembershipEvent): void {
+    this.#dispatch({ type: "membership", nowMs: event.nowMs, event });
+  }
+
   #tick(): void {
     this.#dispatch({ type: "tick", nowMs: this.#nowMs() });
   }
--- a/packages/daemon/src/router/router_links.ts
+++ b/packages/daemon/src/router/router_links.ts
@@ -30,10 +30,13 @@
   readonly #state: RouterState;
   readonly #onRouterMessage = new Emitter<PeerMessage>();
   readonly #onRouterReady = new Emitter<MessageOf<"hello">>();
+  readonly #onRouterFailed = new Emitter<string>();
 
   /** Messages of other routers. */
   readonly onRouterMessage = this.#onRouterMessage.event;
   readonly onRouterReady = this.#onRouterReady.event;
+  /** Fires with the id of a router that could not be connected to. */
+  readonly onRouterFailed = this.#onRouterFailed.event;
 
   constructor(
     services: NodeServices,
@@ -53,9 +56,12 @@
     this.#inbound.onMessage((item) => this.#onRouterMessage.fire(item));
     this.#routers.onMessage((item) => this.#onRouterMessage.fire(item));
     this.#routers.onReady(({ hello }) => this.#onRouterReady.fire(hello));
-    this.#routers.onClose(({ peerId, reason }) =>
-      this.#logClose(peerId, reason)
-    );
+    this.#routers.onClose(({ peerId, reason, wasReady }) => {
+      this.#logClose(peerId, reason);
+      if (!wasReady) {
+        this.#onRouterFailed.fire(peerId);
+      }
+    });
     this.sidecars.onClose(({ peerId, reason }) =>
       this.#logClose(peerId, reason)
     );
@@ -95,6 +101,7 @@
     this.sidecars.dispose();
     this.#onRouterMessage.dispose();
     this.#onRouterReady.dispose();
+    this.#onRouterFailed.dispose();
   }
 
   #logClose(peer: string, reason: string): void {
