--- a/packages/bench/src/demo.ts
+++ b/packages/bench/src/demo.ts
@@ -66,8 +66,14 @@
 
 const accounts = defaultAccounts();
 
-export function startDemoFleet(seed: number): Promise<Fleet> {
-  return Fleet.start(fleetOptions(seed, { signalExitCode: 0 }));
+/** An interrupted run fails; `--serve` is meant to be ended by a signal. */
+export function startDemoFleet(
+  seed: number,
+  isServing: boolean,
+): Promise<Fleet> {
+  return Fleet.start(
+    fleetOptions(seed, isServing ? { signalExitCode: 0 } : {}),
+  );
 }
 
 export function serveLine(fleet: Fleet): ServeLine {
--- a/packages/bench/src/demo_main.ts
+++ b/packages/bench/src/demo_main.ts
@@ -10,7 +10,7 @@
   },
 });
 const seed = Number(values.seed);
-const fleet = await startDemoFleet(seed);
+const fleet = await startDemoFleet(seed, values.serve);
 try {
   if (values.serve) {
     console.log(JSON.stringify(serveLine(fleet)));
