--- a/packages/bench/src/demo.ts
+++ b/packages/bench/src/demo.ts
@@ -15,12 +15,14 @@
 import { GrantsWorkload } from "./load/grants_workload.js";
 import { sleep } from "./load/load_runner.js";
 import type { PlannedRequest } from "./load/planned_request.js";
+import type { RequestResult } from "./load/request_result.js";
 import { WikiWorkload } from "./load/wiki_workload.js";
 import { DEFAULT_WORKLOAD_OPTIONS } from "./load/workload.js";
 import { measureConvergence } from "./measure/config_convergence.js";
+import { lastNewWorkMs, type Notice } from "./measure/leave_audit.js";
 import { runSession, type SessionSummary } from "./measure/load_session.js";
 import { round } from "./report/load_summary.js";
-import { atLeast, exactly, type Target } from "./report/target.js";
+import { atLeast, atMost, exactly, type Target } from "./report/target.js";
 import { SeededRandom } from "./seeded_random.js";
 
 const LOAD_MS = 18_000;
@@ -30,6 +32,12 @@
 const GRANTS_REQUESTS_PER_S = 10;
 const CONVERGENCE_TIMEOUT_MS = 10_000;
 const CONVERGENCE_LIMIT_MS = 2000;
+const NEW_WORK_LIMIT_MS = 2000;
+/**
+ * Chats that return to a random engine would still find one in twelve of their
+ * prompts cached; a fleet that only does that is broken.
+ */
+const MIN_HIT_RATIO = 0.25;
 
 /** Fields of the demo's JSON; the names are part of the interface. */
 export interface DemoFigures {
@@ -95,21 +103,59 @@
   seed: number,
 ): Promise<DemoReport> {
   let convergeMs = Infinity;
-  const { summary } = await runSession(fleet, planDemo(seed), {
+  let replacement: Replacement | undefined;
+  const { results, summary } = await runSession(fleet, planDemo(seed), {
     accounts,
     during: async () => {
       await Promise.all([
         sleep(CONFIG_CHANGE_AT_MS).then(async () => {
           convergeMs = await rollOut(fleet);
         }),
-        sleep(REPLACEMENT_AT_MS).then(() =>
-          fleet.replaceEndpoint(fleet.engines[0]!, { isAnnounced: true })
-        ),
+        sleep(REPLACEMENT_AT_MS).then(async () => {
+          replacement = await replaceOne(fleet);
+        }),
       ]);
     },
   });
   const figures = figuresOf(summary, convergeMs);
-  return { figures, expected: expectationsOf(figures) };
+  const expected = [
+    ...expectationsOf(figures),
+    ...replacementExpectations(results, replacement),
+  ];
+  return { figures, expected };
+}
+
+interface Replacement {
+  readonly notice: Notice;
+  readonly successor: string;
+}
+
+async function replaceOne(fleet: Fleet): Promise<Replacement> {
+  const leaving = fleet.engines[0]!;
+  const notice = { endpoint: leaving.id, atMs: REPLACEMENT_AT_MS };
+  const successor = await fleet.replaceEndpoint(leaving, {
+    isAnnounced: true,
+  });
+  return { notice, successor: successor.id };
+}
+
+function replacementExpectations(
+  results: readonly RequestResult[],
+  replacement: Replacement | undefined,
+): Target[] {
+  const runBySuccessor = results.filter((result) =>
+    result.endpoint !== undefined && result.endpoint === replacement?.successor
+  );
+  return [
+    atLeast("requests run by the new endpoint", runBySuccessor.length, 1),
+    atMost(
+      "last new work to the leaving endpoint after its notice, ms",
+      replacement === undefined
+        ? NaN
+        : lastNewWorkMs(results, [replacement.notice]),
+      NEW_WORK_LIMIT_MS,
+    ),
+  ];
 }
 
 function planDemo(seed: number): PlannedRequest[] {
@@ -171,18 +217,18 @@
 function expectationsOf(figures: DemoFigures): Target[] {
   return [
     exactly("answered whole", figures.answered_whole, figures.requests),
-    atLeast("requests", figures.requests, 1),
     exactly("wrong answers", figures.wrong_answers, 0),
     exactly("duplicate executions", figures.duplicate_executions, 0),
     exactly("cut streams", figures.cut_streams, 0),
-    atLeast("returning cache hit ratio", figures.returning_cache_hit_ratio, 0),
-    {
-      target:
-        `configuration in force on every router <= ${CONVERGENCE_LIMIT_MS} ms`,
-      measured: Number.isFinite(figures.config_converge_max_ms)
-        ? figures.config_converge_max_ms
-        : null,
-      met: figures.config_converge_max_ms <= CONVERGENCE_LIMIT_MS,
-    },
+    atLeast(
+      "returning cache hit ratio",
+      figures.returning_cache_hit_ratio,
+      MIN_HIT_RATIO,
+    ),
+    atMost(
+      "configuration in force on every router, ms",
+      figures.config_converge_max_ms,
+      CONVERGENCE_LIMIT_MS,
+    ),
   ];
 }
--- a/packages/bench/src/experiments/drain_experiment.ts
+++ b/packages/bench/src/experiments/drain_experiment.ts
@@ -2,8 +2,9 @@
 import { fleetOptions } from "../fleet/fleet_options.js";
 import { sleep } from "../load/load_runner.js";
 import type { RequestResult } from "../load/request_result.js";
+import { lastNewWorkMs, type Notice } from "../measure/leave_audit.js";
 import { runSession, type SessionSummary } from "../measure/load_session.js";
-import { round, summarizeLoad } from "../report/load_summary.js";
+import { summarizeLoad } from "../report/load_summary.js";
 import { atMost, exactly } from "../report/target.js";
 import {
   Experiment,
@@ -20,12 +21,6 @@
 const PARALLEL_REPLACEMENTS = 2;
 const NEW_WORK_LIMIT_MS = 2000;
 
-interface Notice {
-  readonly endpoint: string;
-  /** Time after the start of the load. */
-  readonly atMs: number;
-}
-
 interface DrainArm extends SessionSummary {
   readonly endpoints_replaced: number;
   readonly routers_replaced: number;
@@ -100,7 +95,7 @@
         ...summary,
         endpoints_replaced: notices.length,
         routers_replaced: routers,
-        last_new_work_after_notice_ms: lastNewWork(results, notices),
+        last_new_work_after_notice_ms: lastNewWorkMs(results, notices),
         ...reuseByPhase(results, doneAtMs),
         interrupted: results.filter((result) =>
           result.verdict === "cut" || result.verdict === "lost"
@@ -140,18 +135,6 @@
   }
 }
 
-/** Requests count from the time at which they were due. */
-function lastNewWork(
-  results: readonly RequestResult[],
-  notices: readonly Notice[],
-): number {
-  const latest = notices.map(({ endpoint, atMs }) =>
-    results.filter((result) => result.endpoint === endpoint)
-      .reduce((last, result) => Math.max(last, result.atMs - atMs), 0)
-  );
-  return round(Math.max(0, ...latest));
-}
-
 function reuseByPhase(
   results: readonly RequestResult[],
   doneAtMs: number,
