--- a/packages/core/src/membership/reduce_membership_test.ts
+++ b/packages/core/src/membership/reduce_membership_test.ts
@@ -251,7 +251,7 @@
         .toContainEqual({ type: "election_changed", elected: true });
       expect(polls(1000)).toBe(0);
       expect(polls(1001)).toBe(1);
-      list(1002, 2, [row("r1", { state: "leaving" })]);
+      list(1002, 2, [row("r1", { state: "leaving" }), row("r2"), row("r3")]);
       const hear = (nowMs: number) =>
         query(nowMs, 2).filter((effect) => effect.type === "poll_list");
       expect([2100, 6000].map(polls)).toEqual([0, 0]);
