Report how fast objectives spend their error budgets

Routers count good and bad events of the objectives in 10 s buckets for 6 h. GET /admin/v1/report/burn adds up all listed routers over their peer connections, because the instance list has no administration addresses, and names the routers that do not answer.

--- /dev/null
+++ b/packages/cli/src/burn_page.ts
@@ -0,0 +1,273 @@
+import type { BurnPoint, BurnReport, BurnRow } from "@anvildeal/core";
+import { formatPercent } from "./burn_table.js";
+
+const WIDTH = 560;
+const HEIGHT = 150;
+const MARGIN_LEFT = 44;
+const MARGIN_TOP = 10;
+const MARGIN_BOTTOM = 22;
+const PLOT_WIDTH = WIDTH - MARGIN_LEFT - 8;
+const PLOT_HEIGHT = HEIGHT - MARGIN_TOP - MARGIN_BOTTOM;
+const SPAN_MS = 6 * 60 * 60 * 1000;
+const MS_PER_HOUR = 60 * 60 * 1000;
+
+const STYLE = `
+:root { color-scheme: light dark; --text: #1d2530; --muted: #66717f;
+  --line: #d8dee6; --card: #fff; --page: #f4f6f9; --good: #1f7a55;
+  --warn: #b06a00; --bad: #b4232f; --plot: #2f62b5; }
+@media (prefers-color-scheme: dark) { :root { --text: #e4e9f0;
+  --muted: #98a4b3; --line: #36404d; --card: #1c232d; --page: #12171e;
+  --good: #52c08f; --warn: #e0a13c; --bad: #f0707a; --plot: #7fa9ee; } }
+body { margin: 0 auto; max-width: 1240px; padding: 24px; color: var(--text);
+  background: var(--page); font: 15px/1.45 system-ui, sans-serif; }
+h1 { font-size: 22px; margin: 0; } h2 { font-size: 17px; margin: 0; }
+h3 { font-size: 13px; margin: 0 0 4px; font-weight: 600; }
+.muted { color: var(--muted); font-size: 13px; }
+section { background: var(--card); border: 1px solid var(--line);
+  border-radius: 8px; padding: 16px 20px; margin-top: 16px; }
+.top { display: flex; flex-wrap: wrap; gap: 8px 24px; align-items: baseline;
+  justify-content: space-between; }
+.rates { display: flex; gap: 20px; margin: 10px 0 14px; flex-wrap: wrap; }
+.rates b { display: block; font-size: 20px; font-variant-numeric: tabular-nums; }
+.plots { display: grid; gap: 20px;
+  grid-template-columns: repeat(auto-fit, minmax(340px, 1fr)); }
+svg { width: 100%; height: auto; display: block; }
+svg text { fill: var(--muted); font-size: 11px; }
+.good { color: var(--good); } .warn { color: var(--warn); }
+.bad { color: var(--bad); }
+.reason { display: grid; gap: 8px; margin: 4px 0;
+  grid-template-columns: 170px 1fr 90px; font-size: 13px;
+  align-items: center; }
+.bar { background: var(--bad); height: 12px; border-radius: 2px; }
+.right { text-align: right; font-variant-numeric: tabular-nums; }`;
+
+/** One self-contained HTML page with a plot of each objective. */
+export function renderBurnPage(report: BurnReport): string {
+  const rows = [...report.rows].sort((a, b) => severity(b) - severity(a));
+  const at = new Date(report.generated_at_ms).toISOString();
+  const answered = report.routers.length - report.missing_routers.length;
+  const sections = rows.length === 0
+    ? "<section>The configuration in force has no objectives.</section>"
+    : rows.map((row) => renderRow(row, report)).join("\n");
+  const notes = report.notes
+    .map((note) => `<p class="muted">${escapeHtml(note)}</p>`).join("\n");
+  return `<!doctype html>
+<html lang="en">
+<head>
+<meta charset="utf-8">
+<meta name="viewport" content="width=device-width, initial-scale=1">
+<title>Error budget burn ${at}</title>
+<style>${STYLE}</style>
+</head>
+<body>
+<div class="top"><h1>Error budget burn</h1>
+<span class="muted">${at}, ${answered} of ${report.routers.length} routers,
+last 6 h</span></div>
+${sections}
+<section><h2>About these figures</h2>
+<p class="muted">A burn rate of 1 spends exactly the budget of the objective's
+window. The budget spent assumes that the whole window carries as many events
+a day as these 6 h.</p>
+${notes}</section>
+</body>
+</html>
+`;
+}
+
+function renderRow(row: BurnRow, report: BurnReport): string {
+  const rates = ([
+    ["5 min", row.burn_5m],
+    ["30 min", row.burn_30m],
+    ["1 h", row.burn_1h],
+    ["6 h", row.burn_6h],
+  ] as const).map(([name, rate]) =>
+    `<span><span class="muted">${name}</span>` +
+    `<b class="${colourOf(rate)}">${
+      rate === null ? "-" : rate.toFixed(2)
+    }</b>` +
+    "</span>"
+  ).join("");
+  const spent = formatPercent(row.budget_spent_6h) ?? "-";
+  const days = row.days_to_exhaustion === null
+    ? "-"
+    : `${row.days_to_exhaustion} days`;
+  return `<section>
+<div class="top"><h2>${escapeHtml(row.objective)}</h2>
+<span class="muted">${escapeHtml(row.subject)} &middot; ${
+    escapeHtml(row.indicator)
+  } &middot; ${targetText(row.target)} over ${row.window_days} days
+&middot; ${row.good} good, ${row.bad} bad</span></div>
+<div class="rates">${rates}
+<span><span class="muted">${row.window_days}-day budget spent in 6 h</span><b>${spent}</b></span>
+<span><span class="muted">whole budget lasts, at the rate of 1 h</span><b>${days}</b></span></div>
+<div class="plots">
+<div><h3>Burn rate over time</h3>${burnPlot(row, report)}</div>
+<div><h3>Budget of these 6 h left</h3>${budgetPlot(row, report)}</div>
+<div><h3>What spent it</h3>${renderReasons(row)}</div>
+</div>
+</section>`;
+}
+
+/** 0.999 is shown as 99.9%. */
+function targetText(target: number): string {
+  return `${Number((target * 100).toFixed(4))}%`;
+}
+
+function severity(row: BurnRow): number {
+  return row.burn_1h ?? row.burn_6h ?? -1;
+}
+
+/** 6 is the rate above which the alert `AnvildealBudgetBurnFast` pages. */
+function colourOf(rate: number | null): string {
+  if (rate === null) {
+    return "muted";
+  }
+  return rate < 1 ? "good" : rate < 6 ? "warn" : "bad";
+}
+
+function burnPlot(row: BurnRow, report: BurnReport): string {
+  const rates = row.series.map(({ burn_rate }) => burn_rate);
+  const max = Math.max(2, ...rates) * 1.05;
+  const y = (rate: number) => yOf(rate, 0, max);
+  const points = row.series.map((point) => ({
+    atMs: point.at_ms,
+    y: y(point.burn_rate),
+  }));
+  const spentY = y(1);
+  return svg(
+    `burn rate of ${row.objective}`,
+    axes(
+      report,
+      [[0, y(0)], [1, spentY], [max, y(max)]].map(([rate, at]) => ({
+        label: rate >= 10 ? rate.toFixed(0) : rate.toFixed(1),
+        y: at,
+      })),
+    ) +
+      `<line x1="${MARGIN_LEFT}" x2="${MARGIN_LEFT + PLOT_WIDTH}" ` +
+      `y1="${spentY}" y2="${spentY}" stroke="var(--warn)" ` +
+      `stroke-dasharray="4 3"/>` + line(points, report, "var(--plot)"),
+  );
+}
+
+/** Left of the bad events that the target allows for all events of 6 h. */
+export function budgetLeft(
+  series: readonly BurnPoint[],
+  target: number,
+): { readonly atMs: number; readonly left: number }[] {
+  const events = series.reduce((sum, { good, bad }) => sum + good + bad, 0);
+  const allowed = events * (1 - target);
+  let spent = 0;
+  return series.map(({ at_ms, bad }) => {
+    spent += bad;
+    return { atMs: at_ms, left: 1 - spent / allowed };
+  });
+}
+
+function budgetPlot(row: BurnRow, report: BurnReport): string {
+  const left = budgetLeft(row.series, row.target);
+  const min = Math.min(0, ...left.map((point) => point.left));
+  const y = (share: number) => yOf(share, min, 1);
+  const marks = min < 0 ? [1, 0, min] : [1, 0.5, 0];
+  const colour = min < 0 ? "var(--bad)" : "var(--good)";
+  return svg(
+    `budget left of ${row.objective}`,
+    axes(
+      report,
+      marks.map((share) => ({
+        label: `${(share * 100).toFixed(0)}%`,
+        y: y(share),
+      })),
+    ) + line(
+      left.map((point) => ({ atMs: point.atMs, y: y(point.left) })),
+      report,
+      colour,
+    ),
+  );
+}
+
+function renderReasons({ reasons, bad }: BurnRow): string {
+  if (reasons.length === 0) {
+    return '<p class="muted">No bad events.</p>';
+  }
+  return reasons.map(({ reason, count }) => {
+    const share = bad === 0 ? 0 : Math.min(100, count / bad * 100);
+    return `<div class="reason"><span>${escapeHtml(reason)}</span>` +
+      `<span><div class="bar" style="width:${
+        share.toFixed(1)
+      }%"></div></span>` +
+      `<span class="right">${count} (${share.toFixed(0)}%)</span></div>`;
+  }).join("\n");
+}
+
+function svg(title: string, content: string): string {
+  return `<svg viewBox="0 0 ${WIDTH} ${HEIGHT}" role="img">` +
+    `<title>${escapeHtml(title)}</title>${content}</svg>`;
+}
+
+function axes(
+  { generated_at_ms }: BurnReport,
+  marks: readonly { readonly label: string; readonly y: number }[],
+): string {
+  const grid = marks.map(({ label, y }) =>
+    `<line x1="${MARGIN_LEFT}" x2="${MARGIN_LEFT + PLOT_WIDTH}" ` +
+    `y1="${y}" y2="${y}" stroke="var(--line)"/>` +
+    `<text x="${MARGIN_LEFT - 6}" y="${y + 4}" text-anchor="end">` +
+    `${label}</text>`
+  );
+  const times = [6, 4, 2, 0].map((hours) => {
+    const x = xOf(generated_at_ms - hours * MS_PER_HOUR, generated_at_ms);
+    const anchor = hours === 0 ? "end" : "middle";
+    const label = hours === 0 ? "now" : `-${hours} h`;
+    return `<text x="${x}" y="${HEIGHT - 6}" text-anchor="${anchor}">` +
+      `${label}</text>`;
+  });
+  return [...grid, ...times].join("");
+}
+
+interface PlotPoint {
+  readonly atMs: number;
+  readonly y: number;
+}
+
+/** A line that is interrupted where there were no events. */
+function line(
+  points: readonly PlotPoint[],
+  { generated_at_ms, series_step_ms }: BurnReport,
+  colour: string,
+): string {
+  let path = "";
+  let lastMs = Number.NEGATIVE_INFINITY;
+  for (const { atMs, y } of points) {
+    const x = xOf(atMs + series_step_ms / 2, generated_at_ms);
+    const command = atMs - lastMs > series_step_ms ? "M" : "L";
+    path += `${command}${x.toFixed(1)} ${y.toFixed(1)}`;
+    lastMs = atMs;
+  }
+  const dots = points.map(({ atMs, y }) => {
+    const x = xOf(atMs + series_step_ms / 2, generated_at_ms);
+    return `<circle cx="${x.toFixed(1)}" cy="${y.toFixed(1)}" r="2" ` +
+      `fill="${colour}"/>`;
+  });
+  return `<path d="${path}" fill="none" stroke="${colour}" ` +
+    `stroke-width="2"/>${dots.join("")}`;
+}
+
+function xOf(atMs: number, endMs: number): number {
+  const share = 1 - (endMs - atMs) / SPAN_MS;
+  return MARGIN_LEFT + PLOT_WIDTH * Math.min(1, Math.max(0, share));
+}
+
+function yOf(value: number, min: number, max: number): number {
+  return MARGIN_TOP + PLOT_HEIGHT * (1 - (value - min) / (max - min));
+}
+
+const ENTITIES: Readonly<Record<string, string>> = {
+  "&": "&amp;",
+  "<": "&lt;",
+  ">": "&gt;",
+  '"': "&quot;",
+};
+
+function escapeHtml(text: string): string {
+  return text.replace(/[&<>"]/g, (character) => ENTITIES[character]);
+}
--- a/packages/cli/src/cli_test.ts
+++ b/packages/cli/src/cli_test.ts
@@ -3,6 +3,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { AdminFixture } from "@anvildeal/daemon/testing";
+import { BurnStore, createBurnReport, ObjectiveSchema } from "@anvildeal/core";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { ADMIN_ROUTES } from "@anvildeal/daemon";
 import { runCli } from "./cli.js";
@@ -201,6 +202,40 @@
       expect(JSON.parse(json.out).rows).toHaveLength(1);
     });
 
+    it("write the burn report as a page without unescaped reasons", async () => {
+      const objective = ObjectiveSchema.parse({
+        name: "whole",
+        indicator: "whole_answers",
+        target: 0.9,
+      });
+      const store = new BurnStore(0);
+      store.setObjectives([objective]);
+      const result = { account: "a", pool: "p", elapsedMs: 1 };
+      store.record({ ...result, whole: true, reason: "answered" }, 1000);
+      store.record({ ...result, whole: false, reason: "<b>&" }, 1000);
+      admin.burnReport = createBurnReport(
+        [objective],
+        [
+          { routerId: "r1", snapshot: store.snapshot(1000) },
+          { routerId: "r2", snapshot: undefined },
+        ],
+        1000,
+      );
+      const page = join(directory, "burn.html");
+      const argv = ["report", "burn", "--html", page];
+      expect((await run("vera", argv)).code).toBe(ExitCode.ok);
+      const html = readFileSync(page, "utf8");
+      expect(html).toContain("&lt;b&gt;&amp;</span>");
+      expect(html).not.toContain("<b>&");
+      expect(html).toContain("No answer from r2");
+      expect(html).not.toMatch(/NaN|Infinity|undefined/);
+      // The page must work without a network.
+      expect(html).not.toMatch(/https?:|src=|@import/);
+      const table = await run("vera", ["report", "burn"]);
+      expect(table.out).toContain("No answer from r2");
+      expect(table.out).toMatch(/whole .* 5 .*<b>& 1/);
+    });
+
     it("explain a request and show the status", async () => {
       const explained = await run("vera", ["explain", "r-1", "--json"]);
       expect(JSON.parse(explained.out).endpoint).toBe("e-1");
--- a/packages/cli/src/fleet_commands.ts
+++ b/packages/cli/src/fleet_commands.ts
@@ -1,4 +1,10 @@
+import { writeFileSync } from "node:fs";
+import type { BurnReport } from "@anvildeal/core";
+import { renderBurnPage } from "./burn_page.js";
+import { formatBurn } from "./burn_table.js";
+import { CliError, usageError } from "./cli_error.js";
 import type { Command } from "./command.js";
+import { ExitCode } from "./exit_code.js";
 import { formatTable } from "./table.js";
 
 const status: Command = {
@@ -42,10 +48,20 @@
   name: "report",
   usage: "<name>",
   description: "Print a report, such as 'burn'",
-  options: [],
+  options: [{
+    flags: "--html <file>",
+    description: "Write the burn report as one HTML page",
+  }],
   async run(context, [name]) {
     const path = `/report/${encodeURIComponent(name)}`;
     const json = await context.client().get(path);
+    const { html } = context.options;
+    if (html !== undefined) {
+      return writePage(json, String(html));
+    }
+    if (isBurnReport(json)) {
+      return { json, text: formatBurn(json) };
+    }
     const rows = rowsOf(json);
     return { json, text: rows ? formatTable(rows) : indented(json) };
   },
@@ -58,6 +74,26 @@
   report,
 ];
 
+function isBurnReport(json: unknown): json is BurnReport {
+  return (json as { report?: unknown } | null)?.report === "burn";
+}
+
+function writePage(json: unknown, file: string) {
+  if (!isBurnReport(json)) {
+    throw usageError("Only the report 'burn' has an HTML page.");
+  }
+  try {
+    writeFileSync(file, renderBurnPage(json));
+  } catch (error) {
+    throw new CliError(
+      ExitCode.failed,
+      "cannot_write",
+      `Cannot write ${file}: ${(error as Error).message}`,
+    );
+  }
+  return { json, text: `wrote ${file}` };
+}
+
 /** The rows of a report, if it has any. */
 function rowsOf(json: unknown): Record<string, unknown>[] | undefined {
   const rows = (json as { rows?: unknown } | null)?.rows;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -6,6 +6,7 @@
 export * from "./membership/index.js";
 export * from "./metric_names.js";
 export * from "./placement/index.js";
+export * from "./report/index.js";
 export * from "./router/index.js";
 export * from "./sidecar/index.js";
 export * from "./execution/index.js";
--- /dev/null
+++ b/packages/core/src/report/burn_snapshot.ts
@@ -0,0 +1,24 @@
+import { z } from "zod";
+
+const count = z.int().nonnegative();
+
+/** Events of one objective at one router. */
+export const ObjectiveEventsSchema = z.object({
+  name: z.string().max(128),
+  /** Tells definitions of the same name apart. */
+  definition: z.string().max(1024),
+  /** Good and bad events by window, in the order of `BURN_WINDOWS`. */
+  windows: z.array(z.tuple([count, count])).max(8),
+  /** Step number since the epoch, good and bad events; empty steps left out. */
+  series: z.array(z.tuple([count, count, count])).max(256),
+  reasons: z.array(z.tuple([z.string().max(128), count])).max(64),
+});
+export type ObjectiveEvents = z.infer<typeof ObjectiveEventsSchema>;
+
+/** What one router has counted; snapshots of several routers add up. */
+export const BurnSnapshotSchema = z.object({
+  /** Wall-clock time since which the router counts. */
+  sinceMs: z.number(),
+  objectives: z.array(ObjectiveEventsSchema).max(1024),
+});
+export type BurnSnapshot = z.infer<typeof BurnSnapshotSchema>;
--- /dev/null
+++ b/packages/core/src/report/burn_store.ts
@@ -0,0 +1,117 @@
+import type { Millis } from "../clock.js";
+import type { Objective } from "../config/index.js";
+import type { BurnSnapshot, ObjectiveEvents } from "./burn_snapshot.js";
+import { BurnWindow, RETENTION_MS } from "./burn_window.js";
+import { judgeResult, reasonOf } from "./judge_result.js";
+import type { RequestResult } from "./request_result.js";
+
+const MINUTE_MS: Millis = 60_000;
+
+/** Windows of the burn rates, shortest first. */
+export const BURN_WINDOWS = [
+  { name: "5m", spanMs: 5 * MINUTE_MS },
+  { name: "30m", spanMs: 30 * MINUTE_MS },
+  { name: "1h", spanMs: 60 * MINUTE_MS },
+  { name: "6h", spanMs: RETENTION_MS },
+] as const;
+
+/** Distance of the points of a series. */
+export const SERIES_STEP_MS: Millis = 5 * MINUTE_MS;
+
+/** Reasons that a snapshot carries for an objective. */
+const MAX_SNAPSHOT_REASONS = 32;
+
+interface Entry {
+  readonly objective: Objective;
+  readonly definition: string;
+  readonly window: BurnWindow;
+}
+
+/**
+ * Counts good and bad events of the objectives at one router. The memory
+ * depends on the number of objectives only, not on accounts or requests.
+ */
+export class BurnStore {
+  #entries = new Map<string, Entry>();
+
+  constructor(private readonly sinceMs: Millis) {}
+
+  /** Objectives whose definition has changed start without events. */
+  setObjectives(objectives: readonly Objective[]): void {
+    const entries = new Map<string, Entry>();
+    for (const objective of objectives) {
+      const definition = definitionOf(objective);
+      const known = this.#entries.get(objective.name);
+      const window = known?.definition === definition
+        ? known.window
+        : new BurnWindow();
+      entries.set(objective.name, { objective, definition, window });
+    }
+    this.#entries = entries;
+  }
+
+  record(result: RequestResult, wallMs: Millis): void {
+    for (const { objective, window } of this.#entries.values()) {
+      const isGood = judgeResult(objective, result);
+      if (isGood === true) {
+        window.addGood(wallMs);
+      } else if (isGood === false) {
+        window.addBad(wallMs, reasonOf(objective, result));
+      }
+    }
+  }
+
+  snapshot(wallMs: Millis): BurnSnapshot {
+    return {
+      sinceMs: this.sinceMs,
+      objectives: [...this.#entries.values()].map((entry) =>
+        eventsOf(entry, wallMs)
+      ),
+    };
+  }
+}
+
+/** Text that is equal for equal definitions, whatever the order of keys. */
+export function definitionOf(objective: Objective): string {
+  const { account, pool, indicator, threshold_ms, target } = objective;
+  return JSON.stringify([account, pool, indicator, threshold_ms, target]);
+}
+
+function eventsOf(
+  { objective, definition, window }: Entry,
+  wallMs: Millis,
+): ObjectiveEvents {
+  return {
+    name: objective.name,
+    definition,
+    windows: BURN_WINDOWS.map(({ spanMs }) => {
+      const { good, bad } = window.count(wallMs - spanMs, wallMs);
+      return [good, bad];
+    }),
+    series: seriesOf(window, wallMs),
+    reasons: [...window.reasons(wallMs)]
+      .sort((a, b) => b[1] - a[1])
+      .slice(0, MAX_SNAPSHOT_REASONS),
+  };
+}
+
+function seriesOf(
+  window: BurnWindow,
+  wallMs: Millis,
+): ObjectiveEvents["series"] {
+  const last = Math.floor(wallMs / SERIES_STEP_MS);
+  const first = last - RETENTION_MS / SERIES_STEP_MS + 1;
+  const series: ObjectiveEvents["series"] = [];
+  for (let step = first; step <= last; step++) {
+    const startMs = step * SERIES_STEP_MS;
+    // Counts exclude the bucket of their start, which belongs to this step.
+    const { good, bad } = window.count(
+      startMs - 1,
+      Math.min(startMs + SERIES_STEP_MS - 1, wallMs),
+    );
+    if (good + bad > 0) {
+      series.push([step, good, bad]);
+    }
+  }
+  return series;
+}
--- /dev/null
+++ b/packages/core/src/report/burn_window.ts
@@ -0,0 +1,108 @@
+import type { Millis } from "../clock.js";
+
+/** Span of one bucket. */
+export const BUCKET_MS: Millis = 10_000;
+
+/** Span that a window remembers. */
+export const RETENTION_MS: Millis = 6 * 60 * 60 * 1000;
+
+const BUCKET_COUNT = RETENTION_MS / BUCKET_MS;
+
+/** Reasons are kept in coarser slots than counts to bound the memory. */
+const REASON_SLOT_MS: Millis = 10 * 60 * 1000;
+const REASON_SLOT_COUNT = RETENTION_MS / REASON_SLOT_MS;
+
+/** Distinct reasons kept for a slot; the others are counted as `other`. */
+const MAX_REASONS = 16;
+
+export interface EventCounts {
+  good: number;
+  bad: number;
+}
+
+interface ReasonSlot {
+  number: number;
+  readonly counts: Map<string, number>;
+}
+
+/**
+ * Good and bad events of one objective over the last 6 h.
+ *
+ * A ring of 10 s buckets takes 34 KB. Each bucket carries its number since the
+ * epoch, so that a bucket from an earlier turn of the ring or from before a
+ * step of the wall clock is never counted.
+ */
+export class BurnWindow {
+  readonly #numbers = new Float64Array(BUCKET_COUNT).fill(-1);
+  readonly #good = new Uint32Array(BUCKET_COUNT);
+  readonly #bad = new Uint32Array(BUCKET_COUNT);
+  readonly #reasons: ReasonSlot[] = Array.from(
+    { length: REASON_SLOT_COUNT },
+    () => ({ number: -1, counts: new Map() }),
+  );
+
+  addGood(wallMs: Millis): void {
+    this.#good[this.#bucketAt(wallMs)]++;
+  }
+
+  addBad(wallMs: Millis, reason: string): void {
+    this.#bad[this.#bucketAt(wallMs)]++;
+    const { counts } = this.#slotAt(wallMs);
+    const isKept = counts.has(reason) || counts.size < MAX_REASONS;
+    const key = isKept ? reason : "other";
+    counts.set(key, (counts.get(key) ?? 0) + 1);
+  }
+
+  /** Events after `fromMs` up to `untilMs`, in whole buckets. */
+  count(fromMs: Millis, untilMs: Millis): EventCounts {
+    const sum = { good: 0, bad: 0 };
+    const last = Math.floor(untilMs / BUCKET_MS);
+    const first = Math.max(
+      Math.floor(fromMs / BUCKET_MS) + 1,
+      last - BUCKET_COUNT + 1,
+    );
+    for (let number = first; number <= last; number++) {
+      const index = number % BUCKET_COUNT;
+      if (this.#numbers[index] === number) {
+        sum.good += this.#good[index];
+        sum.bad += this.#bad[index];
+      }
+    }
+    return sum;
+  }
+
+  /** Bad events of the last 6 h by reason. */
+  reasons(wallMs: Millis): Map<string, number> {
+    const last = Math.floor(wallMs / REASON_SLOT_MS);
+    const sums = new Map<string, number>();
+    for (const { number, counts } of this.#reasons) {
+      if (number > last - REASON_SLOT_COUNT && number <= last) {
+        for (const [reason, count] of counts) {
+          sums.set(reason, (sums.get(reason) ?? 0) + count);
+        }
+      }
+    }
+    return sums;
+  }
+
+  #bucketAt(wallMs: Millis): number {
+    const number = Math.floor(wallMs / BUCKET_MS);
+    const index = number % BUCKET_COUNT;
+    if (this.#numbers[index] !== number) {
+      this.#numbers[index] = number;
+      this.#good[index] = 0;
+      this.#bad[index] = 0;
+    }
+    return index;
+  }
+
+  #slotAt(wallMs: Millis): ReasonSlot {
+    const number = Math.floor(wallMs / REASON_SLOT_MS);
+    const slot = this.#reasons[number % REASON_SLOT_COUNT];
+    if (slot.number !== number) {
+      slot.number = number;
+      slot.counts.clear();
+    }
+    return slot;
+  }
+}
--- /dev/null
+++ b/packages/core/src/report/judge_result.ts
@@ -0,0 +1,46 @@
+import type { Objective } from "../config/index.js";
+import type { RequestResult } from "./request_result.js";
+
+/**
+ * Whether a result is a good event of an objective. Undefined when it does not
+ * concern the objective or says nothing about its indicator.
+ */
+export function judgeResult(
+  objective: Objective,
+  result: RequestResult,
+): boolean | undefined {
+  const { account, pool } = objective;
+  if (
+    account !== undefined && account !== result.account ||
+    pool !== undefined && pool !== result.pool
+  ) {
+    return undefined;
+  }
+  const thresholdMs = objective.threshold_ms ?? Infinity;
+  switch (objective.indicator) {
+    case "first_token":
+      if (result.firstTokenMs !== undefined) {
+        return result.firstTokenMs <= thresholdMs;
+      }
+      // A caller who gave up after the threshold has waited too long; a quick
+      // refusal says nothing about latency.
+      return result.elapsedMs > thresholdMs ? false : undefined;
+    case "inter_token":
+      return result.meanInterTokenMs === undefined
+        ? undefined
+        : result.meanInterTokenMs <= thresholdMs;
+    case "deadline_met":
+      return result.deadlineMet;
+    case "whole_answers":
+      return result.whole;
+    case "availability":
+      return result.available;
+  }
+}
+
+/** What a bad event is attributed to. */
+export function reasonOf(objective: Objective, result: RequestResult): string {
+  const isSlow = objective.threshold_ms !== undefined &&
+    result.reason === "answered";
+  return isSlow ? `slow_${objective.indicator}` : result.reason;
+}
--- a/packages/core/src/router/finish_request.ts
+++ b/packages/core/src/router/finish_request.ts
@@ -1,3 +1,4 @@
+import type { RequestResult } from "../report/index.js";
 import { releaseRequest } from "./admit_request.js";
 import { abandonProbes, sendTo } from "./place_request.js";
 import { errorOfRefusal, requestErrors } from "./request_errors.js";
@@ -130,7 +131,7 @@
   explain(ctx, request, "given up", {
     detail: `${error.code}, outcome ${error.outcome}`,
   });
-  close(ctx, request, error.code);
+  close(ctx, request, error.code, error);
 }
 
 function errorFor(
@@ -178,7 +179,12 @@
   close(ctx, request, "replayed");
 }
 
-function close(ctx: RouterContext, request: RequestState, result: string) {
+function close(
+  ctx: RouterContext,
+  request: RequestState,
+  result: string,
+  error?: ErrorAnswer,
+): void {
   detachAttempt(ctx, request);
   abandonProbes(ctx, request);
   releaseRequest(ctx, request);
@@ -189,4 +195,43 @@
     { pool: request.pool.name },
     ctx.nowMs - request.receivedAtMs,
   );
+  ctx.effects.push({
+    type: "request_ended",
+    result: resultOf(ctx, request, result, error),
+  });
+}
+
+/** The end of a request as service-level objectives judge it. */
+function resultOf(
+  { nowMs }: RouterContext,
+  request: RequestState,
+  result: string,
+  error: ErrorAnswer | undefined,
+): RequestResult {
+  const { receivedAtMs, firstDataAtMs, chunkCount, lastRefusal } = request;
+  const isServed = result === "answered" || result === "replayed";
+  const isFault = error !== undefined && error.status >= 500;
+  const isCut = request.headSent || error?.outcome === "unknown";
+  const hasSpan = isServed && firstDataAtMs !== undefined && chunkCount > 1;
+  return {
+    account: request.account.name,
+    pool: request.pool.name,
+    elapsedMs: nowMs - receivedAtMs,
+    firstTokenMs: firstDataAtMs === undefined
+      ? undefined
+      : firstDataAtMs - receivedAtMs,
+    meanInterTokenMs: hasSpan
+      ? (nowMs - firstDataAtMs) / (chunkCount - 1)
+      : undefined,
+    deadlineMet: isServed
+      ? nowMs <= request.deadlineAtMs
+      : isFault
+      ? false
+      : undefined,
+    whole: isServed ? true : error && isCut ? false : undefined,
+    available: isServed ? true : isFault ? false : undefined,
+    reason: error?.code === "overloaded" && lastRefusal
+      ? lastRefusal.reason
+      : result,
+  };
 }
--- a/packages/core/src/router/router_event.ts
+++ b/packages/core/src/router/router_event.ts
@@ -3,6 +3,7 @@
 import type { LogEventName, LogFields } from "../log_events.js";
 import type { MembershipEffect, MembershipEvent } from "../membership/index.js";
 import type { Measurement } from "../metric_names.js";
+import type { RequestResult } from "../report/index.js";
 import type { Message, MessageOf, Outcome } from "../wire/index.js";
 
 /** A request as the host parsed it from HTTP. */
@@ -135,6 +136,8 @@
   }
   | { readonly type: "membership"; readonly effect: MembershipEffect }
   | { readonly type: "drained" }
+  /** A request of a known account has ended. */
+  | { readonly type: "request_ended"; readonly result: RequestResult }
   | { readonly type: "measure"; readonly measurement: Measurement }
   | {
     readonly type: "log";
--- a/packages/core/src/wire/messages.ts
+++ b/packages/core/src/wire/messages.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { BurnSnapshotSchema } from "../report/burn_snapshot.js";
 
 /** Version of the protocol between anvildeal processes. */
 export const PROTOCOL_VERSION = 1;
@@ -273,6 +274,18 @@
   highestFencingNumber: z.int().nonnegative(),
 });
 
+/** Asks a router for its part of a report. */
+const ReportQuerySchema = z.object({
+  type: z.literal("report_query"),
+  queryId: id,
+});
+
+const ReportStateSchema = z.object({
+  type: z.literal("report_state"),
+  queryId: id,
+  burn: BurnSnapshotSchema,
+});
+
 /** Every message between two anvildeal processes. */
 export const MessageSchema = z.discriminatedUnion("type", [
   HelloSchema,
@@ -298,6 +311,8 @@
   InstancesSchema,
   OrderSchema,
   OrderReplySchema,
+  ReportQuerySchema,
+  ReportStateSchema,
 ]);
 export type Message = z.infer<typeof MessageSchema>;
 export type MessageType = Message["type"];
--- a/packages/daemon/src/admin/admin_fixture.ts
+++ b/packages/daemon/src/admin/admin_fixture.ts
@@ -44,6 +44,7 @@
   readonly store = new MemoryObjectStore();
   readonly clock = new ManualClock();
   readonly logs: AdminLogEvent[] = [];
+  burnReport: unknown = { rows: [{ objective: "fast", burn: 0.5 }] };
   drainResult: DrainResult = "draining";
   traffic: AccountTraffic | undefined;
   url = "";
@@ -76,10 +77,7 @@
       },
       drain: async (id) => id === "e-1" ? this.drainResult : "unknown_endpoint",
       reports: {
-        report: async (name) =>
-          name === "burn"
-            ? { rows: [{ objective: "fast", burn: 0.5 }] }
-            : undefined,
+        report: async (name) => name === "burn" ? this.burnReport : undefined,
       },
       clientKeys: { has: (hash) => hash === sha256Hex(CLIENT_KEY) },
     }, maxBundleBytes === undefined ? {} : { maxBundleBytes });
--- a/packages/daemon/src/router/admin_bridge.ts
+++ b/packages/daemon/src/router/admin_bridge.ts
@@ -2,19 +2,19 @@
 import type { AdminServices } from "../admin/index.js";
 import type { NodeServices } from "../node_services.js";
 import { OrderError, type OrderIssuer } from "../orders/index.js";
-import type { RouterLinks } from "./router_links.js";
+import type { BurnReporter } from "./burn_reporter.js";
 import { routerStatus } from "./router_status.js";
 
 export interface AdminBridgeOptions {
   readonly state: RouterState;
   readonly services: NodeServices;
   readonly orders: OrderIssuer;
-  readonly links: RouterLinks;
+  readonly burn: BurnReporter;
 }
 
 /** What the administration API needs, from the parts of a router. */
 export function createAdminServices(
-  { state, services, orders }: AdminBridgeOptions,
+  { state, services, orders, burn }: AdminBridgeOptions,
 ): AdminServices {
   const { clock, logger, store } = services;
   return {
@@ -52,7 +52,10 @@
         throw error;
       }
     },
-    reports: { report: () => Promise.resolve(undefined) },
+    reports: {
+      report: (name) =>
+        name === "burn" ? burn.report() : Promise.resolve(undefined),
+    },
     clientKeys: {
       has: (keyHash) => state.config?.accountsByKeyHash.has(keyHash) ?? false,
     },
--- /dev/null
+++ b/packages/daemon/src/router/burn_reporter.ts
@@ -0,0 +1,110 @@
+import { randomUUID } from "node:crypto";
+import {
+  type BurnReport,
+  type BurnSnapshot,
+  BurnStore,
+  createBurnReport,
+  type MessageOf,
+  type Millis,
+  type Objective,
+  type RequestResult,
+} from "@anvildeal/core";
+import type { NodeServices } from "../node_services.js";
+import type { RouterLinks } from "./router_links.js";
+
+/** A router that does not answer in this time is reported as missing. */
+const REPLY_TIMEOUT_MS: Millis = 2000;
+
+interface PendingQuery {
+  readonly snapshots: Map<string, BurnSnapshot>;
+  readonly expected: number;
+  readonly finish: () => void;
+}
+
+/** What the reporter needs from its host. */
+export type BurnServices = Pick<NodeServices, "clock" | "identity">;
+export type BurnLinks = Pick<RouterLinks, "listedRouters" | "send">;
+
+/**
+ * Counts the events of this router and asks the other listed routers for theirs.
+ *
+ * The instance list gives peer addresses only, so the routers are asked over
+ * their peer connections rather than over their administration ports.
+ */
+export class BurnReporter {
+  readonly #services: BurnServices;
+  readonly #links: BurnLinks;
+  readonly #store: BurnStore;
+  readonly #pending = new Map<string, PendingQuery>();
+  #objectives: readonly Objective[] = [];
+
+  constructor(services: BurnServices, links: BurnLinks) {
+    this.#services = services;
+    this.#links = links;
+    this.#store = new BurnStore(services.clock.wallMs());
+  }
+
+  setObjectives(objectives: readonly Objective[]): void {
+    this.#objectives = objectives;
+    this.#store.setObjectives(objectives);
+  }
+
+  record(result: RequestResult): void {
+    this.#store.record(result, this.#services.clock.wallMs());
+  }
+
+  /** The merged report; never rejects, but names the routers without answer. */
+  async report(): Promise<BurnReport> {
+    const { clock, identity } = this.#services;
+    const peerIds = this.#links.listedRouters();
+    const snapshots = await this.#collect(peerIds);
+    const wallMs = clock.wallMs();
+    return createBurnReport(this.#objectives, [
+      { routerId: identity.nodeId, snapshot: this.#store.snapshot(wallMs) },
+      ...peerIds.map((routerId) => ({
+        routerId,
+        snapshot: snapshots.get(routerId),
+      })),
+    ], wallMs);
+  }
+
+  /** Answers the query of another router. */
+  answer(peerId: string, { queryId }: MessageOf<"report_query">): void {
+    const burn = this.#store.snapshot(this.#services.clock.wallMs());
+    this.#links.send(peerId, { type: "report_state", queryId, burn });
+  }
+
+  handleReply(peerId: string, reply: MessageOf<"report_state">): void {
+    const query = this.#pending.get(reply.queryId);
+    if (!query) {
+      return;
+    }
+    query.snapshots.set(peerId, reply.burn);
+    if (query.snapshots.size >= query.expected) {
+      query.finish();
+    }
+  }
+
+  #collect(
+    peerIds: readonly string[],
+  ): Promise<ReadonlyMap<string, BurnSnapshot>> {
+    const snapshots = new Map<string, BurnSnapshot>();
+    if (peerIds.length === 0) {
+      return Promise.resolve(snapshots);
+    }
+    const queryId = randomUUID();
+    return new Promise((resolve) => {
+      const finish = () => {
+        clearTimeout(timer);
+        this.#pending.delete(queryId);
+        resolve(snapshots);
+      };
+      const timer = setTimeout(finish, REPLY_TIMEOUT_MS);
+      const expected = peerIds.length;
+      this.#pending.set(queryId, { snapshots, expected, finish });
+      for (const peerId of peerIds) {
+        this.#links.send(peerId, { type: "report_query", queryId });
+      }
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/router/burn_reporter_test.ts
@@ -0,0 +1,72 @@
+import {
+  type Message,
+  ObjectiveSchema,
+  type RequestResult,
+} from "@anvildeal/core";
+import { describe, expect, it } from "vitest";
+import { SystemClock } from "../system_clock.js";
+import {
+  type BurnLinks,
+  BurnReporter,
+  type BurnServices,
+} from "./burn_reporter.js";
+
+const RESULT: RequestResult = {
+  account: "wiki",
+  pool: "chat",
+  elapsedMs: 5,
+  available: false,
+  reason: "draining",
+};
+
+/** Reporters that exchange messages; a message to an absent one is lost. */
+class Network {
+  readonly reporters = new Map<string, BurnReporter>();
+
+  add(nodeId: string, others: readonly string[]): BurnReporter {
+    const identity = { nodeId } as BurnServices["identity"];
+    const links: BurnLinks = {
+      listedRouters: () => others,
+      send: (peerId, message) => this.#deliver(nodeId, peerId, message),
+    };
+    const reporter = new BurnReporter(
+      { clock: new SystemClock(), identity },
+      links,
+    );
+    reporter.setObjectives([
+      ObjectiveSchema.parse({
+        name: "available",
+        indicator: "availability",
+        target: 0.9,
+      }),
+    ]);
+    this.reporters.set(nodeId, reporter);
+    return reporter;
+  }
+
+  #deliver(from: string, to: string, message: Message): void {
+    const target = this.reporters.get(to);
+    if (message.type === "report_query") {
+      target?.answer(from, message);
+    } else if (message.type === "report_state") {
+      target?.handleReply(from, message);
+    }
+  }
+}
+
+describe("BurnReporter", () => {
+  it("adds up the other routers and names the one that is silent", async () => {
+    const network = new Network();
+    const first = network.add("r1", ["r2", "gone"]);
+    network.add("r2", ["r1"]).record(RESULT);
+    first.record({ ...RESULT, available: true });
+    const report = await first.report();
+    expect(report.rows[0]).toMatchObject({ good: 1, bad: 1 });
+    expect(report.missing_routers).toEqual(["gone"]);
+  });
+
+  it("answers alone without waiting for routers that are not listed", async () => {
+    const report = await new Network().add("r1", []).report();
+    expect(report.missing_routers).toEqual([]);
+  });
+});
--- a/packages/daemon/src/router/router_host.ts
+++ b/packages/daemon/src/router/router_host.ts
@@ -25,6 +25,7 @@
 import { NodeServices } from "../node_services.js";
 import { OrderIssuer } from "../orders/index.js";
 import { createAdminServices } from "./admin_bridge.js";
+import { BurnReporter } from "./burn_reporter.js";
 import { CallerServer } from "./caller_server.js";
 import { RouterLinks } from "./router_links.js";
 import { routerGauges, routerStatus } from "./router_status.js";
@@ -51,6 +52,7 @@
   readonly #listClient: InstanceListClient;
   readonly #sweeper: RecordSweeper;
   readonly #orders: OrderIssuer;
+  readonly #burn: BurnReporter;
   readonly #callers: CallerServer;
   readonly #admin: JsonServer;
   readonly #metricsServer: JsonServer;
@@ -116,6 +118,7 @@
       clock,
       send: (endpointId, message) => this.#links.send(endpointId, message),
     });
+    this.#burn = new BurnReporter(services, this.#links);
     this.#callers = new CallerServer({
       maxBodyBytes: router.max_body_bytes,
       maxHeaderBytes: router.max_header_bytes,
@@ -128,7 +131,7 @@
       state: this.#state,
       services,
       orders: this.#orders,
-      links: this.#links,
+      burn: this.#burn,
     }));
     this.#admin = new JsonServer({
       "/status": (_request, response) => sendJson(response, 200, this.status()),
@@ -235,20 +238,22 @@
       })
     );
     this.#links.onRouterMessage(({ peerId, message }) =>
-      this.#receiveSync(peerId, message)
+      this.#receiveFromRouter(peerId, message)
     );
     this.#links.onRouterReady(({ nodeId, configVersion }) =>
       this.#configSync.noteVersion(nodeId, configVersion)
     );
     this.#configSync.on(
       "configApplied",
-      ({ version, bundle }) =>
+      ({ version, bundle }) => {
+        this.#burn.setObjectives(bundle.objectives);
         this.#dispatch({
           type: "config_applied",
           nowMs: this.#nowMs(),
           version,
           bundle,
-        }),
+        });
+      },
     );
     this.#instanceList.on("electionChanged", (elected) => {
       this.#configSync.setElected(elected);
@@ -281,6 +286,16 @@
     }
   }
 
+  #receiveFromRouter(peerId: string, message: Message): void {
+    if (message.type === "report_query") {
+      this.#burn.answer(peerId, message);
+    } else if (message.type === "report_state") {
+      this.#burn.handleReply(peerId, message);
+    } else {
+      this.#receiveSync(peerId, message);
+    }
+  }
+
   /** Handles messages of config sync and membership; false for others. */
   #receiveSync(peerId: string, message: Message): boolean {
     if (message.type === "config_query" || message.type === "config_state") {
@@ -368,6 +383,9 @@
       case "drained":
         this.#onDrained?.();
         break;
+      case "request_ended":
+        this.#burn.record(effect.result);
+        break;
       case "measure":
         this.#services.metrics.observe(effect.measurement);
         break;
--- a/packages/daemon/src/router/router_links.ts
+++ b/packages/daemon/src/router/router_links.ts
@@ -88,6 +88,14 @@
       .filter((id) => id !== nodeId);
   }
 
+  /** Other routers of the instance list, suspected and leaving ones too. */
+  listedRouters(): readonly string[] {
+    const { nodeId } = this.#services.identity;
+    const { routerIds, instances } = this.#state.membership;
+    return [...routerIds]
+      .filter((id) => id !== nodeId && instances.get(id)?.listed === true);
+  }
+
   dispose(): void {
     this.#server.dispose();
     this.#inbound.dispose();
