--- a/packages/core/src/log_events.ts
+++ b/packages/core/src/log_events.ts
@@ -105,16 +105,56 @@
     level: "info",
     message: "configuration sync",
   },
-  admin_event: {
-    code: 5001,
-    level: "info",
-    message: "administration call",
-  },
   store_failed: {
     code: 4020,
     level: "warn",
     message: "object API call failed",
   },
+  admin_authentication_failed: {
+    code: 5001,
+    level: "warn",
+    message: "administration call without a valid operator key",
+  },
+  admin_call_refused: {
+    code: 5002,
+    level: "info",
+    message: "administration call was refused",
+  },
+  admin_call_failed: {
+    code: 5003,
+    level: "error",
+    message: "administration call failed",
+  },
+  admin_proposed: {
+    code: 5004,
+    level: "info",
+    message: "operator proposed a configuration",
+  },
+  admin_signed_off: {
+    code: 5005,
+    level: "info",
+    message: "operator signed a proposal off",
+  },
+  admin_activated: {
+    code: 5006,
+    level: "info",
+    message: "operator activated a configuration version",
+  },
+  admin_drain_requested: {
+    code: 5007,
+    level: "info",
+    message: "operator asked an endpoint to drain",
+  },
+  admin_outcome_unknown: {
+    code: 5008,
+    level: "error",
+    message: "write of an administration call may or may not have been made",
+  },
+  admin_operators_stale: {
+    code: 5009,
+    level: "warn",
+    message: "operators could not be read; those read last are accepted",
+  },
 } as const satisfies Record<string, LogEventDefinition>;
 
 export type LogEventName = keyof typeof LOG_EVENTS;
--- a/packages/core/src/report/burn_store.ts
+++ b/packages/core/src/report/burn_store.ts
@@ -1,7 +1,7 @@
 import type { Millis } from "../clock.js";
 import type { Objective } from "../config/index.js";
 import type { BurnSnapshot, ObjectiveEvents } from "./burn_snapshot.js";
-import { BurnWindow, RETENTION_MS } from "./burn_window.js";
+import { BurnWindow, type EventCounts, RETENTION_MS } from "./burn_window.js";
 import { judgeResult, reasonOf } from "./judge_result.js";
 import type { RequestResult } from "./request_result.js";
 
@@ -25,6 +25,13 @@
   readonly objective: Objective;
   readonly definition: string;
   readonly window: BurnWindow;
+  readonly totals: EventCounts;
+}
+
+/** Events of an objective since this process counts them. */
+export interface ObjectiveTotals extends Readonly<EventCounts> {
+  readonly name: string;
+  readonly target: number;
 }
 
 /**
@@ -42,25 +49,35 @@
     for (const objective of objectives) {
       const definition = definitionOf(objective);
       const known = this.#entries.get(objective.name);
-      const window = known?.definition === definition
-        ? known.window
-        : new BurnWindow();
-      entries.set(objective.name, { objective, definition, window });
+      const { window, totals } = known?.definition === definition
+        ? known
+        : { window: new BurnWindow(), totals: { good: 0, bad: 0 } };
+      entries.set(objective.name, { objective, definition, window, totals });
     }
     this.#entries = entries;
   }
 
   record(result: RequestResult, wallMs: Millis): void {
-    for (const { objective, window } of this.#entries.values()) {
+    for (const { objective, window, totals } of this.#entries.values()) {
       const isGood = judgeResult(objective, result);
       if (isGood === true) {
         window.addGood(wallMs);
+        totals.good++;
       } else if (isGood === false) {
         window.addBad(wallMs, reasonOf(objective, result));
+        totals.bad++;
       }
     }
   }
 
+  totals(): ObjectiveTotals[] {
+    return [...this.#entries.values()].map(({ objective, totals }) => ({
+      name: objective.name,
+      target: objective.target,
+      ...totals,
+    }));
+  }
+
   snapshot(wallMs: Millis): BurnSnapshot {
     return {
       sinceMs: this.sinceMs,
--- a/packages/core/src/router/finish_request.ts
+++ b/packages/core/src/router/finish_request.ts
@@ -40,7 +40,16 @@
 export function finishAnswer(ctx: RouterContext, request: RequestState) {
   const { requestId } = request.request;
   flushHeld(ctx, request);
-  ctx.effects.push({ type: "respond_end", requestId });
+  ctx.effects.push({ type: "respond_end", requestId }, {
+    type: "log",
+    event: "request_finished",
+    fields: {
+      request_id: requestId,
+      account: request.account.name,
+      endpoint: request.attempt?.endpointId,
+      attempts: request.attemptCount,
+    },
+  });
   close(ctx, request, "answered");
 }
 
--- a/packages/daemon/src/admin/admin_log.ts
+++ b/packages/daemon/src/admin/admin_log.ts
@@ -1,20 +1,14 @@
-/** Numbered log events of the administration API. */
-export const ADMIN_LOG_EVENTS = {
-  authentication_failed: { id: 701, level: "warn" },
-  call_refused: { id: 702, level: "info" },
-  call_failed: { id: 703, level: "error" },
-  proposed: { id: 704, level: "info" },
-  signed_off: { id: 705, level: "info" },
-  activated: { id: 706, level: "info" },
-  drain_requested: { id: 707, level: "info" },
-  outcome_unknown: { id: 708, level: "error" },
-  operators_stale: { id: 709, level: "warn" },
-} as const;
-export type AdminLogEventName = keyof typeof ADMIN_LOG_EVENTS;
+import { LOG_EVENTS, type LogEventName, type LogLevel } from "@anvildeal/core";
+
+type AdminLogKey = Extract<LogEventName, `admin_${string}`>;
+
+/** Log events of the administration API without their prefix. */
+export type AdminLogEventName = AdminLogKey extends `admin_${infer Name}` ? Name
+  : never;
 
 export interface AdminLogEvent {
   readonly id: number;
-  readonly level: "error" | "warn" | "info";
+  readonly level: LogLevel;
   readonly name: AdminLogEventName;
   readonly fields: Readonly<Record<string, unknown>>;
 }
@@ -23,5 +17,6 @@
   name: AdminLogEventName,
   fields: Readonly<Record<string, unknown>>,
 ): AdminLogEvent {
-  return { ...ADMIN_LOG_EVENTS[name], name, fields };
+  const { code, level } = LOG_EVENTS[`admin_${name}`];
+  return { id: code, level, name, fields };
 }
--- a/packages/daemon/src/anvildeald.ts
+++ b/packages/daemon/src/anvildeald.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 import { ConfigError } from "@anvildeal/core";
 import { cac } from "cac";
+import { JsonLogger } from "./logging/index.js";
 import { RouterHost } from "./router/index.js";
 import { loadSettings } from "./settings/index.js";
 import { SidecarHost } from "./sidecar/index.js";
@@ -33,6 +34,13 @@
 cli.command("<settings>", "Run a router or a sidecar, as the settings say")
   .action((settingsFile: string) => {
     run(settingsFile).catch((error: unknown) => {
+      if (error instanceof ConfigError) {
+        // The settings that name the node and the log level were not read.
+        new JsonLogger("unknown", "error").log("settings_invalid", {
+          settings_file: settingsFile,
+          detail: error.message,
+        });
+      }
       const text = error instanceof ConfigError
         ? error.message
         : error instanceof Error
--- /dev/null
+++ b/packages/daemon/src/metrics/operations_test.ts
@@ -0,0 +1,141 @@
+import { METRICS } from "@anvildeal/core";
+import { readFileSync } from "node:fs";
+import { describe, expect, it } from "vitest";
+import { burnGauges } from "../router/burn_reporter.js";
+import { routerGauges } from "../router/router_status.js";
+import { sidecarGauges } from "../sidecar/sidecar_status.js";
+import type { GaugeSource } from "./metric_registry.js";
+
+/** Labels whose values the code or the configuration bounds. */
+const BOUNDED_LABELS = new Set([
+  "cause",
+  "control",
+  "decision",
+  "direction",
+  "kind",
+  "objective",
+  "pool",
+  "reason",
+  "result",
+  "step",
+]);
+
+interface Described {
+  readonly kind: string;
+  readonly help: string;
+  readonly labels: readonly string[];
+}
+
+function readPage(path: string): string {
+  const root = new URL("../../../../", import.meta.url);
+  return readFileSync(new URL(path, root), "utf8");
+}
+
+/** Every metric of the code by its full name; gauges are not read. */
+function metricsOfCode(): Map<string, Described> {
+  const unread = undefined as never;
+  const gauges: GaugeSource[] = [
+    ...routerGauges(unread, unread),
+    ...sidecarGauges(unread, unread),
+    ...burnGauges(unread),
+  ];
+  return new Map<string, Described>([
+    ...Object.entries(METRICS).map(([name, metric]) =>
+      [`anvildeal_${name}`, metric] as const
+    ),
+    ...gauges.map(({ name, help, labels }) =>
+      [`anvildeal_${name}`, { kind: "gauge", help, labels }] as const
+    ),
+  ]);
+}
+
+const metrics = metricsOfCode();
+
+/** The metric that a name in an expression refers to. */
+function baseName(name: string): string {
+  const base = name.replace(/_(bucket|sum|count)$/, "");
+  return metrics.get(base)?.kind === "histogram" ? base : name;
+}
+
+/** Names of metrics in a text, with the labels that are selected. */
+function usesOf(text: string): { name: string; labels: string[] }[] {
+  const pattern = /\b(anvildeal_[a-z0-9_]+)(?:\{([^}]*)\})?/g;
+  return [...text.replaceAll('\\"', '"').matchAll(pattern)].map((match) => ({
+    name: baseName(match[1]),
+    labels: [...(match[2] ?? "").matchAll(/(\w+)\s*(?:=~|!~|!=|=)/g)]
+      .map(([, label]) => label),
+  }));
+}
+
+/** Labels that the groupings of a text name. */
+function groupingsOf(text: string): string[] {
+  return [...text.matchAll(/\bby \(([^)]*)\)/g)]
+    .flatMap(([, list]) => list.split(",").map((label) => label.trim()));
+}
+
+describe("docs/metrics.md", () => {
+  const rows = readPage("docs/metrics.md").split("\n")
+    .filter((line) => line.startsWith("| `anvildeal_"))
+    .map((line) => line.split("|").map((cell) => cell.trim()).slice(1, -1));
+
+  it("lists exactly the metrics of the code", () => {
+    const expected = [...metrics].map(([name, { kind, help, labels }]) => [
+      `\`${name}\``,
+      kind,
+      labels.map((label) => `\`${label}\``).join(", ") || "-",
+      help,
+    ]);
+    const found = rows.map(([name, kind, labels, , help]) => [
+      name,
+      kind,
+      labels,
+      help,
+    ]);
+    expect(found.sort()).toEqual(expected.sort());
+  });
+
+  it("has no labels of unbounded sets, such as accounts", () => {
+    const labels = [...metrics.values()].flatMap((metric) => metric.labels);
+    expect(labels.filter((label) => !BOUNDED_LABELS.has(label))).toEqual([]);
+  });
+});
+
+describe.each(["ops/alerts.yml", "ops/dashboard.json"])("%s", (path) => {
+  const text = readPage(path);
+
+  it("names only metrics and labels that exist", () => {
+    const uses = usesOf(text);
+    expect(uses.length).toBeGreaterThan(10);
+    const wrong = uses.filter(({ name, labels }) => {
+      const metric = metrics.get(name);
+      return !metric || labels.some((label) => !metric.labels.includes(label));
+    });
+    expect(wrong).toEqual([]);
+    const known = new Set(["le", "instance", ...BOUNDED_LABELS]);
+    expect(groupingsOf(text).filter((label) => !known.has(label))).toEqual([]);
+  });
+});
+
+describe("docs/operations/alerts.md", () => {
+  it("has one remedy for each alert and no other", () => {
+    const alerts = [...readPage("ops/alerts.yml").matchAll(/alert: (\w+)/g)]
+      .map(([, name]) => name);
+    const page = readPage("docs/operations/alerts.md");
+    const sections = page.split(/^## /m).slice(1);
+    const titles = sections.map((section) => section.split("\n")[0]);
+    expect(titles).toEqual(alerts);
+    expect(sections.filter((section) => !section.includes("**Remedy.**")))
+      .toEqual([]);
+  });
+});
+
+describe("ops/dashboard.json", () => {
+  it("is JSON with panels that have queries", () => {
+    const { panels } = JSON.parse(readPage("ops/dashboard.json"));
+    expect(panels.length).toBeGreaterThan(0);
+    const empty = panels.filter((panel: { targets: unknown[] }) =>
+      panel.targets.length === 0
+    );
+    expect(empty).toEqual([]);
+  });
+});
--- a/packages/daemon/src/net/peer_connection.ts
+++ b/packages/daemon/src/net/peer_connection.ts
@@ -25,6 +25,11 @@
   readonly identity: PeerIdentity;
   readonly configVersion: number;
   readonly meter: TrafficMeter;
+  /** Called before the connection closes because of what the peer sent. */
+  readonly onRejected?: (
+    peerId: string | undefined,
+    reason: string,
+  ) => void;
 }
 
 export interface CloseInfo {
@@ -142,6 +147,7 @@
       }
     } catch (error) {
       if (error instanceof WireError || error instanceof HandshakeError) {
+        this.#options.onRejected?.(this.#peer?.nodeId, error.message);
         this.close(error.message);
         return;
       }
--- a/packages/daemon/src/node_services.ts
+++ b/packages/daemon/src/node_services.ts
@@ -58,14 +58,20 @@
 
   /** Options for a new connection; the version is the one in force then. */
   peerOptions(configVersion: number): PeerConnectionOptions {
-    return { identity: this.identity, configVersion, meter: this.meter };
+    return {
+      identity: this.identity,
+      configVersion,
+      meter: this.meter,
+      onRejected: (peer, reason) =>
+        this.logger.log("peer_rejected", { peer, reason }),
+    };
   }
 
   /** Reports of config sync and membership as log events and metrics. */
-  reporter(): SyncReporter {
+  reporter(note: "config_note" | "membership_note"): SyncReporter {
     return {
       log: (level, text) => {
-        const event = level === "error" ? "store_failed" : "config_note";
+        const event = level === "error" ? "store_failed" : note;
         this.logger.log(event, { text });
       },
       count: (counter, amount) => {
--- a/packages/daemon/src/router/admin_bridge.ts
+++ b/packages/daemon/src/router/admin_bridge.ts
@@ -21,12 +21,12 @@
     store,
     clock,
     log: ({ name, fields }) =>
-      logger.log("admin_event", {
-        action: name,
-        ...Object.fromEntries(
+      logger.log(
+        `admin_${name}`,
+        Object.fromEntries(
           Object.entries(fields).map(([key, value]) => [key, String(value)]),
         ),
-      }),
+      ),
     fleet: {
       status: () => routerStatus(state, services, state.config?.version ?? 0),
       traffic: () => undefined,
--- a/packages/daemon/src/router/burn_reporter.ts
+++ b/packages/daemon/src/router/burn_reporter.ts
@@ -7,8 +7,10 @@
   type MessageOf,
   type Millis,
   type Objective,
+  type ObjectiveTotals,
   type RequestResult,
 } from "@anvildeal/core";
+import type { GaugeSource } from "../metrics/index.js";
 import type { NodeServices } from "../node_services.js";
 import type { RouterLinks } from "./router_links.js";
 
@@ -53,6 +55,11 @@
     this.#store.record(result, this.#services.clock.wallMs());
   }
 
+  /** Events of this router by objective since its start. */
+  totals(): readonly ObjectiveTotals[] {
+    return this.#store.totals();
+  }
+
   /** The merged report; never rejects, but names the routers without answer. */
   async report(): Promise<BurnReport> {
     const { clock, identity } = this.#services;
@@ -108,3 +115,32 @@
     });
   }
 }
+
+/**
+ * Gauges of the objectives in force. They are gauges rather than counters so
+ * that objectives which were removed leave no series behind.
+ */
+export function burnGauges(reporter: BurnReporter): GaugeSource[] {
+  return [
+    {
+      name: "objective_events",
+      help: "Good and bad events of the objectives since the start",
+      labels: ["objective", "result"],
+      read: () =>
+        reporter.totals().flatMap(({ name, good, bad }) => [
+          { labels: { objective: name, result: "good" }, value: good },
+          { labels: { objective: name, result: "bad" }, value: bad },
+        ]),
+    },
+    {
+      name: "objective_target",
+      help: "Targets of the objectives in force",
+      labels: ["objective"],
+      read: () =>
+        reporter.totals().map(({ name, target }) => ({
+          labels: { objective: name },
+          value: target,
+        })),
+    },
+  ];
+}
--- a/packages/daemon/src/router/router_host.ts
+++ b/packages/daemon/src/router/router_host.ts
@@ -25,7 +25,7 @@
 import { NodeServices } from "../node_services.js";
 import { OrderIssuer } from "../orders/index.js";
 import { createAdminServices } from "./admin_bridge.js";
-import { BurnReporter } from "./burn_reporter.js";
+import { burnGauges, BurnReporter } from "./burn_reporter.js";
 import { CallerServer } from "./caller_server.js";
 import { RouterLinks } from "./router_links.js";
 import { routerGauges, routerStatus } from "./router_status.js";
@@ -96,7 +96,7 @@
       transport: this.#links,
       clock,
       timers,
-      reporter: services.reporter(),
+      reporter: services.reporter("config_note"),
       listVersion: () => this.#state.membership.listVersion,
     });
     this.#listClient = new InstanceListClient({
@@ -108,7 +108,7 @@
       client: this.#listClient,
       transport: this.#links,
       clock,
-      reporter: services.reporter(),
+      reporter: services.reporter("membership_note"),
       dispatch: (event) =>
         this.#dispatch({ type: "membership", nowMs: event.nowMs, event }),
     });
@@ -143,7 +143,12 @@
         response.end(await registry.metrics());
       },
     });
-    for (const gauge of routerGauges(this.#state, services)) {
+    for (
+      const gauge of [
+        ...routerGauges(this.#state, services),
+        ...burnGauges(this.#burn),
+      ]
+    ) {
       services.metrics.addGauge(gauge);
     }
     logger.log("process_started", { role: "router" });
@@ -195,6 +200,7 @@
     this.#instanceList.dispose();
     this.#sweeper.dispose();
     this.#links.dispose();
+    this.#services.logger.log("process_stopped");
     this.#services.dispose();
   }
 
--- a/packages/daemon/src/sidecar/sidecar_host.ts
+++ b/packages/daemon/src/sidecar/sidecar_host.ts
@@ -112,7 +112,7 @@
       transport: this.#links,
       clock,
       timers,
-      reporter: services.reporter(),
+      reporter: services.reporter("config_note"),
     });
     this.#instanceList = new InstanceListHost({
       client: new InstanceListClient({
@@ -122,7 +122,7 @@
       }),
       transport: this.#links,
       clock,
-      reporter: services.reporter(),
+      reporter: services.reporter("membership_note"),
       dispatch: (event) => this.#receiveMembership(event),
     });
     this.#metricsServer = new JsonServer({
@@ -191,6 +191,7 @@
     this.#execution.dispose();
     this.#engine.dispose();
     this.#links.dispose();
+    this.#services.logger.log("process_stopped");
     this.#services.dispose();
   }
 
