--- a/packages/cli/src/burn_page.ts
+++ b/packages/cli/src/burn_page.ts
@@ -8,6 +8,12 @@
 const MARGIN_BOTTOM = 22;
 const PLOT_WIDTH = WIDTH - MARGIN_LEFT - 8;
 const PLOT_HEIGHT = HEIGHT - MARGIN_TOP - MARGIN_BOTTOM;
+/** Marks of an axis that are closer than this would cover each other. */
+const MIN_LABEL_DISTANCE = 13;
+
+/** A plot of the budget left ends at this share, however far it is overrun. */
+const MIN_SHOWN_BUDGET = -2;
+
 const SPAN_MS = 6 * 60 * 60 * 1000;
 const MS_PER_HOUR = 60 * 60 * 1000;
 
@@ -138,19 +144,19 @@
     `burn rate of ${row.objective}`,
     axes(
       report,
-      [[0, y(0)], [1, spentY], [max, y(max)]].map(([rate, at]) => ({
+      [[max, y(max)], [0, y(0)], [1, spentY]].map(([rate, at]) => ({
         label: rate >= 10 ? rate.toFixed(0) : rate.toFixed(1),
         y: at,
       })),
     ) +
       `<line x1="${MARGIN_LEFT}" x2="${MARGIN_LEFT + PLOT_WIDTH}" ` +
-      `y1="${spentY}" y2="${spentY}" stroke="var(--warn)" ` +
+      `y1="${fixed(spentY)}" y2="${fixed(spentY)}" stroke="var(--warn)" ` +
       `stroke-dasharray="4 3"/>` + line(points, report, "var(--plot)"),
   );
 }
 
 /** Left of the bad events that the target allows for all events of 6 h. */
-export function budgetLeft(
+function budgetLeft(
   series: readonly BurnPoint[],
   target: number,
 ): { readonly atMs: number; readonly left: number }[] {
@@ -159,7 +165,8 @@
   let spent = 0;
   return series.map(({ at_ms, bad }) => {
     spent += bad;
-    return { atMs: at_ms, left: 1 - spent / allowed };
+    const left = 1 - spent / allowed;
+    return { atMs: at_ms, left: Math.max(MIN_SHOWN_BUDGET, left) };
   });
 }
 
@@ -167,7 +174,7 @@
   const left = budgetLeft(row.series, row.target);
   const min = Math.min(0, ...left.map((point) => point.left));
   const y = (share: number) => yOf(share, min, 1);
-  const marks = min < 0 ? [1, 0, min] : [1, 0.5, 0];
+  const marks = min < 0 ? [0, 1, min] : [0, 1, 0.5];
   const colour = min < 0 ? "var(--bad)" : "var(--good)";
   return svg(
     `budget left of ${row.objective}`,
@@ -204,21 +211,37 @@
     `<title>${escapeHtml(title)}</title>${content}</svg>`;
 }
 
+interface AxisMark {
+  readonly label: string;
+  readonly y: number;
+}
+
+/** Leaves out marks that would cover an earlier one. */
+function legible(marks: readonly AxisMark[]): AxisMark[] {
+  const kept: AxisMark[] = [];
+  for (const mark of marks) {
+    if (kept.every(({ y }) => Math.abs(y - mark.y) >= MIN_LABEL_DISTANCE)) {
+      kept.push(mark);
+    }
+  }
+  return kept;
+}
+
 function axes(
   { generated_at_ms }: BurnReport,
-  marks: readonly { readonly label: string; readonly y: number }[],
+  marks: readonly AxisMark[],
 ): string {
-  const grid = marks.map(({ label, y }) =>
+  const grid = legible(marks).map(({ label, y }) =>
     `<line x1="${MARGIN_LEFT}" x2="${MARGIN_LEFT + PLOT_WIDTH}" ` +
-    `y1="${y}" y2="${y}" stroke="var(--line)"/>` +
-    `<text x="${MARGIN_LEFT - 6}" y="${y + 4}" text-anchor="end">` +
+    `y1="${fixed(y)}" y2="${fixed(y)}" stroke="var(--line)"/>` +
+    `<text x="${MARGIN_LEFT - 6}" y="${fixed(y + 4)}" text-anchor="end">` +
     `${label}</text>`
   );
   const times = [6, 4, 2, 0].map((hours) => {
     const x = xOf(generated_at_ms - hours * MS_PER_HOUR, generated_at_ms);
     const anchor = hours === 0 ? "end" : "middle";
     const label = hours === 0 ? "now" : `-${hours} h`;
-    return `<text x="${x}" y="${HEIGHT - 6}" text-anchor="${anchor}">` +
+    return `<text x="${fixed(x)}" y="${HEIGHT - 6}" text-anchor="${anchor}">` +
       `${label}</text>`;
   });
   return [...grid, ...times].join("");
@@ -240,18 +263,23 @@
   for (const { atMs, y } of points) {
     const x = xOf(atMs + series_step_ms / 2, generated_at_ms);
     const command = atMs - lastMs > series_step_ms ? "M" : "L";
-    path += `${command}${x.toFixed(1)} ${y.toFixed(1)}`;
+    path += `${command}${fixed(x)} ${fixed(y)}`;
     lastMs = atMs;
   }
   const dots = points.map(({ atMs, y }) => {
     const x = xOf(atMs + series_step_ms / 2, generated_at_ms);
-    return `<circle cx="${x.toFixed(1)}" cy="${y.toFixed(1)}" r="2" ` +
+    return `<circle cx="${fixed(x)}" cy="${fixed(y)}" r="2" ` +
       `fill="${colour}"/>`;
   });
   return `<path d="${path}" fill="none" stroke="${colour}" ` +
     `stroke-width="2"/>${dots.join("")}`;
 }
 
+/** A coordinate with one decimal place. */
+function fixed(coordinate: number): string {
+  return coordinate.toFixed(1);
+}
+
 function xOf(atMs: number, endMs: number): number {
   const share = 1 - (endMs - atMs) / SPAN_MS;
   return MARGIN_LEFT + PLOT_WIDTH * Math.min(1, Math.max(0, share));
