--- a/packages/daemon/src/router/router_host.ts
+++ b/packages/daemon/src/router/router_host.ts
@@ -26,6 +26,7 @@
 import { NodeServices } from "../node_services.js";
 import { OrderIssuer } from "../orders/index.js";
 import { createAdminServices } from "./admin_bridge.js";
+import { burnGauges, BurnReporter } from "./burn_reporter.js";
 import { CallerServer } from "./caller_server.js";
 import { RouterLinks } from "./router_links.js";
 import { routerGauges, routerStatus } from "./router_status.js";
@@ -52,6 +53,7 @@
   readonly #listClient: InstanceListClient;
   readonly #sweeper: RecordSweeper;
   readonly #orders: OrderIssuer;
+  readonly #burn: BurnReporter;
   readonly #callers: CallerServer;
   readonly #admin: JsonServer;
   readonly #metricsServer: JsonServer;
@@ -95,7 +97,7 @@
       transport: this.#links,
       clock,
       timers,
-      reporter: services.reporter(),
+      reporter: services.reporter("config_note"),
       listVersion: () => this.#state.membership.listVersion,
     });
     this.#listClient = new InstanceListClient({
@@ -107,7 +109,7 @@
       client: this.#listClient,
       transport: this.#links,
       clock,
-      reporter: services.reporter(),
+      reporter: services.reporter("membership_note"),
       dispatch: (event) =>
         this.#dispatch({ type: "membership", nowMs: event.nowMs, event }),
     });
@@ -117,6 +119,7 @@
       clock,
       send: (endpointId, message) => this.#links.send(endpointId, message),
     });
+    this.#burn = new BurnReporter(services, this.#links);
     this.#callers = new CallerServer({
       maxBodyBytes: router.max_body_bytes,
       maxHeaderBytes: router.max_header_bytes,
@@ -129,7 +132,7 @@
       state: this.#state,
       services,
       orders: this.#orders,
-      links: this.#links,
+      burn: this.#burn,
     }));
     this.#admin = new JsonServer({
       "/status": (_request, response) => sendJson(response, 200, this.status()),
@@ -141,7 +144,12 @@
         response.end(await registry.metrics());
       },
     });
-    for (const gauge of routerGauges(this.#state, services)) {
+    for (
+      const gauge of [
+        ...routerGauges(this.#state, services),
+        ...burnGauges(this.#burn),
+      ]
+    ) {
       services.metrics.addGauge(gauge);
     }
     logger.log("process_started", { role: "router" });
@@ -193,6 +201,7 @@
     this.#instanceList.dispose();
     this.#sweeper.dispose();
     this.#links.dispose();
+    this.#services.logger.log("process_stopped");
     this.#services.dispose();
   }
 
@@ -236,7 +245,7 @@
       })
     );
     this.#links.onRouterMessage(({ peerId, message }) =>
-      this.#receiveSync(peerId, message)
+      this.#receiveFromRouter(peerId, message)
     );
     this.#links.onRouterReady(({ nodeId, incarnation, configVersion }) => {
       this.#configSync.noteVersion(nodeId, configVersion);
@@ -257,13 +266,15 @@
     );
     this.#configSync.on(
       "configApplied",
-      ({ version, bundle }) =>
+      ({ version, bundle }) => {
+        this.#burn.setObjectives(bundle.objectives);
         this.#dispatch({
           type: "config_applied",
           nowMs: this.#nowMs(),
           version,
           bundle,
-        }),
+        });
+      },
     );
     this.#instanceList.on("electionChanged", (elected) => {
       this.#configSync.setElected(elected);
@@ -296,6 +307,16 @@
     }
   }
 
+  #receiveFromRouter(peerId: string, message: Message): void {
+    if (message.type === "report_query") {
+      this.#burn.answer(peerId, message);
+    } else if (message.type === "report_state") {
+      this.#burn.handleReply(peerId, message);
+    } else {
+      this.#receiveSync(peerId, message);
+    }
+  }
+
   /** Handles messages of config sync and membership; false for others. */
   #receiveSync(peerId: string, message: Message): boolean {
     if (message.type === "config_query" || message.type === "config_state") {
@@ -387,6 +408,9 @@
       case "drained":
         this.#onDrained?.();
         break;
+      case "request_ended":
+        this.#burn.record(effect.result);
+        break;
       case "measure":
         this.#services.metrics.observe(effect.measurement);
         break;
