Acknowledge answers by size as well as by frames

A router acknowledged every 32 frames only. A sidecar stops reading from its endpoint when its stream buffer is full, so an answer in frames of which fewer than 32 fill the buffer stopped before the next ack and never ended.

Seen with a buffer of 64 KiB and chunks of 24 KiB: the call kept its slot and the caller got no answer until its deadline. Now the router also acknowledges every 32 KiB, and a sidecar's buffer is at least twice that.

--- a/packages/core/src/router/place_request.ts
+++ b/packages/core/src/router/place_request.ts
@@ -300,6 +300,7 @@
     incarnation: contact.incarnation,
     expectedSeq: 0,
     ackedSeq: 0,
+    unackedBytes: 0,
     resumeDeadlineMs: undefined,
     resumes: 0,
   };
--- a/packages/core/src/router/receive_answer.ts
+++ b/packages/core/src/router/receive_answer.ts
@@ -21,6 +21,13 @@
 /** Frames after which the sidecar may release its copies. */
 const ACK_INTERVAL_FRAMES = 32;
 
+/**
+ * Data after which the sidecar may release its copies. It is half of the
+ * smallest stream buffer: a sidecar whose buffer is full sends nothing more,
+ * so the frame count alone would never be reached by large frames.
+ */
+const ACK_INTERVAL_BYTES = 32 * 1024;
+
 /** A request is not executed more often than this, whatever the budget. */
 const MAX_EXECUTIONS = 3;
 
@@ -117,7 +124,9 @@
       data: chunk.data,
     });
   }
-  acknowledge(ctx, request, ACK_INTERVAL_FRAMES);
+  attempt.unackedBytes += chunk.data.length;
+  const full = attempt.unackedBytes >= ACK_INTERVAL_BYTES;
+  acknowledge(ctx, request, full ? 1 : ACK_INTERVAL_FRAMES);
   return undefined;
 }
 
@@ -234,6 +243,7 @@
   }
   if (attempt.expectedSeq - attempt.ackedSeq >= minFrames) {
     attempt.ackedSeq = attempt.expectedSeq;
+    attempt.unackedBytes = 0;
     sendTo(ctx, attempt.endpointId, {
       type: "ack",
       attemptId: attempt.attemptId,
--- a/packages/core/src/router/router_state.ts
+++ b/packages/core/src/router/router_state.ts
@@ -66,6 +66,8 @@
   incarnation: number | undefined;
   expectedSeq: number;
   ackedSeq: number;
+  /** Data received since the last ack. */
+  unackedBytes: number;
   /** Time by which a lost attempt must be found again. */
   resumeDeadlineMs: Millis | undefined;
   resumes: number;
--- a/packages/core/src/sidecar/run_attempt.ts
+++ b/packages/core/src/sidecar/run_attempt.ts
@@ -17,6 +17,12 @@
 /** Answers of keyed calls above this size are not kept in their record. */
 const MAX_STORED_ANSWER_BYTES = 64 * 1024;
 
+/**
+ * Twice the data after which a router acknowledges. A smaller buffer would
+ * fill up before the first ack and stop the answer for good.
+ */
+const MIN_STREAM_BUFFER_BYTES = 64 * 1024;
+
 type CallEvent<T extends SidecarEvent["type"]> = Extract<
   SidecarEvent,
   { type: T }
@@ -168,7 +174,7 @@
     const frame = attempt.frames.shift() as AnswerFrame;
     attempt.unackedBytes -= frameBytes(frame);
   }
-  const resumeBelowBytes = ctx.state.options.streamBufferBytes / 2;
+  const resumeBelowBytes = bufferLimitBytes(ctx) / 2;
   if (attempt.paused && attempt.unackedBytes < resumeBelowBytes) {
     attempt.paused = false;
     ctx.effects.push({
@@ -267,8 +273,7 @@
       message: frame,
     });
   }
-  const limitBytes = ctx.state.options.streamBufferBytes;
-  if (!attempt.paused && attempt.unackedBytes > limitBytes) {
+  if (!attempt.paused && attempt.unackedBytes > bufferLimitBytes(ctx)) {
     attempt.paused = true;
     ctx.effects.push({
       type: "pause_call",
@@ -278,6 +283,10 @@
   }
 }
 
+function bufferLimitBytes({ state }: SidecarContext): number {
+  return Math.max(MIN_STREAM_BUFFER_BYTES, state.options.streamBufferBytes);
+}
+
 function frameBytes(frame: AnswerFrame): number {
   return frame.type === "chunk" ? frame.data.length : 0;
 }
