Drop the frames of calls that no router comes back for

A non-idempotent call runs on when its router is gone. Its frames were kept for a resumption, so that a full stream buffer paused the call for good: it kept its slot and its load, and a draining sidecar never became empty.

Seen with a call of three chunks of 24 KiB whose router stayed away: one slot and 64 tokens remained. Now such a call runs to its end without keeping frames, and a resumption that comes later still is refused with outcome unknown.

--- a/packages/core/src/sidecar/admit_attempt.ts
+++ b/packages/core/src/sidecar/admit_attempt.ts
@@ -192,6 +192,7 @@
     frames: [],
     unackedBytes: 0,
     paused: false,
+    abandoned: false,
     endedAtMs: undefined,
     answer: undefined,
     answerParts: [],
--- a/packages/core/src/sidecar/reduce_sidecar.ts
+++ b/packages/core/src/sidecar/reduce_sidecar.ts
@@ -15,6 +15,7 @@
 import { CacheIndex } from "./cache_index.js";
 import { exchangeDigests, receiveDigest } from "./exchange_digests.js";
 import {
+  abandon,
   acknowledgeFrames,
   advance,
   forget,
@@ -263,6 +264,7 @@
     idempotent: attempt.submit.idempotent,
   });
   detach(ctx, attempt);
+  abandon(ctx, attempt);
 }
 
 function resumeAttempt(
@@ -273,9 +275,12 @@
   const { state } = ctx;
   const { connectionId } = connection;
   const attempt = state.attempts.get(attemptId);
-  if (!attempt || attempt.routerId !== connection.nodeId) {
+  if (
+    !attempt || attempt.abandoned || attempt.routerId !== connection.nodeId
+  ) {
     // Noting the id keeps a submit frame that is still under way from running.
-    const outcome = state.ended.get(attemptId) ?? "not-run";
+    const outcome = state.ended.get(attemptId) ??
+      (attempt ? "unknown" : "not-run");
     refuseAttempt(ctx, connectionId, attemptId, "unknown_attempt", {
       outcome,
     });
@@ -384,12 +389,14 @@
     return;
   }
   if (
-    detachedAtMs !== undefined && nowMs - detachedAtMs > DETACHED_LIMIT_MS
+    !attempt.abandoned && detachedAtMs !== undefined &&
+    nowMs - detachedAtMs > DETACHED_LIMIT_MS
   ) {
     advance(ctx, attempt, {
       type: "cancelled",
       idempotent: attempt.submit.idempotent,
     });
+    abandon(ctx, attempt);
   }
 }
 
--- a/packages/core/src/sidecar/run_attempt.ts
+++ b/packages/core/src/sidecar/run_attempt.ts
@@ -186,6 +186,15 @@
   forgetIfDone(ctx, attempt);
 }
 
+/**
+ * Drops the frames of an attempt that nobody will ask for again. A call that
+ * runs on must not wait for acks that never come.
+ */
+export function abandon(ctx: SidecarContext, attempt: AttemptState): void {
+  attempt.abandoned = true;
+  acknowledgeFrames(ctx, attempt, attempt.nextSeq);
+}
+
 /** Removes an ended attempt once the router has all of its frames. */
 export function forgetIfDone(ctx: SidecarContext, attempt: AttemptState) {
   if (attempt.endedAtMs !== undefined && attempt.frames.length === 0) {
@@ -264,6 +273,10 @@
   bytes: number,
 ): void {
   attempt.nextSeq++;
+  if (attempt.abandoned) {
+    forgetIfDone(ctx, attempt);
+    return;
+  }
   attempt.frames.push(frame);
   attempt.unackedBytes += bytes;
   if (attempt.connectionId !== undefined) {
--- a/packages/core/src/sidecar/sidecar_state.ts
+++ b/packages/core/src/sidecar/sidecar_state.ts
@@ -71,6 +71,8 @@
   readonly frames: AnswerFrame[];
   unackedBytes: number;
   paused: boolean;
+  /** No router comes back for the answer, so its frames are not kept. */
+  abandoned: boolean;
   endedAtMs: Millis | undefined;
   /** Answer of a keyed call, kept for its record. */
   answer: { status: number; headers: Record<string, string> } | undefined;
