Test the router and sidecar reducers together

A harness joins two routers and three sidecars by queues of frames that a random schedule delivers late, twice or not at all, and checks the invariants of section 1 of the design.

--- /dev/null
+++ b/packages/core/src/router/router_sidecar_property_test.ts
@@ -0,0 +1,107 @@
+import * as fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import { ReducerHarness, type Step } from "./reducer_harness.js";
+
+const SEED = 20_261;
+const RUNS = 150;
+
+const index = fc.nat({ max: 5 });
+const direction = fc.constantFrom("to_sidecar" as const, "to_router" as const);
+
+const call = fc.record({
+  type: fc.constant("call" as const),
+  router: index,
+  kind: fc.constantFrom("chat" as const, "once" as const, "keyed" as const),
+  key: fc.nat({ max: 2 }),
+  chunks: fc.integer({ min: 0, max: 6 }),
+  wide: fc.boolean(),
+});
+const work = fc.record({
+  type: fc.constant("work" as const),
+  rounds: fc.integer({ min: 1, max: 4 }),
+});
+const deliver = fc.record({
+  type: fc.constant("deliver" as const),
+  link: index,
+  direction,
+  frames: fc.integer({ min: 1, max: 3 }),
+});
+const wait = fc.record({
+  type: fc.constant("wait" as const),
+  ticks: fc.oneof(
+    fc.integer({ min: 1, max: 6 }),
+    fc.integer({ max: 130, min: 1 }),
+  ),
+});
+
+const fault: fc.Arbitrary<Step> = fc.oneof(
+  fc.record({ type: fc.constant("duplicate" as const), link: index }),
+  fc.record({ type: fc.constant("reset" as const), link: index }),
+  fc.record({
+    type: fc.constant("silence" as const),
+    link: index,
+    direction: fc.oneof(direction, fc.constant("both" as const)),
+  }),
+  fc.record({ type: fc.constant("restart" as const), sidecar: index }),
+  fc.record({
+    type: fc.constant("config" as const),
+    node: index,
+    version: fc.integer({ min: 1, max: 6 }),
+  }),
+  fc.record({ type: fc.constant("store" as const), up: fc.boolean() }),
+  fc.record({
+    type: fc.constant("engine" as const),
+    sidecar: index,
+    accepts: fc.boolean(),
+  }),
+  fc.record({ type: fc.constant("break_call" as const), sidecar: index }),
+  fc.record({ type: fc.constant("leave_caller" as const), call: index }),
+  fc.record({ type: fc.constant("drain" as const), sidecar: index }),
+  fc.record({ type: fc.constant("drain_router" as const), router: index }),
+);
+
+const steps = fc.array(
+  fc.oneof(
+    { weight: 4, arbitrary: call },
+    { weight: 5, arbitrary: work },
+    { weight: 4, arbitrary: deliver },
+    { weight: 2, arbitrary: wait },
+    { weight: 4, arbitrary: fault },
+  ) as fc.Arbitrary<Step>,
+  { minLength: 5, maxLength: 60 },
+);
+
+describe("reduceRouter and reduceSidecar together", () => {
+  // Guards the invariants of section 1 against frames that are late, repeated
+  // or lost, silent connections, restarts, drains and store outages.
+  it("keep the invariants under any schedule", () => {
+    fc.assert(
+      fc.property(steps, fc.nat({ max: 1000 }), (schedule, seed) => {
+        const harness = new ReducerHarness(seed);
+        harness.run(schedule);
+        harness.settle();
+        expect(harness.violations).toEqual([]);
+      }),
+      { seed: SEED, numRuns: RUNS },
+    );
+  });
+
+  // A harness that never answers anything whole would prove nothing.
+  it("answer every call whole when there are no faults", () => {
+    fc.assert(
+      fc.property(fc.array(call, { minLength: 1, maxLength: 4 }), (calls) => {
+        const harness = new ReducerHarness(1);
+        for (const one of calls) {
+          harness.run([{ ...one, type: "call" }]);
+          harness.settle();
+        }
+        expect(harness.violations).toEqual([]);
+        const finals = [...harness.results.values()].map(({ finals }) =>
+          finals
+        );
+        expect(finals).toEqual(calls.map(() => ["whole"]));
+      }),
+      { seed: SEED, numRuns: 10 },
+    );
+  });
+});
