Repeat the last ack when an attempt is resumed

An ack that was lost with its connection was never sent again. A sidecar whose stream buffer was full then waited for it, while the router waited for more frames, so the call kept its slot and its caller waited until the deadline.

Seen with six chunks of 24 KiB and a reset after the third. The router now sends its last ack after each resume; the answer is whole and ran once.

--- a/packages/core/src/router/reducer_harness.ts
+++ b/packages/core/src/router/reducer_harness.ts
@@ -35,6 +35,8 @@
     wide: boolean;
   }
   | { type: "work"; rounds: number }
+  /** Endpoints and the store go on while no frame is delivered. */
+  | { type: "endpoints"; rounds: number }
   | { type: "deliver"; link: number; direction: Direction; frames: number }
   | { type: "duplicate"; link: number }
   | { type: "reset"; link: number }
@@ -225,6 +227,11 @@
           this.#work();
         }
         break;
+      case "endpoints":
+        for (let i = 0; i < step.rounds; i++) {
+          this.#work();
+        }
+        break;
       case "deliver":
         this.#withLink(step.link, (link) => {
           for (let i = 0; i < step.frames; i++) {
--- a/packages/core/src/router/router_sidecar_property_test.ts
+++ b/packages/core/src/router/router_sidecar_property_test.ts
@@ -20,6 +20,10 @@
   type: fc.constant("work" as const),
   rounds: fc.integer({ min: 1, max: 4 }),
 });
+const endpoints = fc.record({
+  type: fc.constant("endpoints" as const),
+  rounds: fc.integer({ min: 1, max: 4 }),
+});
 const deliver = fc.record({
   type: fc.constant("deliver" as const),
   link: index,
@@ -64,6 +68,7 @@
   fc.oneof(
     { weight: 4, arbitrary: call },
     { weight: 5, arbitrary: work },
+    { weight: 2, arbitrary: endpoints },
     { weight: 4, arbitrary: deliver },
     { weight: 2, arbitrary: wait },
     { weight: 4, arbitrary: fault },
@@ -86,6 +91,31 @@
     );
   });
 
+  // A lost ack would leave the sidecar paused for good: the router has all
+  // frames and does not repeat the ack by itself.
+  it("finish a paused call whose ack was lost with the connection", () => {
+    const harness = new ReducerHarness(1);
+    harness.run([
+      {
+        type: "call",
+        router: 0,
+        kind: "chat",
+        key: 0,
+        chunks: 6,
+        wide: true,
+      },
+      { type: "work", rounds: 3 },
+      { type: "endpoints", rounds: 4 },
+      ...[0, 1, 2].flatMap((link): Step[] => [
+        { type: "deliver", link, direction: "to_router", frames: 10 },
+      ]),
+      ...[0, 0, 0].map((link): Step => ({ type: "reset", link })),
+    ]);
+    harness.settle();
+    expect(harness.violations).toEqual([]);
+    expect([...harness.executions.values()]).toEqual([1]);
+  });
+
   // A harness that never answers anything whole would prove nothing.
   it("answer every call whole when there are no faults", () => {
     fc.assert(
--- a/packages/core/src/router/watch_connections.ts
+++ b/packages/core/src/router/watch_connections.ts
@@ -105,6 +105,15 @@
     attemptId: attempt.attemptId,
     fromSeq: attempt.expectedSeq,
   });
+  if (attempt.ackedSeq > 0) {
+    // The ack may have been lost with the connection, and a sidecar whose
+    // buffer is full sends nothing that would cause another one.
+    sendTo(ctx, attempt.endpointId, {
+      type: "ack",
+      attemptId: attempt.attemptId,
+      nextSeq: attempt.ackedSeq,
+    });
+  }
 }
 
 /** Applies the time limits of probes, resumptions and whole requests. */
