Keep one drain listener per response

Each write to a caller that does not read added a listener, which Node.js reported as a possible leak after ten, and each of them reported the end of congestion again. Seen while a resumed stream was written in one go and with an answer of 4 MB to a caller that reads nothing for half a second; now there is one listener at a time and no warning.

--- a/packages/daemon/src/router/caller_server.ts
+++ b/packages/daemon/src/router/caller_server.ts
@@ -100,7 +100,11 @@
 
   sendData(requestId: string, data: Uint8Array): void {
     const response = this.#responses.get(requestId);
-    if (response && !response.write(data)) {
+    if (!response || response.write(data)) {
+      return;
+    }
+    // One listener tells of the end of congestion, however much is written.
+    if (response.listenerCount("drain") === 0) {
       this.#onCongestion.fire({ requestId, congested: true });
       response.once("drain", () => {
         this.#onCongestion.fire({ requestId, congested: false });
