--- a/packages/core/src/router/request_result_test.ts
+++ b/packages/core/src/router/request_result_test.ts
@@ -36,6 +36,7 @@
     target: "m-1",
     stream: true,
     chatId: "c",
+    placementKey: "c",
     blockHashes: [],
     promptTokens: 10,
     deadlineInMs: 1000,
--- a/packages/core/src/wire/field_codes.ts
+++ b/packages/core/src/wire/field_codes.ts
@@ -74,6 +74,15 @@
   "nonce",
   "proof",
   "checkedMsAgo",
+  "queryId",
+  "burn",
+  "sinceMs",
+  "objectives",
+  "name",
+  "definition",
+  "windows",
+  "series",
+  "reasons",
 ] as const;
 
 /** Code of each name, for the key map of the CBOR codec. */
