Let requests above the floor run where load is no more than the mean

Cause: a prompt larger than the floor was above the bound at every endpoint of a calm pool, so that it was refused everywhere.

--- a/packages/core/src/admission/load_bound.ts
+++ b/packages/core/src/admission/load_bound.ts
@@ -25,6 +25,7 @@
 /** Why a decision relied on the capacity limit alone, or that it did not. */
 export type BoundRule =
   | "enforced"
+  | "oversize"
   | "ignored"
   | "after_join"
   | "small_pool"
@@ -59,6 +60,7 @@
 
 const NO_DECISIONS: Readonly<Record<BoundRule, number>> = {
   enforced: 0,
+  oversize: 0,
   ignored: 0,
   after_join: 0,
   small_pool: 0,
@@ -121,7 +123,7 @@
     const limitTokens = Math.max(multiple * poolMeanTokens, floorTokens);
     const aboveBound = newLoadTokens > limitTokens;
     const aboveCapacity = newLoadTokens > capacityTokens;
-    const rule = this.#rule(request, nowMs);
+    const rule = this.#rule(request, aboveBound, nowMs);
     const admitted = !aboveCapacity && !(aboveBound && rule === "enforced");
     this.#count(admitted, aboveCapacity, aboveBound, rule);
     return {
@@ -135,7 +137,11 @@
     };
   }
 
-  #rule(request: BoundRequest, nowMs: Millis): BoundRule {
+  #rule(
+    request: BoundRequest,
+    aboveBound: boolean,
+    nowMs: Millis,
+  ): BoundRule {
     if (request.ignoreBound) {
       return "ignored";
     }
@@ -146,7 +152,21 @@
     if (knownPeers + 1 <= MAX_UNBOUNDED_POOL_SIZE) {
       return "small_pool";
     }
-    return 2 * freshPeers < knownPeers ? "unknown_pool" : "enforced";
+    if (2 * freshPeers < knownPeers) {
+      return "unknown_pool";
+    }
+    return aboveBound && this.#isOversize(request, nowMs)
+      ? "oversize"
+      : "enforced";
+  }
+
+  /**
+   * A request above the floor breaks the bound wherever it goes, and would
+   * never run. Endpoints that carry no more than the mean take it.
+   */
+  #isOversize(request: BoundRequest, nowMs: Millis): boolean {
+    return request.workTokens > this.#options.floorTokens &&
+      request.loadTokens <= this.poolMeanTokens(request.loadTokens, nowMs);
   }
 
   #count(
