--- a/packages/daemon/src/router/burn_reporter_test.ts
+++ b/packages/daemon/src/router/burn_reporter_test.ts
@@ -4,8 +4,10 @@
   type RequestResult,
 } from "@anvildeal/core";
 import { describe, expect, it } from "vitest";
+import { MetricRegistry } from "../metrics/index.js";
 import { SystemClock } from "../system_clock.js";
 import {
+  burnGauges,
   type BurnLinks,
   BurnReporter,
   type BurnServices,
@@ -65,6 +67,19 @@
     expect(report.missing_routers).toEqual(["gone"]);
   });
 
+  it("leaves no metric of an objective that was removed", async () => {
+    const reporter = new Network().add("r1", []);
+    const metrics = new MetricRegistry();
+    burnGauges(reporter).forEach((gauge) => metrics.addGauge(gauge));
+    reporter.record(RESULT);
+    const name = "anvildeal_objective_events";
+    expect(await metrics.registry.getSingleMetricAsString(name))
+      .toContain('{objective="available",result="bad"} 1');
+    reporter.setObjectives([]);
+    expect(await metrics.registry.getSingleMetricAsString(name))
+      .not.toContain("available");
+  });
+
   it("answers alone without waiting for routers that are not listed", async () => {
     const report = await new Network().add("r1", []).report();
     expect(report.missing_routers).toEqual([]);
