--- /dev/null
+++ b/packages/daemon/src/fault_fixture.ts
@@ -0,0 +1,459 @@
+import { createHash } from "node:crypto";
+import { createServer } from "node:net";
+import {
+  type Bundle,
+  BundleSchema,
+  manifestDigest,
+  RouterSettingsSchema,
+  SidecarSettingsSchema,
+  splitBundle,
+} from "@anvildeal/core";
+import {
+  expectedAnswer,
+  InstanceList,
+  listenOnLoopback,
+  ModelEngine,
+  ObjectApi,
+  PlainService,
+  type StandIn,
+  TcpProxy,
+} from "@anvildeal/stand-ins";
+import { type RouterAddresses, RouterHost } from "./router/index.js";
+import { SidecarHost } from "./sidecar/index.js";
+import { HttpObjectStore } from "./store/index.js";
+
+export const CLIENT_KEY = "fault-test-key";
+export const FLEET_KEY = "fault-test-fleet-key";
+export const MODEL = "fault-model";
+
+/** Readiness is awaited by polling; a fleet starts well within this time. */
+const READY_TIMEOUT_MS = 15_000;
+const POLL_MS = 25;
+
+type Endpoint = ModelEngine | PlainService;
+
+/** An endpoint with its sidecar; both connections run through proxies. */
+export interface FaultNode {
+  readonly id: string;
+  readonly endpoint: Endpoint;
+  readonly engineProxy: TcpProxy;
+  readonly peerProxy: TcpProxy;
+  readonly peerPort: number;
+  readonly pool: string;
+  readonly statusUrl: string;
+  sidecar: SidecarHost;
+}
+
+export interface CallAnswer {
+  readonly status: number;
+  readonly headers: Headers;
+  readonly body: string;
+  /** False when the connection ended before the answer was complete. */
+  readonly whole: boolean;
+}
+
+/** Routers, sidecars and stand-ins in one process, for fault tests. */
+export class FaultFleet {
+  readonly objectApi = new ObjectApi();
+  readonly instanceList = new InstanceList();
+  readonly models: FaultNode[] = [];
+  readonly services: FaultNode[] = [];
+  readonly routers: RouterHost[] = [];
+  readonly addresses: RouterAddresses[] = [];
+  readonly #standIns: StandIn[] = [this.objectApi, this.instanceList];
+
+  async start(): Promise<this> {
+    await this.objectApi.start();
+    await this.instanceList.start();
+    await this.#writeConfig();
+    for (const id of ["m1", "m2", "m3"]) {
+      const engine = new ModelEngine({
+        checksFencing: false,
+        cacheEventLossShare: 0,
+      });
+      this.models.push(await this.#startNode(id, "models", engine));
+    }
+    for (const id of ["s1", "s2"]) {
+      const service = new PlainService();
+      this.services.push(await this.#startNode(id, "services", service));
+    }
+    for (const id of ["r1", "r2"]) {
+      await this.#startRouter(id);
+    }
+    await this.untilServing();
+    return this;
+  }
+
+  async dispose(): Promise<void> {
+    this.routers.forEach((router) => router.dispose());
+    [...this.models, ...this.services].forEach(({ sidecar }) =>
+      sidecar.dispose()
+    );
+    for (const standIn of this.#standIns) {
+      await standIn.dispose();
+    }
+  }
+
+  /** Ends the sidecar without a drain, as if its process were killed. */
+  kill(node: FaultNode): void {
+    node.sidecar.dispose();
+  }
+
+  /** Starts a new incarnation of the sidecar at the same address. */
+  async restart(node: FaultNode): Promise<void> {
+    node.sidecar = this.#createSidecar(
+      node.id,
+      node.pool,
+      node.engineProxy.port,
+      node.peerPort,
+    );
+    await node.sidecar.start();
+  }
+
+  node(id: string | null): FaultNode {
+    const node = [...this.models, ...this.services].find((one) =>
+      one.id === id
+    );
+    if (!node) {
+      throw new Error(`No endpoint ${id}`);
+    }
+    return node;
+  }
+
+  /** Waits until every endpoint answers through every router. */
+  async untilServing(): Promise<void> {
+    await until("all endpoints active", () =>
+      this.routers.every((router) => {
+        const { config_version: version, endpoints } = router.status() as {
+          config_version: number;
+          endpoints: unknown[];
+        };
+        return version > 0 && endpoints.length === 5;
+      }));
+    for (const { http_url: url } of this.addresses) {
+      await until(
+        "chats served",
+        async () =>
+          (await chat(url, "ready", 1).then(({ status }) => status)) === 200,
+      );
+      await until(
+        "services served",
+        async () => (await callService(url, { method: "GET" })).status === 200,
+      );
+    }
+  }
+
+  /** Starts of the request on all engines. */
+  modelExecutions(requestId: string): number {
+    return sum(
+      this.models.map(({ endpoint }) =>
+        endpoint.executions.startedCount(requestId)
+      ),
+    );
+  }
+
+  runningInEngines(): number {
+    return sum(
+      this.models.map(({ endpoint }) =>
+        endpoint instanceof ModelEngine ? endpoint.load.running : 0
+      ),
+    );
+  }
+
+  /** Calls that the sidecars count as running. */
+  async runningAttempts(): Promise<number> {
+    const running = this.models.map(async ({ statusUrl }) => {
+      const response = await fetch(statusUrl);
+      return (await response.json() as { running: number }).running;
+    });
+    return sum(await Promise.all(running));
+  }
+
+  serviceExecutions(executionId: string): number {
+    return sum(
+      this.services.map(({ endpoint }) =>
+        endpoint.executions.startedCount(executionId)
+      ),
+    );
+  }
+
+  async #startNode(
+    id: string,
+    pool: string,
+    endpoint: Endpoint,
+  ): Promise<FaultNode> {
+    await endpoint.start();
+    const engineProxy = new TcpProxy({
+      targetPort: Number(new URL(endpoint.url).port),
+    });
+    await engineProxy.start();
+    const peerPort = await freePort();
+    const peerProxy = new TcpProxy({ targetPort: peerPort });
+    await peerProxy.start();
+    this.#standIns.push(peerProxy, engineProxy, endpoint);
+    this.instanceList.put({
+      instance_id: id,
+      role: "endpoint",
+      pool,
+      address: `127.0.0.1:${peerProxy.port}`,
+      failure_domain: "a",
+      state: "live",
+    });
+    const sidecar = this.#createSidecar(id, pool, engineProxy.port, peerPort);
+    const { metrics_url: metricsUrl } = await sidecar.start();
+    const statusUrl = new URL("/status", metricsUrl).href;
+    return {
+      id,
+      statusUrl,
+      endpoint,
+      engineProxy,
+      peerProxy,
+      peerPort,
+      pool,
+      sidecar,
+    };
+  }
+
+  #createSidecar(
+    id: string,
+    pool: string,
+    enginePort: number,
+    peerPort: number,
+  ): SidecarHost {
+    return new SidecarHost(SidecarSettingsSchema.parse({
+      role: "sidecar",
+      node: this.#nodeSection(`sidecar-${id}`, peerPort),
+      platform: this.#platformSection(),
+      sidecar: {
+        endpoint_id: id,
+        endpoint_url: `http://127.0.0.1:${enginePort}`,
+        pool,
+      },
+    }));
+  }
+
+  async #startRouter(id: string): Promise<void> {
+    const peerPort = await freePort();
+    const router = await RouterHost.create(RouterSettingsSchema.parse({
+      role: "router",
+      node: this.#nodeSection(id, peerPort),
+      platform: this.#platformSection(),
+      router: { http_port: 0, admin_port: 0, body_timeout_ms: 1500 },
+    }));
+    this.routers.push(router);
+    const addresses = await router.start();
+    this.addresses.push(addresses);
+    this.instanceList.put({
+      instance_id: id,
+      role: "router",
+      pool: "",
+      address: addresses.peer_address,
+      failure_domain: "a",
+      state: "live",
+    });
+  }
+
+  #nodeSection(id: string, peerPort: number) {
+    return {
+      id,
+      failure_domain: "a",
+      peer_port: peerPort,
+      fleet_key: FLEET_KEY,
+      log_level: "error",
+      seed: 1,
+    };
+  }
+
+  #platformSection() {
+    return {
+      object_api_url: this.objectApi.url,
+      instance_list_url: this.instanceList.url,
+    };
+  }
+
+  async #writeConfig(): Promise<void> {
+    const store = new HttpObjectStore({
+      url: this.objectApi.url,
+      requestTimeoutMs: 1000,
+    });
+    const { manifest, sections } = splitBundle(BUNDLE, sha256Hex);
+    for (const [digest, content] of Object.entries(sections)) {
+      await store.create(`config/sections/${digest}`, content);
+    }
+    const digest = manifestDigest(manifest, sha256Hex);
+    await store.create("config/versions/1", {
+      version: 1,
+      digest,
+      manifest,
+      activation_id: "a-1",
+      proposal_id: "p-1",
+      kind: "change",
+      note: "fault tests",
+      based_on_version: 0,
+      proposed_by: "proposer",
+      proposed_at_ms: 1,
+      approved_by: "approver",
+      approved_at_ms: 1,
+      activated_by: "approver",
+      activated_at_ms: 1,
+    });
+    await store.create("config/active", { version: 1, digest });
+    store.dispose();
+  }
+}
+
+/** Polls a condition; throws when it does not hold in time. */
+export async function until(
+  what: string,
+  holds: () => boolean | Promise<boolean>,
+): Promise<void> {
+  const endMs = performance.now() + READY_TIMEOUT_MS;
+  while (!await holds()) {
+    if (performance.now() > endMs) {
+      throw new Error(`Timed out waiting for: ${what}`);
+    }
+    await sleep(POLL_MS);
+  }
+}
+
+export function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+export function messagesOf(text: string): { role: string; content: string }[] {
+  return [{ role: "user", content: text }];
+}
+
+/** The text that a whole answer to {@link chat} has. */
+export function expectedText(text: string, maxTokens: number): string {
+  return expectedAnswer(messagesOf(text), maxTokens);
+}
+
+export function authorization(): { authorization: string } {
+  return { authorization: `Bearer ${CLIENT_KEY}` };
+}
+
+/** A chat that is not streamed; the body is the text of the answer. */
+export async function chat(
+  url: string,
+  text: string,
+  maxTokens: number,
+): Promise<CallAnswer> {
+  const answer = await readAnswer(
+    await startChat(url, text, maxTokens, false),
+  );
+  if (answer.status !== 200) {
+    return answer;
+  }
+  const body = JSON.parse(answer.body) as {
+    choices: { message: { content: string } }[];
+  };
+  return { ...answer, body: body.choices[0].message.content };
+}
+
+export function startChat(
+  url: string,
+  text: string,
+  maxTokens: number,
+  stream: boolean,
+  init: RequestInit = {},
+): Promise<Response> {
+  return fetch(`${url}/v1/chat/completions`, {
+    method: "POST",
+    headers: { ...authorization(), "content-type": "application/json" },
+    body: JSON.stringify({
+      model: MODEL,
+      messages: messagesOf(text),
+      max_tokens: maxTokens,
+      stream,
+    }),
+    ...init,
+  });
+}
+
+/**
+ * A streamed chat; calls `onFirst` with the endpoint once the first event has
+ * arrived. The body is the text of all events.
+ */
+export async function streamChat(
+  url: string,
+  text: string,
+  maxTokens: number,
+  onFirst: (endpointId: string | null) => void | Promise<void>,
+): Promise<CallAnswer> {
+  const response = await startChat(url, text, maxTokens, true);
+  const { headers, status } = response;
+  const decoder = new TextDecoder();
+  let raw = "";
+  let whole = true;
+  try {
+    for await (const part of response.body ?? []) {
+      if (raw === "") {
+        await onFirst(headers.get("anvildeal-endpoint"));
+      }
+      raw += decoder.decode(part, { stream: true });
+    }
+  } catch {
+    whole = false;
+  }
+  const body = raw.split("\n")
+    .filter((line) => line.startsWith("data: {"))
+    .map((line) =>
+      (JSON.parse(line.slice("data: ".length)) as {
+        choices: { delta?: { content?: string } }[];
+      }).choices[0]?.delta?.content ?? ""
+    )
+    .join("");
+  return { status, headers, body, whole: whole && raw.includes("[DONE]") };
+}
+
+export async function callService(
+  url: string,
+  init: RequestInit,
+): Promise<CallAnswer> {
+  const { headers, ...rest } = init;
+  return readAnswer(
+    await fetch(`${url}/services/approvals/entry`, {
+      ...rest,
+      headers: { ...authorization(), ...headers as Record<string, string> },
+    }),
+  );
+}
+
+async function readAnswer(response: Response): Promise<CallAnswer> {
+  const { headers, status } = response;
+  return { status, headers, body: await response.text(), whole: true };
+}
+
+async function freePort(): Promise<number> {
+  const server = createServer();
+  const port = await listenOnLoopback(server);
+  await new Promise((resolve) => server.close(resolve));
+  return port;
+}
+
+function sha256Hex(text: string): string {
+  return createHash("sha256").update(text).digest("hex");
+}
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
+
+const BUNDLE: Bundle = BundleSchema.parse({
+  accounts: [{
+    name: "wiki",
+    key_hashes: [sha256Hex(CLIENT_KEY)],
+    max_requests_per_s: 1000,
+    burst_requests: 1000,
+  }],
+  pools: [
+    { name: "models", kind: "model", models: [MODEL] },
+    { name: "services", kind: "service", dialect: "plain" },
+  ],
+  services: [{
+    name: "approvals",
+    pool: "services",
+    routes: [{ method: "POST", path_prefix: "/", idempotent: false }],
+  }],
+});
