Repeat late submit frames and answer frames in the reducer test

The schedule repeated only submit frames that were still queued, so removing the memory of ended attempts or the check of sequence numbers went unnoticed.

--- a/packages/core/src/router/reducer_harness.ts
+++ b/packages/core/src/router/reducer_harness.ts
@@ -38,7 +38,8 @@
   /** Endpoints and the store go on while no frame is delivered. */
   | { type: "endpoints"; rounds: number }
   | { type: "deliver"; link: number; direction: Direction; frames: number }
-  | { type: "duplicate"; link: number }
+  /** Repeats a submit frame, perhaps late, or a frame to the router. */
+  | { type: "duplicate"; link: number; direction: Direction; frame: number }
   | { type: "reset"; link: number }
   | { type: "silence"; link: number; direction: Direction | "both" }
   | { type: "wait"; ticks: number }
@@ -141,6 +142,13 @@
   readonly #keyExecutions = new Map<string, number>();
   readonly #notRun = new Set<string>();
   readonly #records = new Map<string, CallRecord>();
+  /** Submit frames that sidecars have received. */
+  readonly #submits: {
+    readonly router: RouterNode;
+    readonly sidecar: SidecarNode;
+    readonly incarnation: number;
+    readonly message: Message;
+  }[] = [];
   readonly #routers: RouterNode[];
   readonly #sidecars: SidecarNode[];
   #links: Link[] = [];
@@ -240,14 +248,7 @@
         });
         break;
       case "duplicate":
-        this.#withLink(step.link, ({ frames }) => {
-          const submit = frames.to_sidecar.find(({ type }) =>
-            type === "submit"
-          );
-          if (submit) {
-            frames.to_sidecar.push(submit);
-          }
-        });
+        this.#withLink(step.link, (link) => this.#duplicate(link, step));
         break;
       case "reset":
         this.#withLink(step.link, (link) => this.#reset(link));
@@ -368,6 +369,21 @@
     }
   }
 
+  #duplicate(
+    { frames, incarnation, router, sidecar }: Link,
+    { direction, frame }: Extract<Step, { type: "duplicate" }>,
+  ): void {
+    const sent = direction === "to_router"
+      ? frames.to_router
+      : this.#submits.filter((submit) =>
+        submit.router === router && submit.sidecar === sidecar &&
+        submit.incarnation === incarnation
+      ).map(({ message }) => message);
+    if (sent.length > 0) {
+      frames[direction].push(at(sent, frame));
+    }
+  }
+
   /** Delivers one frame, or the end of the connection; false for neither. */
   #deliver(link: Link, direction: Direction): boolean {
     if (!link.ready) {
@@ -445,11 +461,16 @@
     });
   }
 
-  #receiveAtSidecar({ connectionId, sidecar }: Link, message: Message): void {
+  #receiveAtSidecar(link: Link, message: Message): void {
+    const { connectionId, router, sidecar } = link;
     const { state } = sidecar;
     const { mode } = state;
     const known = message.type === "submit" &&
       state.attempts.has(message.attemptId);
+    if (message.type === "submit") {
+      const { incarnation } = sidecar;
+      this.#submits.push({ router, sidecar, incarnation, message });
+    }
     this.#reach(sidecar, { type: "message", connectionId, message });
     if (
       message.type === "submit" && !known &&
--- a/packages/core/src/router/router_sidecar_property_test.ts
+++ b/packages/core/src/router/router_sidecar_property_test.ts
@@ -39,7 +39,12 @@
 });
 
 const fault: fc.Arbitrary<Step> = fc.oneof(
-  fc.record({ type: fc.constant("duplicate" as const), link: index }),
+  fc.record({
+    type: fc.constant("duplicate" as const),
+    link: index,
+    direction,
+    frame: index,
+  }),
   fc.record({ type: fc.constant("reset" as const), link: index }),
   fc.record({
     type: fc.constant("silence" as const),
--- a/packages/daemon/src/fault_fixture.ts
+++ b/packages/daemon/src/fault_fixture.ts
@@ -1,4 +1,4 @@
-import { createHash } from "node:crypto";
+import { createHash, randomUUID } from "node:crypto";
 import { createServer } from "node:net";
 import {
   type Bundle,
@@ -18,6 +18,7 @@
   type StandIn,
   TcpProxy,
 } from "@anvildeal/stand-ins";
+import { expect } from "vitest";
 import { type RouterAddresses, RouterHost } from "./router/index.js";
 import { SidecarHost } from "./sidecar/index.js";
 import { HttpObjectStore } from "./store/index.js";
@@ -26,6 +27,9 @@
 export const FLEET_KEY = "fault-test-fleet-key";
 export const MODEL = "fault-model";
 
+/** Long enough that a fault strikes half-way at 10 ms a token. */
+export const TOKENS = 120;
+
 /** Readiness is awaited by polling; a fleet starts well within this time. */
 const READY_TIMEOUT_MS = 15_000;
 const POLL_MS = 25;
@@ -33,9 +37,9 @@
 type Endpoint = ModelEngine | PlainService;
 
 /** An endpoint with its sidecar; both connections run through proxies. */
-export interface FaultNode {
+export interface FaultNode<E extends Endpoint = Endpoint> {
   readonly id: string;
-  readonly endpoint: Endpoint;
+  readonly endpoint: E;
   readonly engineProxy: TcpProxy;
   readonly peerProxy: TcpProxy;
   readonly peerPort: number;
@@ -56,8 +60,8 @@
 export class FaultFleet {
   readonly objectApi = new ObjectApi();
   readonly instanceList = new InstanceList();
-  readonly models: FaultNode[] = [];
-  readonly services: FaultNode[] = [];
+  readonly models: FaultNode<ModelEngine>[] = [];
+  readonly services: FaultNode<PlainService>[] = [];
   readonly routers: RouterHost[] = [];
   readonly addresses: RouterAddresses[] = [];
   readonly #standIns: StandIn[] = [this.objectApi, this.instanceList];
@@ -143,6 +147,33 @@
     }
   }
 
+  /**
+   * Streams a chat over the first router, lets the fault strike its endpoint
+   * half-way and checks that the answer is whole.
+   */
+  async streamWith(
+    strike: (node: FaultNode) => void | Promise<void>,
+    tokens = TOKENS,
+  ): Promise<CallAnswer> {
+    const text = `chat ${randomUUID()}`;
+    const [{ http_url: url }] = this.addresses;
+    const answer = await streamChat(
+      url,
+      text,
+      tokens,
+      (id) => strike(this.node(id)),
+    );
+    expect(answer.status).toBe(200);
+    expect(answer.body).toBe(expectedText(text, tokens));
+    expect(answer.whole).toBe(true);
+    return answer;
+  }
+
+  /** Starts of the answered request on all engines. */
+  modelExecutionsOf({ headers }: CallAnswer): number {
+    return this.modelExecutions(headers.get("anvildeal-request") ?? "");
+  }
+
   /** Starts of the request on all engines. */
   modelExecutions(requestId: string): number {
     return sum(
@@ -154,9 +185,7 @@
 
   runningInEngines(): number {
     return sum(
-      this.models.map(({ endpoint }) =>
-        endpoint instanceof ModelEngine ? endpoint.load.running : 0
-      ),
+      this.models.map(({ endpoint }) => endpoint.load.running),
     );
   }
 
@@ -177,11 +206,11 @@
     );
   }
 
-  async #startNode(
+  async #startNode<E extends Endpoint>(
     id: string,
     pool: string,
-    endpoint: Endpoint,
-  ): Promise<FaultNode> {
+    endpoint: E,
+  ): Promise<FaultNode<E>> {
     await endpoint.start();
     const engineProxy = new TcpProxy({
       targetPort: Number(new URL(endpoint.url).port),
