--- a/packages/core/src/router/router_sidecar_property_test.ts
+++ b/packages/core/src/router/router_sidecar_property_test.ts
@@ -81,6 +81,25 @@
   { minLength: 5, maxLength: 60 },
 );
 
+const SCRIPTED_CALL: Step = {
+  type: "call",
+  router: 0,
+  kind: "chat",
+  key: 0,
+  chunks: 4,
+  wide: false,
+};
+
+/** Repeats a frame on each of the three connections of the first router. */
+function repeatFrames(towards: "to_sidecar" | "to_router"): Step[] {
+  return [0, 1, 2].map((link) => ({
+    type: "duplicate",
+    link,
+    direction: towards,
+    frame: 0,
+  }));
+}
+
 describe("reduceRouter and reduceSidecar together", () => {
   // Guards the invariants of section 1 against frames that are late, repeated
   // or lost, silent connections, restarts, drains and store outages.
@@ -121,6 +140,69 @@
     expect([...harness.executions.values()]).toEqual([1]);
   });
 
+  // Guards against a second run of a call whose submit frame arrives again
+  // after the call has ended.
+  it("run a call once when its submit frame is repeated after the end", () => {
+    const harness = new ReducerHarness(1);
+    harness.run([
+      { ...SCRIPTED_CALL, kind: "once" },
+      { type: "work", rounds: 10 },
+      ...repeatFrames("to_sidecar"),
+      { type: "work", rounds: 10 },
+    ]);
+    harness.settle();
+    expect(harness.violations).toEqual([]);
+    expect([...harness.executions.values()]).toEqual([1]);
+  });
+
+  // Guards against a submit frame that a sidecar reads from an old connection
+  // after it has told the router that it does not know the attempt.
+  it("run a call once when its submit frame arrives after a resume", () => {
+    const harness = new ReducerHarness(1);
+    const links = [0, 1, 2];
+    harness.run([
+      { ...SCRIPTED_CALL, kind: "once" },
+      ...links.map((link): Step => ({
+        type: "deliver",
+        link,
+        direction: "to_sidecar",
+        frames: 2,
+      })),
+      ...links.map((link): Step => ({
+        type: "deliver",
+        link,
+        direction: "to_router",
+        frames: 1,
+      })),
+      // The submit frame stays under way until the connection is silent.
+      { type: "wait", ticks: 45 },
+      { type: "deliver", link: 3, direction: "to_sidecar", frames: 2 },
+      { type: "deliver", link: 3, direction: "to_router", frames: 1 },
+      { type: "work", rounds: 10 },
+    ]);
+    harness.settle();
+    expect(harness.violations).toEqual([]);
+    expect([...harness.executions.values()]).toEqual([1]);
+    const finals = [...harness.results.values()].map(({ finals }) => finals);
+    expect(finals).toEqual([["whole"]]);
+  });
+
+  // Guards against text that reaches the caller twice.
+  it("answer whole when frames of the answer are repeated", () => {
+    const harness = new ReducerHarness(1);
+    harness.run([
+      SCRIPTED_CALL,
+      { type: "work", rounds: 3 },
+      { type: "endpoints", rounds: 1 },
+      ...repeatFrames("to_router"),
+      { type: "work", rounds: 10 },
+    ]);
+    harness.settle();
+    expect(harness.violations).toEqual([]);
+    const finals = [...harness.results.values()].map(({ finals }) => finals);
+    expect(finals).toEqual([["whole"]]);
+  });
+
   // A harness that never answers anything whole would prove nothing.
   it("answer every call whole when there are no faults", () => {
     fc.assert(
