--- a/packages/core/src/config_sync/config_sync_state.ts
+++ b/packages/core/src/config_sync/config_sync_state.ts
@@ -5,6 +5,7 @@
 import type { DigestFunction, Manifest } from "../config/config_sections.js";
 import type { ActivePointer } from "./config_objects.js";
 import { configMachine } from "./config_sync_machine.js";
+import { ParsedSections } from "./parsed_sections.js";
 
 export interface ConfigSyncOptions {
   readonly role: "router" | "sidecar";
@@ -58,6 +59,8 @@
   wanted: boolean;
   /** Id of the watch in progress. */
   activeId: number | undefined;
+  /** A watch that has not ended by then is given up. */
+  untilMs: Millis;
   failures: number;
   nextStartMs: Millis;
 }
@@ -75,6 +78,7 @@
   /** Content of the version in force. */
   manifest: Manifest;
   readonly sections: Map<string, string>;
+  readonly parsed: ParsedSections;
   /** Verified sections of versions that are not complete yet. */
   readonly collected: Map<string, string>;
   /** Highest version named by each peer, if above the one in force. */
@@ -91,8 +95,8 @@
   pointerFailures: number;
   /** Earliest next read of `config/active` after a failed one. */
   nextPointerReadMs: Millis;
-  /** Time at which any peer or the store last named its version. */
-  lastHeardMs: Millis;
+  /** Time at which the store is known to have had no newer version. */
+  checkedMs: Millis;
   /** Addition to the staleness limit, so that routers read one by one. */
   staleJitterMs: Millis;
   nextCompareMs: Millis;
@@ -113,6 +117,7 @@
     snapshot: initialTransition(configMachine)[0],
     manifest: {},
     sections: new Map(),
+    parsed: new ParsedSections(),
     collected: new Map(),
     holders: new Map(),
     pointer: undefined,
@@ -123,13 +128,14 @@
     watch: {
       wanted: options.watchMode === "always" && options.role === "router",
       activeId: undefined,
+      untilMs: Number.POSITIVE_INFINITY,
       failures: 0,
       nextStartMs: Number.NEGATIVE_INFINITY,
     },
     pointerRead: undefined,
     pointerFailures: 0,
     nextPointerReadMs: Number.NEGATIVE_INFINITY,
-    lastHeardMs: Number.NEGATIVE_INFINITY,
+    checkedMs: Number.NEGATIVE_INFINITY,
     staleJitterMs: 0,
     nextCompareMs: Number.NEGATIVE_INFINITY,
     nextRetryMs: Number.POSITIVE_INFINITY,
--- a/packages/core/src/placement/cache_aware_policy.ts
+++ b/packages/core/src/placement/cache_aware_policy.ts
@@ -3,6 +3,7 @@
   type Candidate,
   PlacementPolicy,
   type PlacementRequest,
+  type RankingKeys,
   type ShortlistOptions,
 } from "./placement_policy.js";
 
@@ -12,41 +13,45 @@
  */
 export const HYSTERESIS_MS: Millis = 20;
 
+/**
+ * Prefill counts more than the time it takes: it delays the other requests of
+ * the engine and evicts blocks that other chats would have reused.
+ */
+export const PREFILL_WEIGHT = 4;
+
 /**
  * Time that a token above the pool's mean load costs others. It keeps a warm
  * endpoint from drawing every request until its queue is full.
  */
-export const IMBALANCE_COST_MS_PER_TOKEN = 0.02;
+export const IMBALANCE_COST_MS_PER_TOKEN = 0.005;
 
 /**
  * Weighs cache reuse against load in one cost: the estimated time to the
  * first token.
  */
 export class CacheAwarePolicy extends PlacementPolicy {
+  override rankingKey(keys: RankingKeys): string {
+    return keys.placementKey;
+  }
+
   override shortlist(
     rankedIds: readonly string[],
     options: ShortlistOptions,
   ): string[] {
-    const chosen = new Set<string>();
-    const { count, lastEndpointId, failureDomainOf, randomBelow } = options;
-    if (lastEndpointId !== undefined && rankedIds.includes(lastEndpointId)) {
-      chosen.add(lastEndpointId);
-    }
+    const { count, lastEndpointId, failureDomainOf } = options;
     const first = rankedIds[0];
-    if (first !== undefined) {
-      chosen.add(first);
+    if (first === undefined) {
+      return [];
     }
-    const domain = first === undefined ? "" : failureDomainOf(first);
-    const other = rankedIds.find((id) =>
-      !chosen.has(id) && failureDomainOf(id) !== domain
-    );
+    const chosen = new Set([first]);
+    // The loss of a failure domain must leave a warm choice.
+    const domain = failureDomainOf(first);
+    const other = rankedIds.find((id) => failureDomainOf(id) !== domain);
     if (other !== undefined) {
       chosen.add(other);
     }
-    // One random endpoint bounds the damage of a bad stable order: the lesser
-    // of a stable and a random choice is never far above the mean.
-    if (rankedIds.length > 0) {
-      chosen.add(rankedIds[randomBelow(rankedIds.length)]);
+    if (lastEndpointId !== undefined && rankedIds.includes(lastEndpointId)) {
+      chosen.add(lastEndpointId);
     }
     for (const id of rankedIds) {
       if (chosen.size >= count) {
@@ -74,7 +79,7 @@
   }
 }
 
-/** Estimated time to the first token with the cost of imbalance added. */
+/** Estimated time to the first token with what the choice costs others. */
 export function estimateCostMs(
   candidate: Candidate,
   request: PlacementRequest,
@@ -87,6 +92,7 @@
   const loadAfter = candidate.loadTokens + uncachedTokens +
     request.outputTokens;
   const excessTokens = Math.max(0, loadAfter - candidate.poolMeanTokens);
-  return candidate.queueWaitMs + prefillMs + candidate.penaltyMs +
+  return candidate.queueWaitMs + PREFILL_WEIGHT * prefillMs +
+    candidate.penaltyMs +
     excessTokens * IMBALANCE_COST_MS_PER_TOKEN;
 }
--- a/packages/core/src/router/place_request.ts
+++ b/packages/core/src/router/place_request.ts
@@ -59,7 +59,7 @@
   const { options, chatEndpoints, randomBelow } = ctx.state;
   const views = allowedEndpoints(ctx, request);
   const rankedIds = rankByRendezvous(
-    request.request.chatId,
+    options.placement.rankingKey(request.request),
     views.map((view) => view.endpointId),
   );
   const domains = new Map(
@@ -300,6 +300,7 @@
     incarnation: contact.incarnation,
     expectedSeq: 0,
     ackedSeq: 0,
+    unackedBytes: 0,
     resumeDeadlineMs: undefined,
     resumes: 0,
   };
--- a/packages/core/src/wire/messages.ts
+++ b/packages/core/src/wire/messages.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { BurnSnapshotSchema } from "../report/burn_snapshot.js";
 
 /** Version of the protocol between anvildeal processes. */
 export const PROTOCOL_VERSION = 1;
@@ -229,6 +230,8 @@
   wantContent: z.boolean(),
   /** Version of the instance list that a router holds. */
   listVersion: z.number().optional(),
+  /** Time since the store is known to have had no newer version. */
+  checkedMsAgo: z.number().nonnegative().optional(),
 });
 
 const ConfigStateSchema = z.object({
@@ -236,6 +239,7 @@
   configVersion: z.int().nonnegative(),
   manifest: z.record(z.string(), z.string()).optional(),
   sections: z.record(z.string(), z.string()).optional(),
+  checkedMsAgo: z.number().nonnegative().optional(),
 });
 
 /** Rows of the instance list that a router relays to its peers. */
@@ -273,6 +277,18 @@
   highestFencingNumber: z.int().nonnegative(),
 });
 
+/** Asks a router for its part of a report. */
+const ReportQuerySchema = z.object({
+  type: z.literal("report_query"),
+  queryId: id,
+});
+
+const ReportStateSchema = z.object({
+  type: z.literal("report_state"),
+  queryId: id,
+  burn: BurnSnapshotSchema,
+});
+
 /** Every message between two anvildeal processes. */
 export const MessageSchema = z.discriminatedUnion("type", [
   HelloSchema,
@@ -298,6 +314,8 @@
   InstancesSchema,
   OrderSchema,
   OrderReplySchema,
+  ReportQuerySchema,
+  ReportStateSchema,
 ]);
 export type Message = z.infer<typeof MessageSchema>;
 export type MessageType = Message["type"];
--- a/packages/daemon/src/router/router_host.ts
+++ b/packages/daemon/src/router/router_host.ts
@@ -3,6 +3,7 @@
   createPrefixHasher,
   createRouterState,
   listModels,
+  type MembershipEvent,
   type Message,
   type MessageOf,
   type Millis,
@@ -25,6 +26,7 @@
 import { NodeServices } from "../node_services.js";
 import { OrderIssuer } from "../orders/index.js";
 import { createAdminServices } from "./admin_bridge.js";
+import { burnGauges, BurnReporter } from "./burn_reporter.js";
 import { CallerServer } from "./caller_server.js";
 import { RouterLinks } from "./router_links.js";
 import { routerGauges, routerStatus } from "./router_status.js";
@@ -51,6 +53,7 @@
   readonly #listClient: InstanceListClient;
   readonly #sweeper: RecordSweeper;
   readonly #orders: OrderIssuer;
+  readonly #burn: BurnReporter;
   readonly #callers: CallerServer;
   readonly #admin: JsonServer;
   readonly #metricsServer: JsonServer;
@@ -94,7 +97,7 @@
       transport: this.#links,
       clock,
       timers,
-      reporter: services.reporter(),
+      reporter: services.reporter("config_note"),
       listVersion: () => this.#state.membership.listVersion,
     });
     this.#listClient = new InstanceListClient({
@@ -106,7 +109,7 @@
       client: this.#listClient,
       transport: this.#links,
       clock,
-      reporter: services.reporter(),
+      reporter: services.reporter("membership_note"),
       dispatch: (event) =>
         this.#dispatch({ type: "membership", nowMs: event.nowMs, event }),
     });
@@ -116,6 +119,7 @@
       clock,
       send: (endpointId, message) => this.#links.send(endpointId, message),
     });
+    this.#burn = new BurnReporter(services, this.#links);
     this.#callers = new CallerServer({
       maxBodyBytes: router.max_body_bytes,
       maxHeaderBytes: router.max_header_bytes,
@@ -128,7 +132,7 @@
       state: this.#state,
       services,
       orders: this.#orders,
-      links: this.#links,
+      burn: this.#burn,
     }));
     this.#admin = new JsonServer({
       "/status": (_request, response) => sendJson(response, 200, this.status()),
@@ -140,7 +144,12 @@
         response.end(await registry.metrics());
       },
     });
-    for (const gauge of routerGauges(this.#state, services)) {
+    for (
+      const gauge of [
+        ...routerGauges(this.#state, services),
+        ...burnGauges(this.#burn),
+      ]
+    ) {
       services.metrics.addGauge(gauge);
     }
     logger.log("process_started", { role: "router" });
@@ -192,6 +201,7 @@
     this.#instanceList.dispose();
     this.#sweeper.dispose();
     this.#links.dispose();
+    this.#services.logger.log("process_stopped");
     this.#services.dispose();
   }
 
@@ -235,20 +245,36 @@
       })
     );
     this.#links.onRouterMessage(({ peerId, message }) =>
-      this.#receiveSync(peerId, message)
+      this.#receiveFromRouter(peerId, message)
     );
-    this.#links.onRouterReady(({ nodeId, configVersion }) =>
-      this.#configSync.noteVersion(nodeId, configVersion)
+    this.#links.onRouterReady(({ nodeId, incarnation, configVersion }) => {
+      this.#configSync.noteVersion(nodeId, configVersion);
+      this.#noteRouter({
+        type: "answered",
+        nowMs: this.#nowMs(),
+        instanceId: nodeId,
+        facts: { incarnation },
+      });
+    });
+    // Without this a dead watcher would stay elected until the list drops it.
+    this.#links.onRouterFailed((instanceId) =>
+      this.#noteRouter({
+        type: "connect_failed",
+        nowMs: this.#nowMs(),
+        instanceId,
+      })
     );
     this.#configSync.on(
       "configApplied",
-      ({ version, bundle }) =>
+      ({ version, bundle }) => {
+        this.#burn.setObjectives(bundle.objectives);
         this.#dispatch({
           type: "config_applied",
           nowMs: this.#nowMs(),
           version,
           bundle,
-        }),
+        });
+      },
     );
     this.#instanceList.on("electionChanged", (elected) => {
       this.#configSync.setElected(elected);
@@ -281,6 +307,16 @@
     }
   }
 
+  #receiveFromRouter(peerId: string, message: Message): void {
+    if (message.type === "report_query") {
+      this.#burn.answer(peerId, message);
+    } else if (message.type === "report_state") {
+      this.#burn.handleReply(peerId, message);
+    } else {
+      this.#receiveSync(peerId, message);
+    }
+  }
+
   /** Handles messages of config sync and membership; false for others. */
   #receiveSync(peerId: string, message: Message): boolean {
     if (message.type === "config_query" || message.type === "config_state") {
@@ -305,6 +341,10 @@
     });
   }
 
+  #noteRouter(event: MembershipEvent): void {
+    this.#dispatch({ type: "membership", nowMs: event.nowMs, event });
+  }
+
   #tick(): void {
     this.#dispatch({ type: "tick", nowMs: this.#nowMs() });
   }
@@ -368,6 +408,9 @@
       case "drained":
         this.#onDrained?.();
         break;
+      case "request_ended":
+        this.#burn.record(effect.result);
+        break;
       case "measure":
         this.#services.metrics.observe(effect.measurement);
         break;
