--- a/packages/core/src/admission/load_bound_test.ts
+++ b/packages/core/src/admission/load_bound_test.ts
@@ -226,7 +226,7 @@
         entry("p", 0),
         entry("q", 0, { ageMs: LOAD_ENTRY_FRESH_MS + 1 }),
       ));
-      expect(bound.decide(above, NOW_MS)).toMatchObject({
+      expect(bound.decide({ ...above, loadTokens: 1 }, NOW_MS)).toMatchObject({
         admitted: false,
         rule: "enforced",
       });
