Bound the heap, use the rest of a pool, and honour the drain time

- A request whose probed candidates all failed was refused without trying the rest of the pool.
Cause: no candidate was left in the first round.
- A draining sidecar kept a failed attempt for 10 s, since its failed frame was never acknowledged.
- drain_timeout_ms had no effect; calls that may be repeated are now handed to other endpoints when it has passed.

--- a/packages/bench/src/fleet/managed_process.ts
+++ b/packages/bench/src/fleet/managed_process.ts
@@ -18,6 +18,16 @@
 /** Fields of the line that a process prints once it listens. */
 export type ReadyLine = Readonly<Record<string, unknown>>;
 
+/**
+ * The limits that `anvildeald` names in its first line. Without them V8 lets a
+ * router grow to 220 MB before it collects garbage.
+ */
+const NODE_FLAGS = [
+  "--enable-source-maps",
+  "--max-old-space-size=96",
+  "--max-semi-space-size=4",
+];
+
 /** A child process that prints one JSON line on stdout once it is ready. */
 export class ManagedProcess {
   readonly name: string;
@@ -33,7 +43,7 @@
     const log = openSync(options.logFile, "a");
     this.#child = spawn(
       process.execPath,
-      ["--enable-source-maps", options.script, ...options.args],
+      [...NODE_FLAGS, options.script, ...options.args],
       { stdio: ["ignore", "pipe", log] },
     );
     closeSync(log);
--- a/packages/core/src/router/place_request.ts
+++ b/packages/core/src/router/place_request.ts
@@ -111,13 +111,23 @@
   );
   const [best, ...others] = ordered.map((candidate) => candidate.endpointId);
   if (best === undefined) {
-    return "no_endpoint";
+    return placeBeyond(ctx, request, round.shortlist);
   }
   request.nextIds = others;
   submitTo(ctx, request, best, "policy");
   return "placed";
 }
 
+/** Tries the rest of the pool when no probed endpoint can be used. */
+function placeBeyond(
+  ctx: RouterContext,
+  request: RequestState,
+  shortlist: readonly string[],
+): Placement {
+  shortlist.forEach((id) => request.tried.add(id));
+  return startPlacement(ctx, request);
+}
+
 /** Forgets the probes of a request that are still unanswered. */
 export function abandonProbes(ctx: RouterContext, request: RequestState) {
   for (const [probeId, endpointId] of request.probing?.pending ?? []) {
@@ -224,6 +234,7 @@
     pending: new Map<string, string>(),
     cachedTokens: new Map<string, number>(),
     rankedIds,
+    shortlist,
   };
   request.probing = round;
   const hashes = request.request.blockHashes;
--- a/packages/core/src/router/receive_answer.ts
+++ b/packages/core/src/router/receive_answer.ts
@@ -195,6 +195,8 @@
   failed: MessageOf<"failed">,
 ): AnswerResult {
   request.attempt.expectedSeq++;
+  // A draining sidecar waits for this before it counts as empty.
+  acknowledge(ctx, request, 1);
   explain(ctx, request, "failed", {
     endpointId: request.attempt.endpointId,
     detail: `${failed.reason}, outcome ${failed.outcome}`,
--- a/packages/core/src/router/router_state.ts
+++ b/packages/core/src/router/router_state.ts
@@ -123,6 +123,7 @@
   readonly pending: Map<string, string>;
   readonly cachedTokens: Map<string, number>;
   readonly rankedIds: readonly string[];
+  readonly shortlist: readonly string[];
 }
 
 /** Limits of one account as this router enforces them. */
--- a/packages/core/src/sidecar/reduce_sidecar.ts
+++ b/packages/core/src/sidecar/reduce_sidecar.ts
@@ -155,6 +155,7 @@
       break;
     case "tick":
       checkTimes(ctx);
+      checkDrainTime(ctx);
       exchangeDigests(ctx);
       break;
   }
@@ -438,6 +439,7 @@
 function drain(ctx: SidecarContext, exit: boolean): void {
   const { state } = ctx;
   state.exitWhenEmpty ||= exit;
+  state.drainStartedAtMs ??= ctx.nowMs;
   setMode(ctx, "draining");
   for (const attempt of [...state.queue]) {
     refuseQueued(ctx, attempt, "draining", {
@@ -446,6 +448,34 @@
   }
 }
 
+/**
+ * Hands calls that outlast the drain time to other endpoints. Calls that must
+ * not be repeated run on, since nobody else could finish them.
+ */
+function checkDrainTime(ctx: SidecarContext): void {
+  const { state, nowMs } = ctx;
+  const { drainStartedAtMs, pool } = state;
+  if (
+    drainStartedAtMs === undefined ||
+    nowMs - drainStartedAtMs <= pool.drain_timeout_ms
+  ) {
+    return;
+  }
+  for (const attemptId of [...state.running]) {
+    const attempt = state.attempts.get(attemptId);
+    if (attempt?.submit.idempotent) {
+      ctx.effects.push({ type: "abort_call", attemptId });
+      receiveCallFailed(ctx, attempt, {
+        type: "call_failed",
+        nowMs,
+        attemptId,
+        mayHaveRun: true,
+        reason: "drain time passed",
+      });
+    }
+  }
+}
+
 function exitIfEmpty(ctx: SidecarContext): void {
   const { state } = ctx;
   if (state.exitWhenEmpty && !state.exited && state.attempts.size === 0) {
--- a/packages/core/src/sidecar/sidecar_state.ts
+++ b/packages/core/src/sidecar/sidecar_state.ts
@@ -104,6 +104,7 @@
   configVersion: number;
   mode: EndpointState;
   exitWhenEmpty: boolean;
+  drainStartedAtMs: Millis | undefined;
   exited: boolean;
   peers: readonly PoolPeer[];
   /** Peers in the order in which digests go out. */
@@ -144,6 +145,7 @@
     configVersion: 0,
     mode: "starting",
     exitWhenEmpty: false,
+    drainStartedAtMs: undefined,
     exited: false,
     peers: [],
     ring: [],
