Split the sidecar reducer and share the event queue of the hosts

Endpoint mode, time limits, orders and configuration are modules of their own now. The loop that handles events in turn stood in three hosts and the start of a server in three servers. No behaviour changes.

--- /dev/null
+++ b/packages/core/src/sidecar/apply_config.ts
@@ -0,0 +1,62 @@
+import type { Pool } from "../config/index.js";
+import { CacheIndex } from "./cache_index.js";
+import { refuseQueued } from "./run_attempt.js";
+import type { PoolPeer } from "./sidecar_event.js";
+import {
+  boundOptionsOf,
+  createQueue,
+  type SidecarContext,
+} from "./sidecar_state.js";
+
+export function applyConfig(
+  ctx: SidecarContext,
+  version: number,
+  pool: Pool | undefined,
+): void {
+  const { state } = ctx;
+  if (version <= state.configVersion) {
+    return;
+  }
+  state.configVersion = version;
+  ctx.effects.push({
+    type: "log",
+    event: "config_applied",
+    fields: { version },
+  });
+  if (!pool) {
+    return;
+  }
+  if (pool.cache_capacity_tokens !== state.pool.cache_capacity_tokens) {
+    state.cache = new CacheIndex(pool.cache_capacity_tokens);
+  }
+  if (pool.max_queued_requests !== state.pool.max_queued_requests) {
+    replaceQueue(ctx, pool);
+  }
+  state.pool = pool;
+  state.bound.setOptions(boundOptionsOf(pool));
+}
+
+function replaceQueue(ctx: SidecarContext, pool: Pool): void {
+  const { state } = ctx;
+  const waiting = [...state.queue];
+  state.queue = createQueue(state.options, pool);
+  for (const attempt of waiting) {
+    const dropped = state.queue.push(attempt);
+    if (dropped) {
+      refuseQueued(ctx, dropped, "queue_full");
+    }
+  }
+}
+
+export function applyPeers(
+  ctx: SidecarContext,
+  peers: readonly PoolPeer[],
+): void {
+  const { state } = ctx;
+  const others = peers.filter((peer) =>
+    peer.endpointId !== state.options.endpointId
+  );
+  state.peers = others;
+  state.ring = [];
+  state.table.setListedPeers(others.map((peer) => peer.endpointId));
+}
--- /dev/null
+++ b/packages/core/src/sidecar/receive_order.ts
@@ -0,0 +1,69 @@
+import type { Order } from "../wire/index.js";
+import { drain } from "./endpoint_mode.js";
+import type { SidecarEvent } from "./sidecar_event.js";
+import type { SidecarContext } from "./sidecar_state.js";
+
+/**
+ * Orders with an old fencing number are refused here, whether or not the
+ * endpoint checks the number: this process is the only way in.
+ */
+export function receiveOrder(
+  ctx: SidecarContext,
+  connectionId: string,
+  order: Order,
+): void {
+  const { state } = ctx;
+  if (state.highestFencingNumber === undefined) {
+    const reason = "highest fencing number not known yet";
+    replyToOrder(ctx, connectionId, order.orderId, false, reason);
+    return;
+  }
+  if (order.fencingNumber < state.highestFencingNumber) {
+    ctx.effects.push({
+      type: "log",
+      event: "order_refused",
+      fields: {
+        order_id: order.orderId,
+        fencing_number: order.fencingNumber,
+        highest: state.highestFencingNumber,
+      },
+    });
+    replyToOrder(ctx, connectionId, order.orderId, false, "old fencing number");
+    return;
+  }
+  state.highestFencingNumber = order.fencingNumber;
+  if (order.kind === "drain") {
+    drain(ctx, false);
+    replyToOrder(ctx, connectionId, order.orderId, true, "draining");
+    return;
+  }
+  ctx.effects.push({ type: "run_order", connectionId, order });
+}
+
+export function answerOrder(
+  ctx: SidecarContext,
+  event: Extract<SidecarEvent, { type: "order_answered" }>,
+): void {
+  const { connectionId, orderId, accepted, reason } = event;
+  replyToOrder(ctx, connectionId, orderId, accepted, reason);
+}
+
+function replyToOrder(
+  ctx: SidecarContext,
+  connectionId: string,
+  orderId: string,
+  accepted: boolean,
+  reason: string,
+): void {
+  ctx.effects.push({
+    type: "send",
+    connectionId,
+    message: {
+      type: "order_reply",
+      orderId,
+      accepted,
+      reason,
+      highestFencingNumber: ctx.state.highestFencingNumber ?? 0,
+    },
+  });
+}
--- a/packages/daemon/src/config_sync/config_sync_host.ts
+++ b/packages/daemon/src/config_sync/config_sync_host.ts
@@ -18,6 +18,7 @@
   StoreError,
   versionInForce,
 } from "@anvildeal/core";
+import { EventQueue } from "../event_queue.js";
 import type { PeerTransport } from "./peer_transport.js";
 import type { SyncReporter } from "./sync_reporter.js";
 import type { TimerHandle, Timers } from "./timers.js";
@@ -73,9 +74,7 @@
   readonly #state: ConfigSyncState;
   readonly #watches = new Map<number, AbortController>();
   readonly #watchLimits = new Map<number, TimerHandle>();
-  /** Events of calls that a running effect caused wait for their turn. */
-  readonly #queue: EventInput[] = [];
-  #running = false;
+  readonly #events = new EventQueue<EventInput>((input) => this.#reduce(input));
   #disposed = false;
   #tickTimer: TimerHandle | undefined;
   #applied: AppliedConfig | undefined;
@@ -153,28 +152,16 @@
   }
 
   #dispatch(input: EventInput): void {
-    if (this.#disposed) {
-      return;
-    }
-    this.#queue.push(input);
-    if (this.#running) {
-      return;
-    }
-    this.#running = true;
-    try {
-      this.#drainQueue();
-    } finally {
-      this.#running = false;
+    if (!this.#disposed) {
+      this.#events.push(input);
     }
   }
 
-  #drainQueue(): void {
-    for (let next = this.#queue.shift(); next; next = this.#queue.shift()) {
-      const nowMs: Millis = this.#options.clock.nowMs();
-      const event = { ...next, nowMs } as ConfigSyncEvent;
-      for (const effect of reduceConfigSync(this.#state, event)) {
-        this.#run(effect);
-      }
+  #reduce(input: EventInput): void {
+    const nowMs: Millis = this.#options.clock.nowMs();
+    const event = { ...input, nowMs } as ConfigSyncEvent;
+    for (const effect of reduceConfigSync(this.#state, event)) {
+      this.#run(effect);
     }
   }
 
--- a/packages/daemon/src/json_server.ts
+++ b/packages/daemon/src/json_server.ts
@@ -5,6 +5,7 @@
   type ServerResponse,
 } from "node:http";
 import type { Disposable } from "./net/index.js";
+import { listen } from "./listen.js";
 
 export type RequestHandler = (
   request: IncomingMessage,
@@ -27,13 +28,7 @@
   }
 
   listen(host: string, port: number): Promise<number> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, host, () => {
-        const address = this.#server.address();
-        resolve(address && typeof address === "object" ? address.port : port);
-      });
-    });
+    return listen(this.#server, host, port);
   }
 
   dispose(): void {
--- a/packages/daemon/src/net/peer_server.ts
+++ b/packages/daemon/src/net/peer_server.ts
@@ -5,6 +5,7 @@
   PeerConnection,
   type PeerConnectionOptions,
 } from "./peer_connection.js";
+import { listen } from "../listen.js";
 
 /** Accepts connections of other anvildeal processes. */
 export class PeerServer implements Disposable {
@@ -26,13 +27,7 @@
 
   /** Starts to listen; resolves to the port in use. */
   listen(host: string, port: number): Promise<number> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, host, () => {
-        const address = this.#server.address();
-        resolve(address && typeof address === "object" ? address.port : port);
-      });
-    });
+    return listen(this.#server, host, port);
   }
 
   dispose(): void {
--- a/packages/daemon/src/router/caller_server.ts
+++ b/packages/daemon/src/router/caller_server.ts
@@ -21,6 +21,7 @@
   type RequestHead,
 } from "./parse_request.js";
 import { readBody } from "./read_body.js";
+import { listen } from "../listen.js";
 
 const REQUEST_ID_BYTES = 12;
 
@@ -71,13 +72,7 @@
   }
 
   listen(host: string, port: number): Promise<number> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, host, () => {
-        const address = this.#server.address();
-        resolve(address && typeof address === "object" ? address.port : port);
-      });
-    });
+    return listen(this.#server, host, port);
   }
 
   /** Asks callers to close their connections after their next answer. */
--- a/packages/daemon/src/router/router_host.ts
+++ b/packages/daemon/src/router/router_host.ts
@@ -20,6 +20,7 @@
   InstanceListClient,
   InstanceListHost,
 } from "../config_sync/index.js";
+import { EventQueue } from "../event_queue.js";
 import { RecordSweeper } from "../execution/index.js";
 import { JsonServer, sendJson } from "../json_server.js";
 import { type Disposable, seedPeerId } from "../net/index.js";
@@ -57,8 +58,11 @@
   readonly #callers: CallerServer;
   readonly #admin: JsonServer;
   readonly #metricsServer: JsonServer;
-  readonly #queue: RouterEvent[] = [];
-  #running = false;
+  readonly #events = new EventQueue<RouterEvent>((event) => {
+    for (const effect of reduceRouter(this.#state, event)) {
+      this.#run(effect);
+    }
+  });
   #ticker: NodeJS.Timeout | undefined;
   #onDrained: (() => void) | undefined;
 
@@ -349,26 +353,8 @@
     this.#dispatch({ type: "tick", nowMs: this.#nowMs() });
   }
 
-  /** Effects can cause events; those wait for their turn. */
   #dispatch(event: RouterEvent): void {
-    this.#queue.push(event);
-    if (this.#running) {
-      return;
-    }
-    this.#running = true;
-    try {
-      for (
-        let next = this.#queue.shift();
-        next;
-        next = this.#queue.shift()
-      ) {
-        for (const effect of reduceRouter(this.#state, next)) {
-          this.#run(effect);
-        }
-      }
-    } finally {
-      this.#running = false;
-    }
+    this.#events.push(event);
   }
 
   #run(effect: RouterEffect): void {
--- a/packages/daemon/src/sidecar/sidecar_host.ts
+++ b/packages/daemon/src/sidecar/sidecar_host.ts
@@ -25,6 +25,7 @@
   InstanceListHost,
 } from "../config_sync/index.js";
 import { EngineClient } from "../engine/index.js";
+import { EventQueue } from "../event_queue.js";
 import { ExecutionHost, type KeyedCallHandle } from "../execution/index.js";
 import { JsonServer, sendJson } from "../json_server.js";
 import type { Disposable } from "../net/index.js";
@@ -61,9 +62,12 @@
   readonly #instanceList: InstanceListHost;
   readonly #metricsServer: JsonServer;
   readonly #keyedCalls = new Map<string, KeyedCallHandle>();
-  readonly #queue: SidecarEvent[] = [];
+  readonly #events = new EventQueue<SidecarEvent>((event) => {
+    for (const effect of reduceSidecar(this.#state, event)) {
+      this.#run(effect);
+    }
+  });
   readonly #timers: NodeJS.Timeout[] = [];
-  #running = false;
   #lastCacheEvent = 0;
   #onExit: (() => void) | undefined;
 
@@ -267,24 +271,7 @@
   }
 
   #dispatch(input: EventInput): void {
-    this.#queue.push({ ...input, nowMs: this.#nowMs() } as SidecarEvent);
-    if (this.#running) {
-      return;
-    }
-    this.#running = true;
-    try {
-      for (
-        let next = this.#queue.shift();
-        next;
-        next = this.#queue.shift()
-      ) {
-        for (const effect of reduceSidecar(this.#state, next)) {
-          this.#run(effect);
-        }
-      }
-    } finally {
-      this.#running = false;
-    }
+    this.#events.push({ ...input, nowMs: this.#nowMs() } as SidecarEvent);
   }
 
   #run(effect: SidecarEffect): void {
