Judge silence by unanswered pings, and offer suspected domains as a last resort

Silence of all connections also suspected every failure domain, and endpoints of suspected domains were never offered, so that requests were refused as overloaded. A silent connection alone no longer counts against its endpoint; a new connection that fails does. Digests go to one peer a round: three would take 48 KB/s of a sidecar at the two-year size, computed from 2,008 bytes for 32 entries.

--- a/packages/core/src/membership/membership_queries.ts
+++ b/packages/core/src/membership/membership_queries.ts
@@ -34,8 +34,9 @@
 /**
  * Endpoints of a pool that may receive new work.
  *
- * When all of them are suspected one by one, they are offered all the same: a
- * failed connection costs less than refusing every request of the pool.
+ * When all of them are suspected, alone or with their failure domain, they are
+ * offered all the same: a failed connection costs less than refusing every
+ * request of the pool.
  */
 export function usableEndpoints(
   state: MembershipState,
@@ -49,7 +50,7 @@
     const reason = reasonFor(state, record, nowMs);
     if (reason === undefined) {
       usable.push(viewOf(record));
-    } else if (reason === "suspected") {
+    } else if (reason === "suspected" || reason === "domain_suspected") {
       suspected.push(viewOf(record));
     }
   }
--- a/packages/core/src/membership/reduce_membership_test.ts
+++ b/packages/core/src/membership/reduce_membership_test.ts
@@ -210,6 +210,16 @@
       expect(usable(4300)).toContain("e4");
     });
 
+    it("offers endpoints of suspected domains when the pool has no others", () => {
+      // All connections of a router went silent at once and every request was
+      // refused until a probe was answered.
+      for (const id of ["e1", "e2", "e3", "e4"]) {
+        fail(2000, id);
+      }
+      expect(unusableReason(state, "e1", 2100)).toBe("domain_suspected");
+      expect(usable(2100)).toHaveLength(4);
+    });
+
     it("probes an endpoint that is not ready until it is active", () => {
       answer(1, "e1", 1, "starting");
       expect(usable(1)).not.toContain("e1");
--- a/packages/core/src/router/place_request.ts
+++ b/packages/core/src/router/place_request.ts
@@ -163,7 +163,7 @@
   });
 }
 
-/** Sends a message to an endpoint and notes the time for heartbeats. */
+/** Sends a message to an endpoint; false when its address is not known. */
 export function sendTo(
   ctx: RouterContext,
   endpointId: string,
@@ -173,8 +173,6 @@
   if (!view) {
     return false;
   }
-  const contact = contactOf(ctx.state, endpointId);
-  contact.lastSentMs = ctx.nowMs;
   ctx.effects.push({
     type: "send",
     endpointId,
@@ -184,11 +182,12 @@
   return true;
 }
 
-/** Marks that a frame is awaited, which starts the silence limit anew. */
+/** Notes that frames are awaited from now on, which starts heartbeats. */
 function awaitFrames(ctx: RouterContext, endpointId: string) {
   const contact = contactOf(ctx.state, endpointId);
   if (contact.attemptIds.size === 0 && contact.probeIds.size === 0) {
-    contact.lastReceivedMs = ctx.nowMs;
+    contact.lastPingMs = ctx.nowMs;
+    contact.unansweredPingMs = undefined;
   }
   return contact;
 }
--- a/packages/core/src/router/reduce_router.ts
+++ b/packages/core/src/router/reduce_router.ts
@@ -195,7 +195,8 @@
 ): void {
   const contact = contactOf(ctx.state, endpointId);
   contact.connected = true;
-  contact.lastReceivedMs = nowMs;
+  contact.lastPingMs = nowMs;
+  contact.unansweredPingMs = undefined;
   contact.incarnation = hello.incarnation;
   for (const attemptId of contact.attemptIds) {
     const attempt = ctx.state.requestsByAttempt.get(attemptId)?.attempt;
@@ -218,7 +219,9 @@
   message: Message,
 ): void {
   const { state, nowMs } = ctx;
-  contactOf(state, endpointId).lastReceivedMs = nowMs;
+  if (message.type === "pong") {
+    contactOf(state, endpointId).unansweredPingMs = undefined;
+  }
   if ("facts" in message) {
     noteFacts(ctx, endpointId, message.facts);
     noteMembership(ctx, {
--- a/packages/core/src/router/router_state.ts
+++ b/packages/core/src/router/router_state.ts
@@ -52,9 +52,9 @@
   connected: boolean;
   /** Incarnation of the sidecar at the other end of the connection. */
   incarnation: number | undefined;
-  lastReceivedMs: Millis;
-  lastSentMs: Millis;
   lastPingMs: Millis;
+  /** Time of the oldest ping that has no pong yet. */
+  unansweredPingMs: Millis | undefined;
   /** Attempts and probes that wait for a frame of this endpoint. */
   readonly attemptIds: Set<string>;
   readonly probeIds: Set<string>;
@@ -146,6 +146,7 @@
   readonly explained: LRUCache<string, readonly ExplainStep[]>;
   config: RouterConfig | undefined;
   draining: boolean;
+  lastTickMs: Millis | undefined;
   nextProbeNumber: number;
 }
 
@@ -177,6 +178,7 @@
     explained: new LRUCache({ max: EXPLAIN_MEMORY_SIZE }),
     config: undefined,
     draining: false,
+    lastTickMs: undefined,
     nextProbeNumber: 0,
   };
 }
@@ -193,9 +195,8 @@
       factsAtMs: Number.NEGATIVE_INFINITY,
       connected: false,
       incarnation: undefined,
-      lastReceivedMs: 0,
-      lastSentMs: 0,
       lastPingMs: 0,
+      unansweredPingMs: undefined,
       attemptIds: new Set(),
       probeIds: new Set(),
     };
--- a/packages/core/src/router/watch_connections.ts
+++ b/packages/core/src/router/watch_connections.ts
@@ -18,9 +18,16 @@
 /** Interval of heartbeats while a frame is awaited. */
 export const HEARTBEAT_MS: Millis = 500;
 
-/** A connection that delivers no frame for this long is silent. */
+/**
+ * A connection that leaves a ping unanswered for this long is silent. Other
+ * frames prove nothing: they may still arrive while the direction to the
+ * sidecar is dead.
+ */
 export const SILENCE_LIMIT_MS: Millis = 2000;
 
+/** A tick that is this late shows that the process was paused. */
+const PAUSE_LIMIT_MS: Millis = 1000;
+
 /** Time in which a lost attempt must be found again at its sidecar. */
 const RESUME_WINDOW_MS: Millis = 2500;
 
@@ -40,18 +47,25 @@
   advance: (request: RequestState, event: RequestMachineEvent) => void,
 ): void {
   const { state, nowMs } = ctx;
+  const wasPaused = nowMs - (state.lastTickMs ?? nowMs) > PAUSE_LIMIT_MS;
+  state.lastTickMs = nowMs;
   for (const [endpointId, contact] of state.contacts) {
+    if (wasPaused) {
+      // The answers to earlier pings still wait in the sockets.
+      contact.unansweredPingMs = undefined;
+    }
     if (!isAwaited(contact) || !contact.connected) {
       continue;
     }
-    const silentMs = nowMs - contact.lastReceivedMs;
+    const silentMs = nowMs - (contact.unansweredPingMs ?? nowMs);
     if (state.options.detectSilence && silentMs > SILENCE_LIMIT_MS) {
       closeSilent(ctx, endpointId, silentMs);
       loseConnection(ctx, endpointId, [], advance);
       continue;
     }
-    if (needsPing(contact, nowMs)) {
+    if (nowMs - contact.lastPingMs >= HEARTBEAT_MS) {
       contact.lastPingMs = nowMs;
+      contact.unansweredPingMs ??= nowMs;
       sendTo(ctx, endpointId, { type: "ping" });
     }
   }
@@ -99,8 +113,6 @@
   attempt.resumeDeadlineMs ??= ctx.nowMs + RESUME_WINDOW_MS;
   measure(ctx, "resumes_total");
   explain(ctx, request, "resumed", { endpointId: attempt.endpointId });
-  const contact = contactOf(ctx.state, attempt.endpointId);
-  contact.lastReceivedMs = ctx.nowMs;
   sendTo(ctx, attempt.endpointId, {
     type: "resume",
     attemptId: attempt.attemptId,
@@ -138,16 +150,6 @@
   }
 }
 
-/**
- * Either direction may be quiet: a router that only sends acknowledgements
- * still has to provoke a frame from the sidecar.
- */
-function needsPing(contact: EndpointContact, nowMs: Millis): boolean {
-  const quietSinceMs = Math.min(contact.lastSentMs, contact.lastReceivedMs);
-  return nowMs - quietSinceMs >= HEARTBEAT_MS &&
-    nowMs - contact.lastPingMs >= HEARTBEAT_MS;
-}
-
 function isResumeOverdue(ctx: RouterContext, request: RequestState): boolean {
   const deadlineMs = request.attempt?.resumeDeadlineMs;
   return deadlineMs !== undefined && ctx.nowMs >= deadlineMs;
@@ -167,11 +169,6 @@
       fields: { endpoint: endpointId, silent_ms: Math.round(silentMs) },
     },
   );
-  noteMembership(ctx, {
-    type: "connection_silent",
-    nowMs: ctx.nowMs,
-    instanceId: endpointId,
-  });
 }
 
 function loseProbes(
--- a/packages/core/src/sidecar/exchange_digests.ts
+++ b/packages/core/src/sidecar/exchange_digests.ts
@@ -9,8 +9,12 @@
 /** An idle pool has nothing to balance; entries stay fresh for 5 s. */
 const IDLE_DIGEST_INTERVAL_MS: Millis = 2000;
 
-/** Peers that get a digest in each round. */
-const DIGEST_FAN_OUT = 3;
+/**
+ * Peers that get a digest in each round. A digest of 32 entries takes 2 KB and
+ * each exchange is paid for by both sides in both directions, so that three
+ * peers would cost 48 KB/s of the 26 KB/s that a node may spend.
+ */
+const DIGEST_FAN_OUT = 1;
 
 /** Sends digests to the next peers of the ring when a round is due. */
 export function exchangeDigests(ctx: SidecarContext): void {
