--- a/packages/core/src/execution/keyed_call_machine.ts
+++ b/packages/core/src/execution/keyed_call_machine.ts
@@ -21,6 +21,7 @@
   parseExecutionRecord,
   type StartedRecord,
 } from "./execution_record.js";
+import { type MachineStep, toStep } from "./machine_step.js";
 
 /** One keyed attempt that a sidecar is about to run. */
 export interface KeyedCallInput {
@@ -370,12 +371,7 @@
 export type KeyedCallSnapshot = SnapshotFrom<typeof keyedCallMachine>;
 
 /** Result of one step: the next state and what the host has to do. */
-export interface KeyedCallStep {
-  readonly snapshot: KeyedCallSnapshot;
-  readonly effects: KeyedCallEffect[];
-  /** No event has an effect any more. */
-  readonly done: boolean;
-}
+export type KeyedCallStep = MachineStep<KeyedCallSnapshot, KeyedCallEffect>;
 
 /** Starts a keyed attempt. */
 export function startKeyedCall(input: KeyedCallInput): KeyedCallStep {
@@ -389,18 +385,3 @@
 ): KeyedCallStep {
   return toStep(transition(keyedCallMachine, snapshot, event));
 }
-
-function toStep(
-  [snapshot, actions]: readonly [
-    KeyedCallSnapshot,
-    readonly { readonly type: string; readonly params: unknown }[],
-  ],
-): KeyedCallStep {
-  return {
-    snapshot,
-    effects: actions
-      .filter((action) => action.type === "effect")
-      .map((action) => action.params as KeyedCallEffect),
-    done: snapshot.status === "done",
-  };
-}
--- a/packages/core/src/execution/record_removal.ts
+++ b/packages/core/src/execution/record_removal.ts
@@ -8,6 +8,7 @@
 import type { Millis } from "../clock.js";
 import type { StoredObject } from "../store/object_store.js";
 import { parseExecutionRecord } from "./execution_record.js";
+import { type MachineStep, toStep } from "./machine_step.js";
 
 /** The record of a claim whose call never started. */
 export interface RecordRemovalInput {
@@ -155,11 +156,10 @@
 
 export type RecordRemovalSnapshot = SnapshotFrom<typeof recordRemovalMachine>;
 
-export interface RecordRemovalStep {
-  readonly snapshot: RecordRemovalSnapshot;
-  readonly effects: RecordRemovalEffect[];
-  readonly done: boolean;
-}
+export type RecordRemovalStep = MachineStep<
+  RecordRemovalSnapshot,
+  RecordRemovalEffect
+>;
 
 export function startRecordRemoval(
   input: RecordRemovalInput,
@@ -174,18 +174,3 @@
 ): RecordRemovalStep {
   return toStep(transition(recordRemovalMachine, snapshot, event));
 }
-
-function toStep(
-  [snapshot, actions]: readonly [
-    RecordRemovalSnapshot,
-    readonly { readonly type: string; readonly params: unknown }[],
-  ],
-): RecordRemovalStep {
-  return {
-    snapshot,
-    effects: actions
-      .filter((action) => action.type === "effect")
-      .map((action) => action.params as RecordRemovalEffect),
-    done: snapshot.status === "done",
-  };
-}
