Try warm candidates before the peers that a refusal names

Cause: after a refusal for load the router went to the least loaded peers, which are usually cold, before the other candidates that it had probed.

--- a/packages/core/src/router/receive_answer.ts
+++ b/packages/core/src/router/receive_answer.ts
@@ -179,7 +179,7 @@
     return failUnknown(ctx, request, "lost_attempt");
   }
   detachAttempt(ctx, request);
-  preferAlternatives(request, refused.alternatives);
+  addAlternatives(request, refused.alternatives);
   if (refused.reason === "stale_config") {
     awaitConfig(ctx, request, endpointId, refused.facts);
   }
@@ -300,12 +300,15 @@
   return allowed;
 }
 
-function preferAlternatives(request: RequestState, ids: readonly string[]) {
-  const untried = ids.filter((id) => !request.tried.has(id));
-  request.nextIds = [
-    ...untried,
-    ...request.nextIds.filter((id) => !untried.includes(id)),
-  ];
+/**
+ * Adds the peers that a refusal names behind the remaining candidates: those
+ * may be warm, while the least loaded peers usually are not.
+ */
+function addAlternatives(request: RequestState, ids: readonly string[]) {
+  const added = ids.filter((id) =>
+    !request.tried.has(id) && !request.nextIds.includes(id)
+  );
+  request.nextIds.push(...added);
 }
 
 function awaitConfig(
--- a/packages/core/src/router/watch_connections.ts
+++ b/packages/core/src/router/watch_connections.ts
@@ -60,6 +60,7 @@
     const silentMs = nowMs - (contact.unansweredPingMs ?? nowMs);
     if (state.options.detectSilence && silentMs > SILENCE_LIMIT_MS) {
       closeSilent(ctx, endpointId, silentMs);
+      closeIdle(ctx);
       loseConnection(ctx, endpointId, [], advance);
       continue;
     }
@@ -171,6 +172,24 @@
   );
 }
 
+/**
+ * What made one connection silent has often made others silent as well. Those
+ * that nothing waits on are opened anew when they are used next, which is
+ * cheaper than to find out about each of them after 2 s.
+ */
+function closeIdle(ctx: RouterContext): void {
+  for (const [endpointId, contact] of ctx.state.contacts) {
+    if (contact.connected && !isAwaited(contact)) {
+      contact.connected = false;
+      ctx.effects.push({
+        type: "close_connection",
+        endpointId,
+        reason: "idle beside a silent connection",
+      });
+    }
+  }
+}
+
 function loseProbes(
   ctx: RouterContext,
   contact: EndpointContact,
