--- a/packages/core/src/placement/placement_policy.ts
+++ b/packages/core/src/placement/placement_policy.ts
@@ -14,8 +14,6 @@
   readonly prefillTokensPerS: number;
   /** Added cost of suspicion and slow start. */
   readonly penaltyMs: Millis;
-  /** False when no answer of this endpoint is known yet. */
-  readonly known: boolean;
 }
 
 /** The part of a request that placement looks at. */
--- a/packages/core/src/router/place_request.ts
+++ b/packages/core/src/router/place_request.ts
@@ -286,7 +286,6 @@
     poolMeanTokens: facts?.poolMeanTokens ?? 0,
     prefillTokensPerS: facts?.prefillTokensPerS ?? UNKNOWN_PREFILL_TOKENS_PER_S,
     penaltyMs: view.penaltyMs + slowStartPenaltyMs(ctx, view),
-    known: facts !== undefined,
   };
 }
 
--- a/packages/daemon/src/metrics/metric_registry.ts
+++ b/packages/daemon/src/metrics/metric_registry.ts
@@ -1,3 +1,4 @@
+import type { ServerResponse } from "node:http";
 import { type Measurement, type MetricName, METRICS } from "@anvildeal/core";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
@@ -71,6 +72,12 @@
     });
   }
 
+  /** Answers a scrape in the Prometheus text format. */
+  async answer(response: ServerResponse): Promise<void> {
+    response.setHeader("content-type", this.registry.contentType);
+    response.end(await this.registry.metrics());
+  }
+
   #define(name: MetricName): void {
     const { kind, help, labels } = METRICS[name];
     const options = {
--- a/packages/daemon/src/router/router_host.ts
+++ b/packages/daemon/src/router/router_host.ts
@@ -142,11 +142,7 @@
       "/status": (_request, response) => sendJson(response, 200, this.status()),
     }, (request, response) => adminApi.handle(request, response));
     this.#metricsServer = new JsonServer({
-      "/metrics": async (_request, response) => {
-        const { registry } = services.metrics;
-        response.setHeader("content-type", registry.contentType);
-        response.end(await registry.metrics());
-      },
+      "/metrics": (_request, response) => services.metrics.answer(response),
     });
     for (
       const gauge of [
--- a/packages/daemon/src/sidecar/sidecar_host.ts
+++ b/packages/daemon/src/sidecar/sidecar_host.ts
@@ -130,11 +130,7 @@
       dispatch: (event) => this.#receiveMembership(event),
     });
     this.#metricsServer = new JsonServer({
-      "/metrics": async (_request, response) => {
-        const { registry } = services.metrics;
-        response.setHeader("content-type", registry.contentType);
-        response.end(await registry.metrics());
-      },
+      "/metrics": (_request, response) => services.metrics.answer(response),
       "/status": (_request, response) =>
         sendJson(
           response,
