--- /dev/null
+++ b/packages/core/src/direct/choose_endpoint.ts
@@ -0,0 +1,120 @@
+import type { Millis } from "../clock.js";
+import { rankByRendezvous } from "../membership/index.js";
+import type { DirectEndpoint } from "./direct_endpoint.js";
+
+/** Requests that every endpoint may hold, whatever the mean is. */
+const LOAD_FLOOR = 2;
+
+/** Samples from which a failure rate is believed. */
+const MIN_SAMPLES = 3;
+
+/** Failure rate from which an endpoint is avoided. */
+const HIGH_FAILURE_RATE = 0.3;
+
+/** An endpoint is avoided only if it fails this much more than its pool. */
+const FAILURE_RATE_MULTIPLE = 2;
+
+/** Requests in flight that crossing to another failure domain is worth. */
+const DOMAIN_COST = 2;
+
+export interface ChoiceRequest {
+  /** Requests with the same key share a prompt start; absent for others. */
+  readonly affinityKey: string | undefined;
+  readonly failureDomain: string;
+  /** Endpoints that this request has tried. */
+  readonly tried: ReadonlySet<string>;
+  /** Load of an endpoint over the mean of its pool that is kept. */
+  readonly loadMultiple: number;
+}
+
+export type ChoiceReason =
+  | "first_choice"
+  | "next_choice"
+  | "least_loaded"
+  | "last_resort";
+
+export interface Choice {
+  readonly endpoint: DirectEndpoint;
+  readonly reason: ChoiceReason;
+  readonly load: number;
+  readonly meanLoad: number;
+  readonly candidates: number;
+}
+
+/** Chooses the endpoint of a pool for a request, if there is one. */
+export function chooseEndpoint(
+  pool: readonly DirectEndpoint[],
+  request: ChoiceRequest,
+  nowMs: Millis,
+): Choice | undefined {
+  const ready = pool.filter(({ record, lapsedUntilMs }) =>
+    record.state === "ready" && lapsedUntilMs === undefined
+  );
+  const open = ready.filter(({ id }) => !request.tried.has(id));
+  const usable = open.length > 0
+    ? open
+    : pool.filter(({ id, record, lapsedUntilMs }) =>
+      record.state === "ready" && lapsedUntilMs !== undefined &&
+      !request.tried.has(id)
+    );
+  if (usable.length === 0) {
+    return undefined;
+  }
+  const loads = new Map(usable.map((view) => [view, view.load(nowMs)]));
+  const meanLoad = sumOf(ready, (view) => loads.get(view) ?? view.load(nowMs)) /
+    Math.max(1, ready.length);
+  const choose = (endpoint: DirectEndpoint, reason: ChoiceReason): Choice => ({
+    endpoint,
+    reason,
+    load: loads.get(endpoint)!,
+    meanLoad,
+    candidates: usable.length,
+  });
+  const sound = withoutFailing(usable, nowMs);
+  if (sound.length === 0) {
+    const soonest = minBy(usable, (view) => view.suspectedUntil());
+    return choose(soonest, "last_resort");
+  }
+  if (request.affinityKey === undefined) {
+    const cost = (view: DirectEndpoint) =>
+      loads.get(view)! +
+      (view.record.failureDomain === request.failureDomain ? 0 : DOMAIN_COST) +
+      view.failures.rate(nowMs);
+    return choose(minBy(sound, cost), "least_loaded");
+  }
+  const bound = request.loadMultiple * meanLoad + LOAD_FLOOR;
+  const byId = new Map(sound.map((view) => [view.id, view]));
+  const ranked = rankByRendezvous(request.affinityKey, [...byId.keys()]);
+  for (const [rank, id] of ranked.entries()) {
+    const view = byId.get(id)!;
+    if (loads.get(view)! < bound) {
+      return choose(view, rank === 0 ? "first_choice" : "next_choice");
+    }
+  }
+  return choose(minBy(sound, (view) => loads.get(view)!), "least_loaded");
+}
+
+/** Endpoints that are reachable and do not fail far more than their pool. */
+function withoutFailing(
+  views: readonly DirectEndpoint[],
+  nowMs: Millis,
+): DirectEndpoint[] {
+  const reachable = views.filter((view) => !view.isSuspected(nowMs));
+  const rates = reachable.map((view) => view.failures.rate(nowMs));
+  const median = [...rates].sort((a, b) => a - b)[
+    Math.floor((rates.length - 1) / 2)
+  ] ?? 0;
+  const limit = Math.max(HIGH_FAILURE_RATE, FAILURE_RATE_MULTIPLE * median);
+  const sound = reachable.filter((view, i) =>
+    rates[i]! < limit || view.failures.samples(nowMs) < MIN_SAMPLES
+  );
+  return sound.length > 0 ? sound : reachable;
+}
+
+function sumOf<T>(items: readonly T[], value: (item: T) => number): number {
+  return items.reduce((sum, item) => sum + value(item), 0);
+}
+
+function minBy<T>(items: readonly T[], value: (item: T) => number): T {
+  return items.reduce((best, item) => value(item) < value(best) ? item : best);
+}
--- /dev/null
+++ b/packages/core/src/direct/direct_finish.ts
@@ -0,0 +1,120 @@
+import type { Millis } from "../clock.js";
+import type { DirectEffect, Refusal, DirectRefusalReason } from "./direct_event.js";
+import type { ActiveRequest, DirectState } from "./direct_state.js";
+
+/** Pause after which a refused caller may come back. */
+const RETRY_AFTER_MS: Millis = 300;
+
+/** Refusals of requests that did not run, by reason. */
+const STATUS_OF: Partial<Record<DirectRefusalReason, number>> = {
+  no_route: 404,
+  unknown_key: 401,
+  body_too_large: 413,
+  header_too_large: 431,
+};
+
+/** Ends the current attempt's accounting; returns its number, if any. */
+export function closeAttempt(request: ActiveRequest): number | undefined {
+  const { attempt } = request;
+  if (!attempt) {
+    return undefined;
+  }
+  attempt.endpoint.ownInFlight--;
+  request.attempt = undefined;
+  return attempt.number;
+}
+
+/** The answer to a request that was not served. */
+export function refusalOf(
+  reason: DirectRefusalReason,
+  mayHaveRun: boolean,
+): Refusal {
+  if (mayHaveRun) {
+    const status = reason === "deadline_passed" ? 504 : 502;
+    return { status, reason, outcome: "unknown" };
+  }
+  const status = STATUS_OF[reason];
+  return status === undefined
+    ? {
+      status: 503,
+      reason,
+      outcome: "not-run",
+      retryAfterMs: RETRY_AFTER_MS,
+    }
+    : { status, reason, outcome: "not-run" };
+}
+
+/** Answers a request that is not served, and forgets it. */
+export function refuse(
+  state: DirectState,
+  request: ActiveRequest,
+  nowMs: Millis,
+  reason: DirectRefusalReason,
+): DirectEffect[] {
+  const refusal = refusalOf(reason, request.possibleRuns > 0);
+  return [
+    { type: "refuse", key: request.key, refusal },
+    ...finishRequest(state, request, nowMs, refusal.outcome, reason),
+  ];
+}
+
+export type RequestOutcome =
+  | "answered"
+  | "not-run"
+  | "unknown"
+  | "broken_off"
+  | "caller_gone";
+
+/** Forgets a request and writes the line that says how it ended. */
+export function finishRequest(
+  state: DirectState,
+  request: ActiveRequest,
+  nowMs: Millis,
+  outcome: RequestOutcome,
+  reason?: string,
+): DirectEffect[] {
+  const { call, key, route } = request;
+  const endpointId = request.attempt?.endpoint.id;
+  closeAttempt(request);
+  state.requests.delete(key);
+  const effects: DirectEffect[] = [];
+  if (outcome === "broken_off") {
+    effects.push({ type: "break_off", key });
+  }
+  effects.push(
+    { type: "forget", key },
+    {
+      type: "log",
+      event: "direct_request_finished",
+      fields: {
+        request_id: call.callId,
+        route: route.name,
+        outcome,
+        reason,
+        endpoint: endpointId,
+        attempts: request.attemptCount,
+        possible_runs: request.possibleRuns,
+        took_ms: Math.round(nowMs - request.receivedMs),
+        deadline_ms: Math.round(request.deadlineAtMs - request.receivedMs),
+        config_version: state.routes?.version,
+      },
+    },
+    {
+      type: "measure",
+      measurement: {
+        metric: "direct_requests_total",
+        value: 1,
+        labels: { kind: route.callKind, result: outcome },
+      },
+    },
+    {
+      type: "measure",
+      measurement: {
+        metric: "direct_request_ms",
+        value: nowMs - request.receivedMs,
+        labels: { kind: route.callKind },
+      },
+    },
+  );
+  return effects;
+}
--- /dev/null
+++ b/packages/core/src/direct/direct_place.ts
@@ -0,0 +1,156 @@
+import type { Millis } from "../clock.js";
+import { advanceRequest } from "../router/request_machine.js";
+import { type Choice, chooseEndpoint } from "./choose_endpoint.js";
+import type { DirectCall, DirectEffect } from "./direct_event.js";
+import type { ActiveRequest, DirectState } from "./direct_state.js";
+import { finishRequest, refuse } from "./direct_finish.js";
+import { isRepeatable } from "./direct_rules.js";
+
+/** Time left below which no attempt is started. */
+const MIN_ATTEMPT_MS: Millis = 5;
+
+/** An idempotent call without an answer is repeated after this time. */
+const CALL_PATIENCE_MS: Millis = 300;
+
+/** A resumable stream without its first bytes moves after this time. */
+const STREAM_PATIENCE_MS: Millis = 1500;
+
+/** Part of the time left after which an attempt is given up at the latest. */
+const PATIENCE_SHARE = 0.5;
+
+/** Urgency of accounts and routes that endpoints can tell apart. */
+const MAX_URGENCY = 9;
+
+/** Starts an attempt at the best endpoint, or refuses the request. */
+export function placeRequest(
+  state: DirectState,
+  request: ActiveRequest,
+  nowMs: Millis,
+): DirectEffect[] {
+  const leftMs = request.deadlineAtMs - nowMs;
+  const choice = leftMs < MIN_ATTEMPT_MS ? undefined : chooseEndpoint(
+    state.directory.ofService(request.service),
+    {
+      affinityKey: affinityKeyOf(request),
+      failureDomain: state.options.failureDomain,
+      tried: request.tried,
+      loadMultiple: state.options.loadMultiple,
+    },
+    nowMs,
+  );
+  if (!choice) {
+    request.snapshot =
+      advanceRequest(request.snapshot, { type: "no_endpoint" }).snapshot;
+    return request.answering
+      ? finishRequest(state, request, nowMs, "broken_off")
+      : refuse(state, request, nowMs, request.lastRefusal ?? "no_endpoint");
+  }
+  request.snapshot =
+    advanceRequest(request.snapshot, { type: "placed" }).snapshot;
+  return startAttempt(state, request, choice, nowMs);
+}
+
+function startAttempt(
+  state: DirectState,
+  request: ActiveRequest,
+  choice: Choice,
+  nowMs: Millis,
+): DirectEffect[] {
+  const { endpoint } = choice;
+  const leftMs = request.deadlineAtMs - nowMs;
+  const number = ++request.attemptCount;
+  endpoint.ownInFlight++;
+  request.tried.add(endpoint.id);
+  request.attempt = { number, endpoint, startedMs: nowMs, hasHead: false };
+  const effects: DirectEffect[] = [{
+    type: "start_attempt",
+    key: request.key,
+    attempt: number,
+    endpointId: endpoint.id,
+    address: endpoint.record.address,
+    deadlineMs: Math.floor(leftMs),
+    accountName: request.account?.name,
+    urgency: request.call.model === undefined
+      ? undefined
+      : Math.min(
+        MAX_URGENCY,
+        request.account?.priority ?? request.route.priority,
+      ),
+    resume: request.answering,
+    idempotent: isRepeatable(request.route),
+    resumable: request.route.resumable,
+  }];
+  const patienceMs = patienceOf(request, leftMs);
+  if (patienceMs !== undefined) {
+    effects.push({
+      type: "set_timer",
+      key: request.key,
+      timer: "attempt",
+      delayMs: patienceMs,
+    });
+  }
+  effects.push(logPlacement(state, request, choice, nowMs), {
+    type: "measure",
+    measurement: {
+      metric: "direct_attempts_total",
+      value: 1,
+      labels: { decision: choice.reason },
+    },
+  });
+  return effects;
+}
+
+/** Time after which an attempt without an answer is repeated elsewhere. */
+function patienceOf(
+  request: ActiveRequest,
+  leftMs: Millis,
+): Millis | undefined {
+  const { route } = request;
+  if (
+    !isRepeatable(route) || request.possibleRuns + 1 >= route.maxAttempts
+  ) {
+    return undefined;
+  }
+  const patienceMs = route.callKind === "stream"
+    ? STREAM_PATIENCE_MS
+    : CALL_PATIENCE_MS;
+  return Math.min(patienceMs, leftMs * PATIENCE_SHARE);
+}
+
+/** The last part is the request's own; the one before it can be shared. */
+function affinityKeyOf(request: ActiveRequest): string | undefined {
+  return request.route.sticky ? sharedPartOf(request.call) : undefined;
+}
+
+/** Id of the longest shared start of the prompt. */
+export function sharedPartOf({ promptParts }: DirectCall): string | undefined {
+  return (promptParts.at(-2) ?? promptParts.at(-1))?.id;
+}
+
+function logPlacement(
+  state: DirectState,
+  request: ActiveRequest,
+  { endpoint, reason, load, meanLoad, candidates }: Choice,
+  nowMs: Millis,
+): DirectEffect {
+  const ageMs = endpoint.reportAgeMs(nowMs);
+  return {
+    type: "log",
+    event: "direct_attempt_started",
+    fields: {
+      request_id: request.call.callId,
+      route: request.route.name,
+      account: request.account?.name,
+      service: request.service,
+      endpoint: endpoint.id,
+      attempt: request.attemptCount,
+      decision: reason,
+      load,
+      mean_load: Math.round(meanLoad * 100) / 100,
+      load_age_ms: ageMs === undefined ? undefined : Math.round(ageMs),
+      candidates,
+      left_ms: Math.round(request.deadlineAtMs - nowMs),
+      config_version: state.routes?.version,
+    },
+  };
+}
--- /dev/null
+++ b/packages/core/src/direct/index.ts
@@ -0,0 +1,15 @@
+export * from "./choose_endpoint.js";
+export * from "./direct_event.js";
+export {
+  createDirectState,
+  type DirectOptions,
+  type DirectState,
+  canServe,
+  ownLoads,
+} from "./direct_state.js";
+export * from "./endpoint_directory.js";
+export * from "./direct_endpoint.js";
+export * from "./reduce_direct.js";
+export * from "./retry_window.js";
+export * from "./route_table.js";
+export * from "./routing_config.js";
--- /dev/null
+++ b/packages/core/src/direct/route_table.ts
@@ -0,0 +1,102 @@
+import { rendezvousScore } from "../membership/index.js";
+import type {
+  DirectAccount,
+  DirectRoute,
+  DirectService,
+  RoutingConfig,
+} from "./routing_config.js";
+
+/** Integers below this bound are what `rendezvousScore` returns. */
+const SCORE_LIMIT = 2 ** 53;
+
+/** Indexes of one configuration version for lookups by request. */
+export class RouteTable {
+  readonly config: RoutingConfig;
+  readonly #routes = new Map<string, Map<string, DirectRoute>>();
+  readonly #accountsByKey = new Map<string, DirectAccount>();
+  readonly #services = new Map<string, DirectService>();
+
+  constructor(config: RoutingConfig) {
+    this.config = config;
+    for (const route of config.routes) {
+      const host = route.host.toLowerCase();
+      const byPrefix = this.#routes.get(host) ?? new Map();
+      byPrefix.set(route.pathPrefix, route);
+      this.#routes.set(host, byPrefix);
+    }
+    for (const account of config.accounts ?? []) {
+      for (const key of account.keys) {
+        this.#accountsByKey.set(key, account);
+      }
+    }
+    for (const service of config.services) {
+      this.#services.set(service.name, service);
+    }
+  }
+
+  get version(): number {
+    return this.config.version;
+  }
+
+  /** Whether requests of routes that are not open need an API key. */
+  get needsKeys(): boolean {
+    return this.config.accounts !== undefined;
+  }
+
+  service(name: string): DirectService | undefined {
+    return this.#services.get(name);
+  }
+
+  accountOf(apiKey: string): DirectAccount | undefined {
+    return this.#accountsByKey.get(apiKey);
+  }
+
+  /** The route with the longest prefix of the path, if any. */
+  match(host: string, path: string): DirectRoute | undefined {
+    const byPrefix = this.#routes.get(withoutPort(host).toLowerCase());
+    if (!byPrefix) {
+      return undefined;
+    }
+    const query = path.indexOf("?");
+    const pathname = query < 0 ? path : path.slice(0, query);
+    for (
+      let slash = pathname.lastIndexOf("/");
+      slash >= 0;
+      slash = pathname.lastIndexOf("/", slash - 1)
+    ) {
+      const route = byPrefix.get(pathname.slice(0, slash + 1));
+      if (route) {
+        return route;
+      }
+      if (slash === 0) {
+        break;
+      }
+    }
+    return undefined;
+  }
+}
+
+/**
+ * Picks a target by weight. The same key gets the same target, so that chats
+ * stay with the service that holds their context.
+ */
+export function pickTarget(route: DirectRoute, key: string): string {
+  const [only] = route.targets;
+  if (route.targets.length === 1) {
+    return only.service;
+  }
+  const total = route.targets.reduce((sum, { weight }) => sum + weight, 0);
+  let rest = rendezvousScore(key, route.name) / SCORE_LIMIT * total;
+  for (const { service, weight } of route.targets) {
+    rest -= weight;
+    if (rest < 0) {
+      return service;
+    }
+  }
+  return only.service;
+}
+
+function withoutPort(host: string): string {
+  const colon = host.lastIndexOf(":");
+  return colon < 0 ? host : host.slice(0, colon);
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -12,3 +12,4 @@
 export * from "./execution/index.js";
 export * from "./store/index.js";
 export * from "./wire/index.js";
+export * from "./direct/index.js";
--- a/packages/core/src/log_events.ts
+++ b/packages/core/src/log_events.ts
@@ -35,6 +35,16 @@
     level: "error",
     message: "settings file was rejected",
   },
+  settings_reloaded: {
+    code: 1004,
+    level: "info",
+    message: "changed settings are in force",
+  },
+  log_lines_dropped: {
+    code: 1005,
+    level: "warn",
+    message: "log lines were left out to bound their volume",
+  },
   peer_rejected: {
     code: 1010,
     level: "warn",
@@ -65,6 +75,31 @@
     level: "info",
     message: "request submitted again after a failed attempt",
   },
+  direct_attempt_started: {
+    code: 2030,
+    level: "info",
+    message: "request sent to an endpoint",
+  },
+  direct_attempt_failed: {
+    code: 2031,
+    level: "info",
+    message: "attempt at an endpoint failed",
+  },
+  direct_request_finished: {
+    code: 2032,
+    level: "info",
+    message: "request ended",
+  },
+  direct_call_rejected: {
+    code: 2033,
+    level: "info",
+    message: "call refused before it became a request",
+  },
+  caller_error: {
+    code: 2034,
+    level: "info",
+    message: "caller sent bytes that are no request",
+  },
   frame_dropped: {
     code: 2020,
     level: "warn",
@@ -105,6 +140,51 @@
     level: "info",
     message: "configuration sync",
   },
+  routing_config_applied: {
+    code: 4030,
+    level: "info",
+    message: "configuration version is in force",
+  },
+  endpoint_view_changed: {
+    code: 4031,
+    level: "info",
+    message: "endpoint appeared, changed its state or disappeared",
+  },
+  store_lost: {
+    code: 4032,
+    level: "warn",
+    message: "directory does not answer",
+  },
+  store_regained: {
+    code: 4033,
+    level: "info",
+    message: "directory answers",
+  },
+  record_ignored: {
+    code: 4034,
+    level: "warn",
+    message: "directory entry cannot be read and names nothing",
+  },
+  peer_lost: {
+    code: 4035,
+    level: "warn",
+    message: "router fell silent",
+  },
+  peer_regained: {
+    code: 4036,
+    level: "info",
+    message: "router answers",
+  },
+  readiness_changed: {
+    code: 4037,
+    level: "info",
+    message: "router changed whether it takes new callers",
+  },
+  directory_call_failed: {
+    code: 4038,
+    level: "info",
+    message: "call to the directory failed",
+  },
   store_failed: {
     code: 4020,
     level: "warn",
--- a/packages/core/src/metric_names.ts
+++ b/packages/core/src/metric_names.ts
@@ -105,6 +105,46 @@
     help: "Membership decisions by kind",
     labels: ["step"],
   },
+  direct_requests_total: {
+    kind: "counter",
+    help: "Requests of routers without sidecars by kind and result",
+    labels: ["kind", "result"],
+  },
+  direct_rejections_total: {
+    kind: "counter",
+    help: "Calls refused before they became requests, by reason",
+    labels: ["reason"],
+  },
+  direct_attempts_total: {
+    kind: "counter",
+    help: "Attempts at endpoints by what decided the placement",
+    labels: ["decision"],
+  },
+  direct_attempt_failures_total: {
+    kind: "counter",
+    help: "Attempts at endpoints that failed, by cause",
+    labels: ["cause"],
+  },
+  direct_request_ms: {
+    kind: "histogram",
+    help: "Time from the receipt of a request to its end, in ms",
+    labels: ["kind"],
+  },
+  direct_first_byte_ms: {
+    kind: "histogram",
+    help: "Time from the receipt of a request to its answer's head, in ms",
+    labels: ["kind"],
+  },
+  directory_calls_total: {
+    kind: "counter",
+    help: "Calls to the platform's directory by kind and result",
+    labels: ["kind", "result"],
+  },
+  log_lines_dropped_total: {
+    kind: "counter",
+    help: "Log lines left out to bound their volume",
+    labels: ["reason"],
+  },
 } as const satisfies Record<
   string,
   {
--- a/packages/core/src/wire/messages.ts
+++ b/packages/core/src/wire/messages.ts
@@ -1,4 +1,8 @@
 import { z } from "zod";
+import {
+  EndpointRecordSchema,
+  RoutingConfigSchema,
+} from "../direct/routing_config.js";
 import { BurnSnapshotSchema } from "../report/burn_snapshot.js";
 
 /** Version of the protocol between anvildeal processes. */
@@ -289,6 +293,41 @@
   burn: BurnSnapshotSchema,
 });
 
+/** A router that another one knows. */
+export const KnownRouterSchema = z.object({
+  nodeId: id,
+  address: z.string().max(64),
+  incarnation: z.number(),
+  ageMs: z.number().nonnegative(),
+});
+export type KnownRouter = z.infer<typeof KnownRouterSchema>;
+
+/** What routers without sidecars tell each other several times a second. */
+const FleetStateSchema = z.object({
+  type: z.literal("fleet_state"),
+  configVersion: z.int().nonnegative(),
+  directoryRevision: z.int().nonnegative(),
+  /** Requests in flight by endpoint; endpoints not named have none. */
+  inFlight: z.record(id, z.int().nonnegative()),
+  routers: z.array(KnownRouterSchema).max(32),
+});
+
+/** Asks for what the peer knows beyond these versions. */
+const FleetQuerySchema = z.object({
+  type: z.literal("fleet_query"),
+  configVersion: z.int().nonnegative(),
+  directoryRevision: z.int().nonnegative(),
+});
+
+const FleetContentSchema = z.object({
+  type: z.literal("fleet_content"),
+  config: RoutingConfigSchema.optional(),
+  directory: z.object({
+    revision: z.int().nonnegative(),
+    endpoints: z.array(EndpointRecordSchema),
+  }).optional(),
+});
+
 /** Every message between two anvildeal processes. */
 export const MessageSchema = z.discriminatedUnion("type", [
   HelloSchema,
@@ -316,6 +355,9 @@
   OrderReplySchema,
   ReportQuerySchema,
   ReportStateSchema,
+  FleetStateSchema,
+  FleetQuerySchema,
+  FleetContentSchema,
 ]);
 export type Message = z.infer<typeof MessageSchema>;
 export type MessageType = Message["type"];
--- /dev/null
+++ b/packages/daemon/src/direct/answer_writer.ts
@@ -0,0 +1,83 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { EventStreamCut } from "./event_stream_cut.js";
+import type { RawHeaders } from "./call_dialect.js";
+
+/** The request of a caller and the answer that is being written to it. */
+export class AnswerWriter {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly body: Buffer;
+  #cut: EventStreamCut | undefined;
+  #resumePoint: string | undefined;
+  #hasLength = false;
+
+  constructor(
+    request: IncomingMessage,
+    response: ServerResponse,
+    body: Buffer,
+    resumePoint: string | undefined,
+  ) {
+    this.request = request;
+    this.response = response;
+    this.body = body;
+    this.#resumePoint = resumePoint;
+  }
+
+  /** Event after which the next attempt has to continue. */
+  get resumePoint(): string | undefined {
+    return this.#cut ? this.#cut.lastEventId : this.#resumePoint;
+  }
+
+  /** Whether another endpoint can continue the answer unnoticed. */
+  get canResume(): boolean {
+    return !this.response.headersSent ||
+      this.#cut !== undefined && !this.#hasLength;
+  }
+
+  /** Begins the answer; a resumed one keeps its first head. */
+  begin(
+    status: number,
+    headers: RawHeaders,
+    cutEvents: boolean,
+    close: boolean,
+  ): void {
+    if (this.response.headersSent) {
+      return;
+    }
+    if (cutEvents) {
+      this.#cut = new EventStreamCut(this.#resumePoint);
+    }
+    const kept: string[] = [];
+    for (let i = 0; i + 1 < headers.length; i += 2) {
+      this.#hasLength ||= headers[i]!.toLowerCase() === "content-length";
+      kept.push(headers[i]!, headers[i + 1]!);
+    }
+    if (close) {
+      kept.push("Connection", "close");
+    }
+    this.response.sendDate = false;
+    this.response.writeHead(status, kept);
+    this.response.flushHeaders();
+  }
+
+  /** Returns whether more may be written at once. */
+  write(chunk: Buffer): boolean {
+    const whole = this.#cut ? this.#cut.push(chunk) : chunk;
+    return whole.length === 0 || this.response.write(whole);
+  }
+
+  end(): void {
+    const rest = this.#cut?.flush();
+    this.response.end(rest && rest.length > 0 ? rest : undefined);
+  }
+
+  /** Prepares for an answer that goes on at another endpoint. */
+  prepareResume(): void {
+    this.#cut?.dropPartial();
+  }
+
+  /** Cuts the answer, so that it cannot look whole. */
+  breakOff(): void {
+    this.response.destroy();
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/direct/collection_watcher.ts
@@ -0,0 +1,142 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import type { Millis } from "@anvildeal/core";
+import { type Disposable, Emitter } from "../net/index.js";
+import {
+  type Collection,
+  type CollectionUpdate,
+  HistoryGoneError,
+} from "./collection.js";
+
+/** Longest wait of one watch call; each call is charged. */
+const WATCH_WAIT_MS: Millis = 25_000;
+
+const FIRST_RETRY_MS: Millis = 150;
+const MAX_RETRY_MS: Millis = 1200;
+const RETRY_FACTOR = 1.7;
+
+/** A watch that failed after it waited this long was cut, not refused. */
+const CUT_AFTER_MS: Millis = 1000;
+
+export interface WatchedUpdate<T> extends CollectionUpdate<T> {
+  /** The update names all items; those it does not name are gone. */
+  readonly whole: boolean;
+}
+
+export interface WatchFailure {
+  readonly label: string;
+  readonly call: "list" | "watch";
+  readonly detail: string;
+}
+
+/** Follows a collection of the directory: lists it once, then watches it. */
+export class CollectionWatcher<T> implements Disposable {
+  readonly #collection: Collection<T>;
+  readonly #random: () => number;
+  readonly #onUpdate = new Emitter<WatchedUpdate<T>>();
+  readonly #onFailure = new Emitter<WatchFailure>();
+  readonly #onAnswer = new Emitter<void>();
+  readonly #disposed = new AbortController();
+  #call = new AbortController();
+  #revision: number | undefined;
+  #retryMs: Millis = FIRST_RETRY_MS;
+
+  readonly onUpdate = this.#onUpdate.event;
+  readonly onFailure = this.#onFailure.event;
+  /** Fires for each answer of the directory. */
+  readonly onAnswer = this.#onAnswer.event;
+
+  /** @param random Uniform in [0, 1), for the jitter of retries. */
+  constructor(collection: Collection<T>, random: () => number) {
+    this.#collection = collection;
+    this.#random = random;
+  }
+
+  /** Revision up to which the items are known, if any. */
+  get revision(): number | undefined {
+    return this.#revision;
+  }
+
+  start(): void {
+    void this.#run();
+  }
+
+  /**
+   * Takes over items that another router read at a later revision. A call that
+   * waits is started anew, since its connection may have gone silent.
+   */
+  advance(revision: number): void {
+    if (this.#revision === undefined || revision <= this.#revision) {
+      return;
+    }
+    this.#revision = revision;
+    this.#call.abort();
+  }
+
+  dispose(): void {
+    this.#disposed.abort();
+    this.#call.abort();
+    this.#onUpdate.dispose();
+    this.#onFailure.dispose();
+    this.#onAnswer.dispose();
+  }
+
+  async #run(): Promise<void> {
+    while (!this.#disposed.signal.aborted) {
+      this.#call = new AbortController();
+      const startedMs = performance.now();
+      try {
+        await this.#step();
+        this.#retryMs = FIRST_RETRY_MS;
+        this.#onAnswer.fire();
+      } catch (error) {
+        if (this.#disposed.signal.aborted) {
+          return;
+        }
+        if (this.#call.signal.aborted) {
+          continue;
+        }
+        await this.#recover(error, performance.now() - startedMs);
+      }
+    }
+  }
+
+  async #step(): Promise<void> {
+    const { signal } = this.#call;
+    const revision = this.#revision;
+    if (revision === undefined) {
+      const update = await this.#collection.list(signal);
+      this.#revision = update.revision;
+      this.#onUpdate.fire({ ...update, whole: true });
+      return;
+    }
+    const update = await this.#collection.watch(
+      revision,
+      WATCH_WAIT_MS,
+      signal,
+    );
+    if (this.#revision !== revision) {
+      // Another router was ahead while this call waited.
+      return;
+    }
+    this.#revision = Math.max(revision, update.revision);
+    if (update.upserts.length + update.removed.length > 0) {
+      this.#onUpdate.fire({ ...update, whole: false });
+    }
+  }
+
+  async #recover(error: unknown, waitedMs: Millis): Promise<void> {
+    const call = this.#revision === undefined ? "list" : "watch";
+    const detail = error instanceof Error ? error.message : String(error);
+    this.#onFailure.fire({ label: this.#collection.label, call, detail });
+    if (error instanceof HistoryGoneError) {
+      this.#revision = undefined;
+      return;
+    }
+    if (waitedMs > CUT_AFTER_MS) {
+      this.#retryMs = FIRST_RETRY_MS;
+    }
+    const delayMs = this.#retryMs * (0.5 + this.#random());
+    this.#retryMs = Math.min(MAX_RETRY_MS, this.#retryMs * RETRY_FACTOR);
+    await sleep(delayMs);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/direct/direct_settings.ts
@@ -0,0 +1,28 @@
+import { z } from "zod";
+
+const address = z.string().regex(
+  /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/,
+  "expected an IPv4 address and a port, such as 10.0.0.1:8080",
+);
+const positive = z.number().positive();
+
+/** Settings of a router that reaches endpoints without sidecars. */
+export const DirectSettingsSchema = z.object({
+  nodeId: z.string().min(1).max(128),
+  failureDomain: z.string().min(1).max(128),
+  callerAddress: address,
+  readyAddress: address.optional(),
+  peerAddress: address,
+  metricsAddress: address.optional(),
+  /** Peer addresses of some routers; they may be out of date. */
+  seeds: z.array(address).max(16),
+  directoryAddress: address,
+  fleetKey: z.string().min(1),
+  retryRatio: z.number().nonnegative(),
+  retryExtra: z.number().nonnegative(),
+  retryWindowMs: positive,
+  loadMultiple: z.number().min(1),
+  /** Time between the request to stop and the end of the process. */
+  stopGraceMs: positive,
+});
+export type DirectSettings = z.infer<typeof DirectSettingsSchema>;
--- /dev/null
+++ b/packages/daemon/src/direct/directory_sync.ts
@@ -0,0 +1,306 @@
+import type {
+  Clock,
+  DirectEvent,
+  EndpointRecord,
+  Measurement,
+  Message,
+  Millis,
+  RoutingConfig,
+} from "@anvildeal/core";
+import type { Logger } from "../logging/index.js";
+import { type Disposable, splitAddress } from "../net/index.js";
+import type { Collection } from "./collection.js";
+import { CollectionWatcher, type WatchedUpdate } from "./collection_watcher.js";
+import type { DirectSettings } from "./direct_settings.js";
+import { PeerMesh } from "./peer_mesh.js";
+
+/** A peer that is ahead for this long is asked for what it knows. */
+const BEHIND_MS: Millis = 300;
+
+/** Consecutive failures from which the directory counts as lost. */
+const LOST_AFTER_FAILURES = 2;
+
+export interface DirectorySyncOptions {
+  readonly settings: DirectSettings;
+  readonly configs: Collection<RoutingConfig>;
+  readonly endpoints: Collection<EndpointRecord>;
+  readonly logger: Logger;
+  readonly clock: Clock;
+  readonly push: (event: DirectEvent) => void;
+  readonly configInForce: () => RoutingConfig | undefined;
+  readonly observe: (measurement: Measurement) => void;
+}
+
+/**
+ * Keeps configuration and endpoints current: from the directory, and from
+ * other routers where those are ahead or the directory does not answer.
+ */
+export class DirectorySync implements Disposable {
+  readonly #options: DirectorySyncOptions;
+  readonly #mesh: PeerMesh;
+  readonly #configs: CollectionWatcher<RoutingConfig>;
+  readonly #endpoints: CollectionWatcher<EndpointRecord>;
+  readonly #records = new Map<string, EndpointRecord>();
+  /** Directory revision of the records; 0 while none is known. */
+  #revision = 0;
+  #failures = 0;
+  #behindSinceMs: Millis | undefined;
+
+  constructor(options: DirectorySyncOptions) {
+    this.#options = options;
+    const { clock, settings } = options;
+    this.#mesh = new PeerMesh({
+      identity: {
+        role: "router",
+        nodeId: settings.nodeId,
+        incarnation: clock.wallMs(),
+        failureDomain: settings.failureDomain,
+        fleetKey: settings.fleetKey,
+      },
+      address: settings.peerAddress,
+      clock,
+    });
+    this.#mesh.setSeeds(settings.seeds);
+    this.#mesh.onMessage(({ message, nodeId }) =>
+      this.#receive(nodeId, message)
+    );
+    this.#mesh.onPeer(({ connected, nodeId }) =>
+      options.logger.log(connected ? "peer_regained" : "peer_lost", {
+        peer: nodeId,
+      })
+    );
+    this.#configs = this.#watch(options.configs, (update) => {
+      for (const config of update.upserts) {
+        this.#applyConfig(config, "directory");
+      }
+    });
+    this.#endpoints = this.#watch(
+      options.endpoints,
+      (update) => this.#applyEndpoints(update, "directory"),
+    );
+  }
+
+  start(): void {
+    const { host, port } = splitAddress(this.#options.settings.peerAddress);
+    this.#mesh.listen(host, port).catch((error: unknown) => {
+      this.#options.logger.log("peer_rejected", {
+        detail: `cannot listen for peers: ${String(error)}`,
+      });
+    });
+    this.#configs.start();
+    this.#endpoints.start();
+    this.#mesh.maintain();
+  }
+
+  setSeeds(seeds: readonly string[]): void {
+    this.#mesh.setSeeds(seeds);
+  }
+
+  /** Tells the peers this router's state and keeps the connections up. */
+  tell(inFlight: Readonly<Record<string, number>>): void {
+    this.#mesh.maintain();
+    this.#options.push({
+      type: "peers_changed",
+      routerCount: this.#mesh.routerCount,
+    });
+    this.#mesh.broadcast({
+      type: "fleet_state",
+      configVersion: this.#configVersion(),
+      directoryRevision: this.#revision,
+      inFlight: { ...inFlight },
+      routers: this.#mesh.knownRouters(),
+    });
+  }
+
+  dispose(): void {
+    this.#configs.dispose();
+    this.#endpoints.dispose();
+    this.#mesh.dispose();
+  }
+
+  #configVersion(): number {
+    return this.#options.configInForce()?.version ?? 0;
+  }
+
+  #watch<T>(
+    collection: Collection<T>,
+    apply: (update: WatchedUpdate<T>) => void,
+  ): CollectionWatcher<T> {
+    const { logger, observe } = this.#options;
+    const watcher = new CollectionWatcher(collection, Math.random);
+    const count = (result: string) =>
+      observe({
+        metric: "directory_calls_total",
+        value: 1,
+        labels: { kind: collection.label, result },
+      });
+    watcher.onUpdate((update) => {
+      for (const { detail, name } of update.ignored) {
+        logger.log("record_ignored", {
+          collection: collection.label,
+          record: name,
+          detail,
+        });
+      }
+      apply(update);
+    });
+    watcher.onAnswer(() => {
+      count("ok");
+      this.#failures = 0;
+      this.#noteStore(true);
+    });
+    watcher.onFailure((failure) => {
+      count("failed");
+      logger.log("directory_call_failed", { ...failure });
+      this.#failures++;
+      if (this.#failures >= LOST_AFTER_FAILURES) {
+        this.#noteStore(false);
+      }
+    });
+    return watcher;
+  }
+
+  #noteStore(available: boolean): void {
+    this.#options.push({
+      type: "store_state_changed",
+      nowMs: this.#options.clock.nowMs(),
+      available,
+    });
+  }
+
+  #applyConfig(config: RoutingConfig, source: string): void {
+    const before = this.#configVersion();
+    this.#options.push({
+      type: "config_received",
+      nowMs: this.#options.clock.nowMs(),
+      config,
+      source,
+    });
+    if (this.#configVersion() > before) {
+      this.#mesh.broadcast({ type: "fleet_content", config });
+    }
+  }
+
+  #applyEndpoints(
+    update: WatchedUpdate<EndpointRecord>,
+    source: string,
+  ): void {
+    if (update.revision < this.#revision) {
+      return;
+    }
+    this.#revision = update.revision;
+    if (update.whole) {
+      this.#records.clear();
+    }
+    for (const record of update.upserts) {
+      this.#records.set(record.id, record);
+    }
+    for (const id of update.removed) {
+      this.#records.delete(id);
+    }
+    this.#options.push({
+      type: "endpoints_changed",
+      nowMs: this.#options.clock.nowMs(),
+      change: {
+        upserts: update.upserts,
+        removedIds: update.removed,
+        whole: update.whole,
+      },
+      source,
+    });
+  }
+
+  #receive(nodeId: string, message: Message): void {
+    switch (message.type) {
+      case "fleet_state":
+        this.#mesh.learn(message.routers);
+        this.#options.push({
+          type: "peer_loads",
+          nowMs: this.#options.clock.nowMs(),
+          peerId: nodeId,
+          inFlight: message.inFlight,
+        });
+        this.#compare(nodeId, message);
+        break;
+      case "fleet_query":
+        this.#answer(nodeId, message);
+        break;
+      case "fleet_content":
+        this.#takeOver(nodeId, message);
+        break;
+    }
+  }
+
+  /** Asks a peer that has been ahead for a while. */
+  #compare(
+    nodeId: string,
+    { configVersion, directoryRevision }: {
+      readonly configVersion: number;
+      readonly directoryRevision: number;
+    },
+  ): void {
+    const ahead = configVersion > this.#configVersion() ||
+      directoryRevision > this.#revision;
+    if (!ahead) {
+      return;
+    }
+    const nowMs = this.#options.clock.nowMs();
+    this.#behindSinceMs ??= nowMs;
+    const unknown = this.#configVersion() === 0 || this.#revision === 0;
+    if (unknown || nowMs - this.#behindSinceMs >= BEHIND_MS) {
+      this.#behindSinceMs = undefined;
+      this.#mesh.sendTo(nodeId, {
+        type: "fleet_query",
+        configVersion: this.#configVersion(),
+        directoryRevision: this.#revision,
+      });
+    }
+  }
+
+  #answer(
+    nodeId: string,
+    query: {
+      readonly configVersion: number;
+      readonly directoryRevision: number;
+    },
+  ): void {
+    const config = this.#options.configInForce();
+    const newer = config && config.version > query.configVersion;
+    const ahead = this.#revision > query.directoryRevision;
+    if (!newer && !ahead) {
+      return;
+    }
+    this.#mesh.sendTo(nodeId, {
+      type: "fleet_content",
+      ...(newer ? { config } : {}),
+      ...(ahead
+        ? {
+          directory: {
+            revision: this.#revision,
+            endpoints: [...this.#records.values()],
+          },
+        }
+        : {}),
+    });
+  }
+
+  #takeOver(
+    nodeId: string,
+    { config, directory }: Extract<Message, { type: "fleet_content" }>,
+  ): void {
+    const source = `peer ${nodeId}`;
+    if (config && config.version > this.#configVersion()) {
+      this.#applyConfig(config, source);
+    }
+    if (directory && directory.revision > this.#revision) {
+      this.#applyEndpoints({
+        revision: directory.revision,
+        upserts: directory.endpoints,
+        removed: [],
+        ignored: [],
+        whole: true,
+      }, source);
+      this.#endpoints.advance(directory.revision);
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/direct/endpoint_connection.ts
@@ -0,0 +1,101 @@
+import { connect, type Socket } from "node:net";
+import type { Millis } from "@anvildeal/core";
+import { Client, type Dispatcher } from "undici";
+import { splitAddress } from "../net/index.js";
+
+/** Connections between machines open within a few milliseconds. */
+const CONNECT_TIMEOUT_MS: Millis = 400;
+
+/** Idle time after which the kernel looks whether the other end still lives. */
+const TCP_KEEP_ALIVE_MS: Millis = 1000;
+
+/** Idle time that an endpoint is taken to allow when it does not say. */
+const DEFAULT_IDLE_MS: Millis = 4000;
+
+/** Endpoints may close this much sooner than they say. */
+const IDLE_MARGIN_MS: Millis = 400;
+
+/** One connection to an endpoint, for one request at a time. */
+export class EndpointConnection {
+  readonly #client: Client;
+  #socket: Socket | undefined;
+  #closed = false;
+  #failed = false;
+  #idleLimitMs: Millis = DEFAULT_IDLE_MS - IDLE_MARGIN_MS;
+  /** Monotonic time since which the connection carries no request. */
+  idleSinceMs: Millis = 0;
+
+  constructor(address: string, onClosed: (self: EndpointConnection) => void) {
+    this.#client = new Client(`http://${address}`, {
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: DEFAULT_IDLE_MS,
+      keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
+      connect: (_options, callback) => {
+        const socket = openSocket(address);
+        this.#socket = socket;
+        // Runs before undici's own listener, which takes a reset for the
+        // regular end of an answer without a length.
+        socket.on("error", () => {
+          this.#failed = true;
+        });
+        socket.once("close", () => {
+          this.#closed = true;
+          onClosed(this);
+        });
+        socket.once("connect", () => callback(null, socket));
+        socket.once("error", (error) => callback(error, null));
+      },
+    });
+  }
+
+  get closed(): boolean {
+    return this.#closed;
+  }
+
+  /** The connection was reset: what looked like an end may be none. */
+  get failed(): boolean {
+    return this.#failed;
+  }
+
+  /** Whether another request may be sent after this idle time. */
+  isReusable(nowMs: Millis, maxIdleMs: Millis): boolean {
+    const limitMs = Math.min(maxIdleMs, this.#idleLimitMs);
+    return !this.#closed && !this.#failed &&
+      nowMs - this.idleSinceMs < limitMs;
+  }
+
+  /** Takes the idle time that the endpoint announced. */
+  noteIdleLimit(limitMs: Millis): void {
+    this.#idleLimitMs = Math.max(0, limitMs - IDLE_MARGIN_MS);
+  }
+
+  dispatch(
+    options: Dispatcher.DispatchOptions,
+    handler: Dispatcher.DispatchHandler,
+  ): void {
+    this.#client.dispatch(options, handler);
+  }
+
+  destroy(): void {
+    this.#closed = true;
+    this.#socket?.destroy();
+    void this.#client.destroy().catch(() => {
+      // The client was closed already, which is what was asked for.
+    });
+  }
+}
+
+function openSocket(address: string): Socket {
+  const socket = connect(splitAddress(address));
+  socket.setNoDelay(true);
+  socket.setKeepAlive(true, TCP_KEEP_ALIVE_MS);
+  const timer = setTimeout(() => {
+    socket.destroy(new Error("connect timed out"));
+  }, CONNECT_TIMEOUT_MS);
+  const stop = () => clearTimeout(timer);
+  socket.once("connect", stop);
+  socket.once("close", stop);
+  return socket;
+}
--- /dev/null
+++ b/packages/daemon/src/direct/hop_headers.ts
@@ -0,0 +1,46 @@
+import type { RawHeaders } from "./call_dialect.js";
+
+/** Headers that concern one connection only (RFC 9110, section 7.6.1). */
+const HOP_HEADERS: ReadonlySet<string> = new Set([
+  "connection",
+  "expect",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "proxy-connection",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+]);
+
+/**
+ * Headers without those of one connection, which `Connection` can name too.
+ *
+ * @param dropLength Whether the length is left out because the client library
+ *   sets it from the body.
+ */
+export function endToEndHeaders(
+  rawHeaders: RawHeaders,
+  dropLength: boolean,
+): string[] {
+  const named = new Set<string>();
+  for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
+    if (rawHeaders[i]!.toLowerCase() === "connection") {
+      for (const token of rawHeaders[i + 1]!.toLowerCase().split(",")) {
+        named.add(token.trim());
+      }
+    }
+  }
+  const kept: string[] = [];
+  for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
+    const name = rawHeaders[i]!.toLowerCase();
+    const dropped = HOP_HEADERS.has(name) ||
+      (named.has(name) && name !== "host" && name !== "content-length") ||
+      (dropLength && name === "content-length");
+    if (!dropped) {
+      kept.push(rawHeaders[i]!, rawHeaders[i + 1]!);
+    }
+  }
+  return kept;
+}
--- /dev/null
+++ b/packages/daemon/src/direct/index.ts
@@ -0,0 +1,9 @@
+export * from "./call_dialect.js";
+export * from "./collection.js";
+export * from "./collection_watcher.js";
+export * from "./direct_router_host.js";
+export * from "./direct_settings.js";
+export * from "./hop_headers.js";
+export * from "./stdout_log.js";
+export { HttpExchange, HttpExchangeError } from "../store/http_exchange.js";
+export { SystemClock } from "../system_clock.js";
--- /dev/null
+++ b/packages/daemon/src/direct/peer_mesh.ts
@@ -0,0 +1,323 @@
+import {
+  type Clock,
+  type KnownRouter,
+  type Message,
+  type MessageOf,
+  type Millis,
+  rankByRendezvous,
+} from "@anvildeal/core";
+import {
+  type Disposable,
+  Emitter,
+  PeerDialer,
+  PeerServer,
+  type PeerConnection,
+  type PeerConnectionOptions,
+  type PeerIdentity,
+  seedPeerId,
+  TrafficMeter,
+} from "../net/index.js";
+
+/** Routers that this one connects to; larger fleets pass news on. */
+const FANOUT = 6;
+
+/** A router that nobody has heard for this long is forgotten. */
+const FORGET_AFTER_MS: Millis = 12_000;
+
+/** A connection without a message for this long is closed. */
+const SILENCE_MS: Millis = 2500;
+
+/** Pause between attempts to reach a router. */
+const REDIAL_MS: Millis = 700;
+
+const MAX_TOLD_ROUTERS = 32;
+
+interface MeshRouter {
+  address: string;
+  incarnation: number;
+  heardMs: Millis;
+}
+
+interface MeshLink {
+  readonly connection: PeerConnection;
+  readonly nodeId: string;
+  lastMessageMs: Millis;
+}
+
+export interface MeshMessage {
+  readonly nodeId: string;
+  readonly message: Message;
+}
+
+export interface PeerMeshOptions {
+  readonly identity: PeerIdentity;
+  /** Own address, as others reach it. */
+  readonly address: string;
+  readonly clock: Clock;
+}
+
+/**
+ * Connections of a router to some others of its fleet. They are found through
+ * seed addresses and through each other.
+ */
+export class PeerMesh implements Disposable {
+  readonly #options: PeerMeshOptions;
+  readonly #meter = new TrafficMeter();
+  readonly #server: PeerServer;
+  readonly #dialer: PeerDialer;
+  readonly #routers = new Map<string, MeshRouter>();
+  readonly #links = new Map<PeerConnection, MeshLink>();
+  readonly #dialedMs = new Map<string, Millis>();
+  readonly #dialedHeardMs = new Map<string, Millis>();
+  readonly #onMessage = new Emitter<MeshMessage>();
+  readonly #onPeer = new Emitter<{ nodeId: string; connected: boolean }>();
+  readonly #connected = new Set<string>();
+  #seeds: readonly string[] = [];
+
+  readonly onMessage = this.#onMessage.event;
+  /** Fires when a router can be reached, or no longer. */
+  readonly onPeer = this.#onPeer.event;
+
+  constructor(options: PeerMeshOptions) {
+    this.#options = options;
+    const connectionOptions = (): PeerConnectionOptions => ({
+      identity: options.identity,
+      configVersion: 0,
+      meter: this.#meter,
+    });
+    this.#server = new PeerServer(connectionOptions);
+    this.#dialer = new PeerDialer(connectionOptions);
+    this.#server.onConnection((connection) => this.#accept(connection));
+    this.#dialer.onReady(({ peerId, hello }) => {
+      this.#dialedHeardMs.set(peerId, this.#nowMs());
+      this.#idOf.set(peerId, hello.nodeId);
+      this.#updateConnected();
+    });
+    this.#dialer.onMessage(({ peerId, message }) => {
+      this.#dialedHeardMs.set(peerId, this.#nowMs());
+      const nodeId = this.#idOf.get(peerId);
+      if (nodeId !== undefined) {
+        this.#receive(nodeId, message);
+      }
+    });
+    this.#dialer.onClose(({ peerId }) => {
+      this.#idOf.delete(peerId);
+      this.#updateConnected();
+    });
+  }
+
+  readonly #idOf = new Map<string, string>();
+
+  get meter(): TrafficMeter {
+    return this.#meter;
+  }
+
+  /** Routers of the fleet that were heard of lately, this one included. */
+  get routerCount(): number {
+    return this.#routers.size + 1;
+  }
+
+  /** Routers that this one is connected to. */
+  get connectedCount(): number {
+    return this.#connected.size;
+  }
+
+  listen(host: string, port: number): Promise<number> {
+    return this.#server.listen(host, port);
+  }
+
+  setSeeds(addresses: readonly string[]): void {
+    this.#seeds = addresses.filter((address) =>
+      address !== this.#options.address
+    );
+  }
+
+  /** Sends to all connected routers, once to each. */
+  broadcast(message: Message): void {
+    const reached = new Set<string>();
+    for (const [peerId, nodeId] of this.#idOf) {
+      if (!reached.has(nodeId)) {
+        reached.add(nodeId);
+        this.#dialer.send(peerId, "", message);
+      }
+    }
+    for (const { connection, nodeId } of this.#links.values()) {
+      if (!reached.has(nodeId)) {
+        reached.add(nodeId);
+        connection.send(message);
+      }
+    }
+  }
+
+  /** Sends to one connected router; does nothing when it is not connected. */
+  sendTo(nodeId: string, message: Message): void {
+    for (const [peerId, id] of this.#idOf) {
+      if (id === nodeId) {
+        this.#dialer.send(peerId, "", message);
+        return;
+      }
+    }
+    for (const link of this.#links.values()) {
+      if (link.nodeId === nodeId) {
+        link.connection.send(message);
+        return;
+      }
+    }
+  }
+
+  /** Routers to tell others about, the freshest first. */
+  knownRouters(): KnownRouter[] {
+    const nowMs = this.#nowMs();
+    const { identity, address } = this.#options;
+    const others = [...this.#routers].map(([nodeId, router]) => ({
+      nodeId,
+      address: router.address,
+      incarnation: router.incarnation,
+      ageMs: Math.round(nowMs - router.heardMs),
+    })).sort((a, b) => a.ageMs - b.ageMs);
+    const own: KnownRouter = {
+      nodeId: identity.nodeId,
+      address,
+      incarnation: identity.incarnation,
+      ageMs: 0,
+    };
+    return [own, ...others].slice(0, MAX_TOLD_ROUTERS);
+  }
+
+  /** Takes over what another router knows of the fleet. */
+  learn(routers: MessageOf<"fleet_state">["routers"]): void {
+    const nowMs = this.#nowMs();
+    for (const { nodeId, address, incarnation, ageMs } of routers) {
+      if (nodeId === this.#options.identity.nodeId) {
+        continue;
+      }
+      const heardMs = nowMs - ageMs;
+      const known = this.#routers.get(nodeId);
+      if (ageMs < FORGET_AFTER_MS && (!known || heardMs > known.heardMs)) {
+        this.#routers.set(nodeId, { address, incarnation, heardMs });
+      }
+    }
+  }
+
+  /** Opens missing connections and closes silent ones. */
+  maintain(): void {
+    const nowMs = this.#nowMs();
+    for (const [nodeId, router] of this.#routers) {
+      if (nowMs - router.heardMs > FORGET_AFTER_MS) {
+        this.#routers.delete(nodeId);
+      }
+    }
+    for (const link of this.#links.values()) {
+      if (nowMs - link.lastMessageMs > SILENCE_MS) {
+        link.connection.close("silent");
+      }
+    }
+    for (const [peerId, heardMs] of this.#dialedHeardMs) {
+      if (this.#idOf.has(peerId) && nowMs - heardMs > SILENCE_MS) {
+        this.#dialer.close(peerId);
+        this.#idOf.delete(peerId);
+      }
+    }
+    this.#updateConnected();
+    this.#dialMissing(nowMs);
+  }
+
+  dispose(): void {
+    this.#server.dispose();
+    this.#dialer.dispose();
+    this.#onMessage.dispose();
+    this.#onPeer.dispose();
+  }
+
+  #dialMissing(nowMs: Millis): void {
+    const ownId = this.#options.identity.nodeId;
+    // One side of each pair dials; both do while they do not know each other.
+    const chosen = rankByRendezvous(ownId, [...this.#routers.keys()], FANOUT);
+    for (const nodeId of chosen) {
+      const router = this.#routers.get(nodeId);
+      if (router && !this.#connected.has(nodeId)) {
+        this.#dial(nodeId, router.address, nowMs);
+      }
+    }
+    if (this.#connected.size > 0) {
+      return;
+    }
+    for (const address of this.#seeds) {
+      this.#dial(seedPeerId(address), address, nowMs);
+    }
+  }
+
+  #dial(peerId: string, address: string, nowMs: Millis): void {
+    const lastMs = this.#dialedMs.get(peerId);
+    if (lastMs !== undefined && nowMs - lastMs < REDIAL_MS) {
+      return;
+    }
+    this.#dialedMs.set(peerId, nowMs);
+    this.#dialer.close(peerId);
+    this.#dialer.send(peerId, address, {
+      type: "fleet_query",
+      configVersion: 0,
+      directoryRevision: 0,
+    });
+  }
+
+  #accept(connection: PeerConnection): void {
+    connection.onReady((hello) => {
+      this.#links.set(connection, {
+        connection,
+        nodeId: hello.nodeId,
+        lastMessageMs: this.#nowMs(),
+      });
+      this.#updateConnected();
+    });
+    connection.onMessage((message) => {
+      const link = this.#links.get(connection);
+      if (link) {
+        link.lastMessageMs = this.#nowMs();
+        this.#receive(link.nodeId, message);
+      }
+    });
+    connection.onClose(() => {
+      this.#links.delete(connection);
+      this.#updateConnected();
+    });
+  }
+
+  #receive(nodeId: string, message: Message): void {
+    if (nodeId === this.#options.identity.nodeId) {
+      return;
+    }
+    const known = this.#routers.get(nodeId);
+    if (known) {
+      known.heardMs = this.#nowMs();
+    }
+    this.#onMessage.fire({ nodeId, message });
+  }
+
+  #updateConnected(): void {
+    const now = new Set<string>();
+    for (const nodeId of this.#idOf.values()) {
+      now.add(nodeId);
+    }
+    for (const { nodeId } of this.#links.values()) {
+      now.add(nodeId);
+    }
+    now.delete(this.#options.identity.nodeId);
+    for (const nodeId of now) {
+      if (!this.#connected.has(nodeId)) {
+        this.#connected.add(nodeId);
+        this.#onPeer.fire({ nodeId, connected: true });
+      }
+    }
+    for (const nodeId of [...this.#connected]) {
+      if (!now.has(nodeId)) {
+        this.#connected.delete(nodeId);
+        this.#onPeer.fire({ nodeId, connected: false });
+      }
+    }
+  }
+
+  #nowMs(): Millis {
+    return this.#options.clock.nowMs();
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/direct/stdout_log.ts
@@ -0,0 +1,97 @@
+import {
+  LOG_EVENTS,
+  type LogEventName,
+  type LogFields,
+  type Millis,
+} from "@anvildeal/core";
+import type { Logger } from "../logging/index.js";
+
+/** Lines that a process may write in a second; the others are counted. */
+const MAX_LINES_PER_S = 400;
+
+/** Bytes that may wait for a slow reader. */
+const MAX_QUEUED_BYTES = 512 * 1024;
+
+const WINDOW_MS: Millis = 1000;
+
+/** The part of a stream that the log needs. */
+export interface LogSink {
+  readonly writableLength: number;
+  write(text: string): unknown;
+}
+
+/**
+ * Writes one JSON object a line to standard output.
+ *
+ * Lines beyond the rate, or that a reader does not take in time, are left out
+ * and counted; errors and warnings are exempt from the rate.
+ */
+export class StdoutLog implements Logger {
+  readonly #nodeId: string;
+  readonly #sink: LogSink;
+  readonly #now: () => Date;
+  #windowStartMs = 0;
+  #lines = 0;
+  #dropped = 0;
+
+  constructor(
+    nodeId: string,
+    sink: LogSink = process.stdout,
+    now: () => Date = () => new Date(),
+  ) {
+    this.#nodeId = nodeId;
+    this.#sink = sink;
+    this.#now = now;
+  }
+
+  /** Lines left out since the last line that told their number. */
+  get droppedLines(): number {
+    return this.#dropped;
+  }
+
+  log(event: LogEventName, fields: LogFields = {}): void {
+    const time = this.#now();
+    this.#startWindow(time.getTime());
+    const { level } = LOG_EVENTS[event];
+    const limited = level === "info" || level === "debug";
+    if (
+      limited && this.#lines >= MAX_LINES_PER_S ||
+      this.#sink.writableLength > MAX_QUEUED_BYTES
+    ) {
+      this.#dropped++;
+      return;
+    }
+    this.#lines++;
+    this.#write(event, fields, time);
+  }
+
+  #startWindow(nowMs: number): void {
+    if (nowMs >= this.#windowStartMs && nowMs - this.#windowStartMs < WINDOW_MS) {
+      return;
+    }
+    this.#windowStartMs = nowMs;
+    this.#lines = 0;
+    if (this.#dropped > 0 && this.#sink.writableLength <= MAX_QUEUED_BYTES) {
+      const lines = this.#dropped;
+      this.#dropped = 0;
+      this.#write("log_lines_dropped", { lines }, this.#now());
+    }
+  }
+
+  #write(event: LogEventName, fields: LogFields, time: Date): void {
+    const { code, level, message } = LOG_EVENTS[event];
+    this.#sink.write(
+      `${
+        JSON.stringify({
+          time: time.toISOString(),
+          level,
+          event: code,
+          name: event,
+          node: this.#nodeId,
+          message,
+          ...fields,
+        })
+      }\n`,
+    );
+  }
+}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,5 +1,6 @@
 export * from "./admin/index.js";
 export * from "./config_sync/index.js";
+export * from "./direct/index.js";
 export * from "./engine/index.js";
 export * from "./execution/index.js";
 export * from "./logging/index.js";
