Place requests by what endpoints hold and copy caches instead of reading again

Routers now note what they send where, tell each other, and name the endpoint that holds a prompt's start to one that does not.

--- a/packages/core/src/direct/choose_endpoint.ts
+++ b/packages/core/src/direct/choose_endpoint.ts
@@ -17,9 +17,18 @@
 /** Requests in flight that crossing to another failure domain is worth. */
 const DOMAIN_COST = 2;
 
+/**
+ * Prompt tokens that one more request in flight outweighs. Loads are compared
+ * in steps, so that routers whose views differ slightly choose the same.
+ */
+const TOKENS_PER_REQUEST = 100;
+const LOAD_STEP = 2;
+
 export interface ChoiceRequest {
   /** Requests with the same key share a prompt start; absent for others. */
   readonly affinityKey: string | undefined;
+  /** Prompt tokens that the endpoint holds in its cache. */
+  readonly cachedTokens: (endpoint: DirectEndpoint) => number;
   readonly failureDomain: string;
   /** Endpoints that this request has tried. */
   readonly tried: ReadonlySet<string>;
@@ -28,8 +37,12 @@
 }
 
 export type ChoiceReason =
-  | "first_choice"
-  | "next_choice"
+  /** Holds most of the prompt. */
+  | "warm"
+  /** Holds less of the prompt than endpoints that are over the load bound. */
+  | "spilled"
+  /** No endpoint holds the prompt's start. */
+  | "cold"
   | "least_loaded"
   | "last_resort";
 
@@ -39,6 +52,7 @@
   readonly load: number;
   readonly meanLoad: number;
   readonly candidates: number;
+  readonly cachedTokens: number;
 }
 
 /** Chooses the endpoint of a pool for a request, if there is one. */
@@ -69,6 +83,7 @@
     load: loads.get(endpoint)!,
     meanLoad,
     candidates: usable.length,
+    cachedTokens: request.cachedTokens(endpoint),
   });
   const sound = withoutFailing(usable, nowMs);
   if (sound.length === 0) {
@@ -83,15 +98,38 @@
     return choose(minBy(sound, cost), "least_loaded");
   }
   const bound = request.loadMultiple * meanLoad + LOAD_FLOOR;
-  const byId = new Map(sound.map((view) => [view.id, view]));
-  const ranked = rankByRendezvous(request.affinityKey, [...byId.keys()]);
-  for (const [rank, id] of ranked.entries()) {
-    const view = byId.get(id)!;
-    if (loads.get(view)! < bound) {
-      return choose(view, rank === 0 ? "first_choice" : "next_choice");
-    }
+  const within = sound.filter((view) => loads.get(view)! < bound);
+  if (within.length === 0) {
+    return choose(minBy(sound, (view) => loads.get(view)!), "least_loaded");
   }
-  return choose(minBy(sound, (view) => loads.get(view)!), "least_loaded");
+  const endpoint = warmest(within, request, request.affinityKey, loads);
+  const mostCached = Math.max(...sound.map(request.cachedTokens));
+  const cached = request.cachedTokens(endpoint);
+  return choose(
+    endpoint,
+    mostCached === 0 ? "cold" : cached < mostCached ? "spilled" : "warm",
+  );
+}
+
+/** Weighs cached tokens against load; equal ones follow a stable order. */
+function warmest(
+  views: readonly DirectEndpoint[],
+  request: ChoiceRequest,
+  affinityKey: string,
+  loads: ReadonlyMap<DirectEndpoint, number>,
+): DirectEndpoint {
+  const gainOf = (view: DirectEndpoint) =>
+    request.cachedTokens(view) -
+    Math.floor(loads.get(view)! / LOAD_STEP) * LOAD_STEP * TOKENS_PER_REQUEST;
+  const gains = new Map(views.map((view) => [view, gainOf(view)]));
+  const best = Math.max(...gains.values());
+  const equal = views.filter((view) => gains.get(view) === best);
+  const [firstId] = rankByRendezvous(
+    affinityKey,
+    equal.map(({ id }) => id),
+    1,
+  );
+  return equal.find(({ id }) => id === firstId)!;
 }
 
 /** Endpoints that are reachable and do not fail far more than their pool. */
--- a/packages/core/src/direct/direct_event.ts
+++ b/packages/core/src/direct/direct_event.ts
@@ -4,6 +4,7 @@
 import type { EndpointChange } from "./endpoint_directory.js";
 import type { ReportedLoad } from "./direct_endpoint.js";
 import type { RoutingConfig } from "./routing_config.js";
+import type { WarmEntry } from "./warmth_index.js";
 
 /** A part of a prompt that requests can share. */
 export interface PromptPart {
@@ -134,6 +135,8 @@
     /** Requests in flight by endpoint; endpoints not named have none. */
     readonly inFlight: Readonly<Record<string, number>>;
   }
+  /** What another router, or an earlier life of this one, knows. */
+  | { readonly type: "warmth_told"; readonly entries: readonly WarmEntry[] }
   | { readonly type: "peers_changed"; readonly routerCount: number }
   | { readonly type: "tick"; readonly nowMs: Millis }
   | { readonly type: "stopping"; readonly nowMs: Millis };
@@ -178,6 +181,8 @@
   /** The request may be repeated, so a doubtful connection may carry it. */
   readonly idempotent: boolean;
   readonly resumable: boolean;
+  /** Address of an endpoint that holds more of the prompt's start. */
+  readonly fetchCacheFrom: string | undefined;
 }
 
 export type DirectEffect =
@@ -215,6 +220,8 @@
     readonly key: number;
     readonly timer: RequestTimer;
   }
+  /** Tell the other routers what an endpoint holds from now on. */
+  | { readonly type: "tell_warmth"; readonly entry: WarmEntry }
   | { readonly type: "limits_changed" }
   | {
     readonly type: "log";
--- a/packages/core/src/direct/direct_place.ts
+++ b/packages/core/src/direct/direct_place.ts
@@ -1,7 +1,8 @@
 import type { Millis } from "../clock.js";
 import { advanceRequest } from "../router/request_machine.js";
 import { type Choice, chooseEndpoint } from "./choose_endpoint.js";
-import type { DirectCall, DirectEffect } from "./direct_event.js";
+import type { DirectEndpoint } from "./direct_endpoint.js";
+import type { DirectCall, DirectEffect, PromptPart } from "./direct_event.js";
 import type { ActiveRequest, DirectState } from "./direct_state.js";
 import { finishRequest, refuse } from "./direct_finish.js";
 import { isRepeatable } from "./direct_rules.js";
@@ -18,6 +19,9 @@
 /** Part of the time left after which an attempt is given up at the latest. */
 const PATIENCE_SHARE = 0.5;
 
+/** Copying fewer tokens than this is not worth the transfer. */
+const MIN_FETCHED_TOKENS = 256;
+
 /** Urgency of accounts and routes that endpoints can tell apart. */
 const MAX_URGENCY = 9;
 
@@ -32,6 +36,7 @@
     state.directory.ofService(request.service),
     {
       affinityKey: affinityKeyOf(request),
+      cachedTokens: (endpoint) => cachedTokens(state, request, endpoint),
       failureDomain: state.options.failureDomain,
       tried: request.tried,
       loadMultiple: state.options.loadMultiple,
@@ -62,6 +67,7 @@
   endpoint.ownInFlight++;
   request.tried.add(endpoint.id);
   request.attempt = { number, endpoint, startedMs: nowMs, hasHead: false };
+  const fetchCacheFrom = cacheSourceOf(state, request, choice, nowMs);
   const effects: DirectEffect[] = [{
     type: "start_attempt",
     key: request.key,
@@ -79,7 +85,8 @@
     resume: request.answering,
     idempotent: isRepeatable(request.route),
     resumable: request.route.resumable,
-  }];
+    fetchCacheFrom: fetchCacheFrom?.record.address,
+  }, ...noteWarmth(state, request, endpoint)];
   const patienceMs = patienceOf(request, leftMs);
   if (patienceMs !== undefined) {
     effects.push({
@@ -89,7 +96,7 @@
       delayMs: patienceMs,
     });
   }
-  effects.push(logPlacement(state, request, choice, nowMs), {
+  effects.push(logPlacement(state, request, choice, fetchCacheFrom, nowMs), {
     type: "measure",
     measurement: {
       metric: "direct_attempts_total",
@@ -117,6 +124,67 @@
   return Math.min(patienceMs, leftMs * PATIENCE_SHARE);
 }
 
+/** Prompt parts that other requests can have in common with this one. */
+function sharedPartsOf({ call, route }: ActiveRequest): readonly PromptPart[] {
+  return route.sticky ? call.promptParts.slice(0, -1) : [];
+}
+
+function cachedTokens(
+  state: DirectState,
+  request: ActiveRequest,
+  { id, record }: DirectEndpoint,
+): number {
+  const parts = sharedPartsOf(request);
+  return state.warmth.cachedTokens(id, record.incarnation, parts);
+}
+
+/**
+ * The endpoint from which the chosen one can copy the prompt's start. That
+ * takes a small part of the time of reading it anew. Endpoints that leave
+ * still serve their cache.
+ */
+function cacheSourceOf(
+  state: DirectState,
+  request: ActiveRequest,
+  choice: Choice,
+  nowMs: Millis,
+): DirectEndpoint | undefined {
+  let source: DirectEndpoint | undefined;
+  let mostTokens = choice.cachedTokens + MIN_FETCHED_TOKENS - 1;
+  for (const endpoint of state.directory.ofService(request.service)) {
+    const tokens = cachedTokens(state, request, endpoint);
+    if (
+      endpoint !== choice.endpoint && tokens > mostTokens &&
+      !endpoint.isSuspected(nowMs)
+    ) {
+      source = endpoint;
+      mostTokens = tokens;
+    }
+  }
+  return source;
+}
+
+function noteWarmth(
+  state: DirectState,
+  request: ActiveRequest,
+  { id, record }: DirectEndpoint,
+): DirectEffect[] {
+  const added = state.warmth.note(
+    id,
+    record.incarnation,
+    sharedPartsOf(request),
+    state.routes?.service(record.service)?.engine?.cacheTokens,
+  );
+  return added.length === 0 ? [] : [{
+    type: "tell_warmth",
+    entry: { endpointId: id, incarnation: record.incarnation, parts: added },
+  }];
+}
+
+function sum(parts: readonly PromptPart[]): number {
+  return parts.reduce((total, { tokens }) => total + tokens, 0);
+}
+
 /** The last part is the request's own; the one before it can be shared. */
 function affinityKeyOf(request: ActiveRequest): string | undefined {
   return request.route.sticky ? sharedPartOf(request.call) : undefined;
@@ -130,7 +198,8 @@
 function logPlacement(
   state: DirectState,
   request: ActiveRequest,
-  { endpoint, reason, load, meanLoad, candidates }: Choice,
+  { cachedTokens, candidates, endpoint, load, meanLoad, reason }: Choice,
+  fetchCacheFrom: DirectEndpoint | undefined,
   nowMs: Millis,
 ): DirectEffect {
   const ageMs = endpoint.reportAgeMs(nowMs);
@@ -145,6 +214,9 @@
       endpoint: endpoint.id,
       attempt: request.attemptCount,
       decision: reason,
+      cached_tokens: cachedTokens,
+      shared_tokens: sum(sharedPartsOf(request)),
+      fetch_from: fetchCacheFrom?.id,
       load,
       mean_load: Math.round(meanLoad * 100) / 100,
       load_age_ms: ageMs === undefined ? undefined : Math.round(ageMs),
--- a/packages/core/src/direct/direct_state.ts
+++ b/packages/core/src/direct/direct_state.ts
@@ -5,6 +5,7 @@
 import type { DirectEndpoint } from "./direct_endpoint.js";
 import { RetryWindow } from "./retry_window.js";
 import type { RouteTable } from "./route_table.js";
+import { WarmthIndex } from "./warmth_index.js";
 import type { DirectAccount, DirectRoute } from "./routing_config.js";
 
 /** What the deployment prescribes. */
@@ -51,6 +52,7 @@
 export interface DirectState {
   readonly options: DirectOptions;
   readonly directory: EndpointDirectory;
+  readonly warmth: WarmthIndex;
   readonly requests: Map<number, ActiveRequest>;
   readonly retryWindows: Map<string, RetryWindow>;
   routes: RouteTable | undefined;
@@ -66,6 +68,7 @@
   return {
     options,
     directory: new EndpointDirectory(),
+    warmth: new WarmthIndex(),
     requests: new Map(),
     retryWindows: new Map(),
     routes: undefined,
--- a/packages/core/src/direct/index.ts
+++ b/packages/core/src/direct/index.ts
@@ -13,3 +13,4 @@
 export * from "./retry_window.js";
 export * from "./route_table.js";
 export * from "./routing_config.js";
+export * from "./warmth_index.js";
--- a/packages/core/src/direct/reduce_direct.ts
+++ b/packages/core/src/direct/reduce_direct.ts
@@ -21,6 +21,7 @@
 import type { DirectoryNote } from "./endpoint_directory.js";
 import { pickTarget, RouteTable } from "./route_table.js";
 import type { DirectAccount, DirectRoute } from "./routing_config.js";
+import type { WarmEntry } from "./warmth_index.js";
 
 /** Deadline of requests whose caller and route name none. */
 const DEFAULT_DEADLINE_MS: Millis = 60_000;
@@ -82,11 +83,14 @@
         view.notePeerLoad(event.nowMs, event.peerId, requests);
       }
       return [];
+    case "warmth_told":
+      takeWarmth(state, event.entries);
+      return [];
     case "peers_changed":
       state.routerCount = Math.max(1, event.routerCount);
       return [];
     case "tick":
-      return logNotes(state.directory.expire(event.nowMs), "lapse");
+      return expireEndpoints(state, event.nowMs);
     case "stopping":
       state.stopping = true;
       return [];
@@ -349,9 +353,16 @@
     event.nowMs,
     disturbed ? LAPSE_MS : 0,
   );
+  forgetWarmth(state, notes);
   return logNotes(notes, event.source);
 }
 
+function expireEndpoints(state: DirectState, nowMs: Millis): DirectEffect[] {
+  const notes = state.directory.expire(nowMs);
+  forgetWarmth(state, notes);
+  return logNotes(notes, "lapse");
+}
+
 function changeStoreState(
   state: DirectState,
   event: Extract<DirectEvent, { type: "store_state_changed" }>,
@@ -370,6 +381,34 @@
   }];
 }
 
+function takeWarmth(
+  state: DirectState,
+  entries: readonly WarmEntry[],
+): void {
+  for (const { endpointId, incarnation, parts } of entries) {
+    const service = state.directory.get(endpointId)?.record.service;
+    const engine = service && state.routes?.service(service)?.engine;
+    state.warmth.note(
+      endpointId,
+      incarnation,
+      parts,
+      engine ? engine.cacheTokens : undefined,
+    );
+  }
+}
+
+/** Follows the directory: what is gone or began anew holds nothing. */
+function forgetWarmth(
+  state: DirectState,
+  notes: readonly DirectoryNote[],
+): void {
+  for (const { change, endpointId } of notes) {
+    if (change === "removed" || change === "restarted") {
+      state.warmth.forget(endpointId);
+    }
+  }
+}
+
 function logNotes(
   notes: readonly DirectoryNote[],
   source: string,
--- a/packages/core/src/direct/routing_config.ts
+++ b/packages/core/src/direct/routing_config.ts
@@ -45,7 +45,11 @@
   name,
   maxConnections: positive.optional(),
   /** Absent for services that are no model engines. */
-  engine: z.object({ slots: positive.optional() }).optional(),
+  engine: z.object({
+    slots: positive.optional(),
+    /** Tokens that running requests and cached prompt parts share. */
+    cacheTokens: positive.optional(),
+  }).optional(),
 });
 export type DirectService = z.infer<typeof DirectServiceSchema>;
 
--- a/packages/core/src/wire/messages.ts
+++ b/packages/core/src/wire/messages.ts
@@ -3,6 +3,7 @@
   EndpointRecordSchema,
   RoutingConfigSchema,
 } from "../direct/routing_config.js";
+import { WarmEntrySchema } from "../direct/warmth_index.js";
 import { BurnSnapshotSchema } from "../report/burn_snapshot.js";
 
 /** Version of the protocol between anvildeal processes. */
@@ -328,6 +329,12 @@
   }).optional(),
 });
 
+/** What endpoints hold in their caches, as far as a router knows. */
+const FleetWarmthSchema = z.object({
+  type: z.literal("fleet_warmth"),
+  entries: z.array(WarmEntrySchema),
+});
+
 /** Every message between two anvildeal processes. */
 export const MessageSchema = z.discriminatedUnion("type", [
   HelloSchema,
@@ -358,6 +365,7 @@
   FleetStateSchema,
   FleetQuerySchema,
   FleetContentSchema,
+  FleetWarmthSchema,
 ]);
 export type Message = z.infer<typeof MessageSchema>;
 export type MessageType = Message["type"];
--- a/packages/daemon/src/direct/collection_watcher.ts
+++ b/packages/daemon/src/direct/collection_watcher.ts
@@ -26,6 +26,8 @@
   readonly label: string;
   readonly call: "list" | "watch";
   readonly detail: string;
+  /** The directory answers, but no longer has the changes asked for. */
+  readonly historyGone: boolean;
 }
 
 /** Follows a collection of the directory: lists it once, then watches it. */
@@ -127,8 +129,14 @@
   async #recover(error: unknown, waitedMs: Millis): Promise<void> {
     const call = this.#revision === undefined ? "list" : "watch";
     const detail = error instanceof Error ? error.message : String(error);
-    this.#onFailure.fire({ label: this.#collection.label, call, detail });
-    if (error instanceof HistoryGoneError) {
+    const historyGone = error instanceof HistoryGoneError;
+    this.#onFailure.fire({
+      label: this.#collection.label,
+      call,
+      detail,
+      historyGone,
+    });
+    if (historyGone) {
       this.#revision = undefined;
       return;
     }
--- a/packages/daemon/src/direct/direct_router_host.ts
+++ b/packages/daemon/src/direct/direct_router_host.ts
@@ -85,6 +85,7 @@
       ...options,
       push: (event) => this.#queue.push(event),
       configInForce: () => this.#state.routes?.config,
+      warmEntries: () => this.#state.warmth.entries(),
       observe: (measurement) => this.#metrics.observe(measurement),
     });
     this.#metricsServer = new MetricsServer(this.#metrics);
@@ -220,6 +221,9 @@
       case "clear_timer":
         this.#clearTimer(`${effect.key}/${effect.timer}`);
         break;
+      case "tell_warmth":
+        this.#sync.tellWarmth(effect.entry);
+        break;
       case "limits_changed":
         this.#edge.applyLimits(this.#state.routes!.config.limits);
         break;
--- a/packages/daemon/src/direct/directory_sync.ts
+++ b/packages/daemon/src/direct/directory_sync.ts
@@ -6,6 +6,7 @@
   Message,
   Millis,
   RoutingConfig,
+  WarmEntry,
 } from "@anvildeal/core";
 import type { Logger } from "../logging/index.js";
 import { type Disposable, splitAddress } from "../net/index.js";
@@ -17,6 +18,9 @@
 /** A peer that is ahead for this long is asked for what it knows. */
 const BEHIND_MS: Millis = 300;
 
+/** Delay for which news of caches are collected. */
+const WARMTH_DELAY_MS: Millis = 50;
+
 /** Consecutive failures from which the directory counts as lost. */
 const LOST_AFTER_FAILURES = 2;
 
@@ -28,6 +32,7 @@
   readonly clock: Clock;
   readonly push: (event: DirectEvent) => void;
   readonly configInForce: () => RoutingConfig | undefined;
+  readonly warmEntries: () => readonly WarmEntry[];
   readonly observe: (measurement: Measurement) => void;
 }
 
@@ -44,6 +49,8 @@
   /** Directory revision of the records; 0 while none is known. */
   #revision = 0;
   #failures = 0;
+  #warmNews: WarmEntry[] = [];
+  #warmTimer: NodeJS.Timeout | undefined;
   #behindSinceMs: Millis | undefined;
 
   constructor(options: DirectorySyncOptions) {
@@ -64,11 +71,14 @@
     this.#mesh.onMessage(({ message, nodeId }) =>
       this.#receive(nodeId, message)
     );
-    this.#mesh.onPeer(({ connected, nodeId }) =>
+    this.#mesh.onPeer(({ connected, nodeId }) => {
       options.logger.log(connected ? "peer_regained" : "peer_lost", {
         peer: nodeId,
-      })
-    );
+      });
+      if (connected) {
+        this.#sendWarmth(nodeId);
+      }
+    });
     this.#configs = this.#watch(options.configs, (update) => {
       for (const config of update.upserts) {
         this.#applyConfig(config, "directory");
@@ -112,12 +122,31 @@
     });
   }
 
+  /** Tells the peers what an endpoint holds, together with other news. */
+  tellWarmth(entry: WarmEntry): void {
+    this.#warmNews.push(entry);
+    this.#warmTimer ??= setTimeout(() => {
+      this.#warmTimer = undefined;
+      const entries = this.#warmNews;
+      this.#warmNews = [];
+      this.#mesh.broadcast({ type: "fleet_warmth", entries });
+    }, WARMTH_DELAY_MS);
+  }
+
   dispose(): void {
+    clearTimeout(this.#warmTimer);
     this.#configs.dispose();
     this.#endpoints.dispose();
     this.#mesh.dispose();
   }
 
+  #sendWarmth(nodeId: string): void {
+    const entries = [...this.#options.warmEntries()];
+    if (entries.length > 0) {
+      this.#mesh.sendTo(nodeId, { type: "fleet_warmth", entries });
+    }
+  }
+
   #configVersion(): number {
     return this.#options.configInForce()?.version ?? 0;
   }
@@ -149,9 +178,12 @@
       this.#failures = 0;
       this.#noteStore(true);
     });
-    watcher.onFailure((failure) => {
+    watcher.onFailure(({ historyGone, ...failure }) => {
       count("failed");
       logger.log("directory_call_failed", { ...failure });
+      if (historyGone) {
+        return;
+      }
       this.#failures++;
       if (this.#failures >= LOST_AFTER_FAILURES) {
         this.#noteStore(false);
@@ -222,6 +254,9 @@
         });
         this.#compare(nodeId, message);
         break;
+      case "fleet_warmth":
+        this.#options.push({ type: "warmth_told", entries: message.entries });
+        break;
       case "fleet_query":
         this.#answer(nodeId, message);
         break;
