Keep what endpoints hold in the platform's store

Cause: after the final kill of all routers the index was empty, and 880 k tokens were read again. The first router by id writes the index at most once a second; every router reads it at its start.

--- a/packages/daemon/src/direct/direct_router_host.ts
+++ b/packages/daemon/src/direct/direct_router_host.ts
@@ -27,6 +27,8 @@
 import { EndpointAttempt } from "./endpoint_attempt.js";
 import { EndpointConnections } from "./endpoint_connections.js";
 import { MetricsServer } from "./metrics_server.js";
+import type { SharedDocument } from "./shared_document.js";
+import { WarmthKeeper } from "./warmth_keeper.js";
 
 /** Interval of housekeeping and of the state told to peers. */
 const TICK_MS: Millis = 400;
@@ -44,6 +46,8 @@
   readonly dialect: CallDialect;
   readonly configs: Collection<RoutingConfig>;
   readonly endpoints: Collection<EndpointRecord>;
+  /** Where what endpoints hold is kept. */
+  readonly warmthDocument: SharedDocument;
   readonly logger: Logger;
   readonly clock: Clock;
 }
@@ -62,6 +66,7 @@
   readonly #metricsServer: MetricsServer;
   readonly #connections: EndpointConnections;
   readonly #sync: DirectorySync;
+  readonly #warmth: WarmthKeeper;
   readonly #writers = new Map<number, AnswerWriter>();
   readonly #attempts = new Map<string, EndpointAttempt>();
   readonly #timers = new Map<string, NodeJS.Timeout>();
@@ -88,6 +93,13 @@
       warmEntries: () => this.#state.warmth.entries(),
       observe: (measurement) => this.#metrics.observe(measurement),
     });
+    this.#warmth = new WarmthKeeper({
+      document: options.warmthDocument,
+      logger,
+      entries: () => this.#state.warmth.entries(),
+      onRead: (entries) => this.#queue.push({ type: "warmth_told", entries }),
+      isWriter: () => this.#sync.isFirstRouter && !this.#state.stopping,
+    });
     this.#metricsServer = new MetricsServer(this.#metrics);
     this.#ready = createServer((_request, response) => {
       response.writeHead(this.#isReady() ? 200 : 503).end();
@@ -104,6 +116,7 @@
   async start(): Promise<void> {
     const { callerAddress, metricsAddress, readyAddress } = this.#settings;
     this.#sync.start();
+    this.#warmth.start();
     const caller = splitAddress(callerAddress);
     await this.#edge.listen(caller.host, caller.port);
     if (readyAddress !== undefined) {
@@ -148,6 +161,7 @@
       clearTimeout(timer);
     }
     this.#sync.dispose();
+    this.#warmth.dispose();
     this.#edge.dispose();
     this.#ready.close();
     this.#ready.closeAllConnections();
@@ -175,6 +189,7 @@
     this.#queue.push({ type: "tick", nowMs: this.#clock.nowMs() });
     this.#connections.closeExpired();
     this.#sync.tell(ownLoads(this.#state));
+    this.#warmth.maintain();
     this.#noteReadiness();
   }
 
@@ -223,6 +238,7 @@
         break;
       case "tell_warmth":
         this.#sync.tellWarmth(effect.entry);
+        this.#warmth.noteChange();
         break;
       case "limits_changed":
         this.#edge.applyLimits(this.#state.routes!.config.limits);
--- a/packages/daemon/src/direct/directory_sync.ts
+++ b/packages/daemon/src/direct/directory_sync.ts
@@ -106,6 +106,11 @@
     this.#mesh.setSeeds(seeds);
   }
 
+  /** One router of the fleet, as far as the routers know each other. */
+  get isFirstRouter(): boolean {
+    return this.#mesh.isFirst;
+  }
+
   /** Tells the peers this router's state and keeps the connections up. */
   tell(inFlight: Readonly<Record<string, number>>): void {
     this.#mesh.maintain();
--- a/packages/daemon/src/direct/peer_mesh.ts
+++ b/packages/daemon/src/direct/peer_mesh.ts
@@ -117,6 +117,12 @@
     return this.#routers.size + 1;
   }
 
+  /** Whether this router's id sorts before those of all it knows. */
+  get isFirst(): boolean {
+    const own = this.#options.identity.nodeId;
+    return [...this.#routers.keys()].every((nodeId) => own < nodeId);
+  }
+
   /** Routers that this one is connected to. */
   get connectedCount(): number {
     return this.#connected.size;
--- a/packages/daemon/src/store/http_exchange.ts
+++ b/packages/daemon/src/store/http_exchange.ts
@@ -3,7 +3,7 @@
 
 export interface HttpRequest {
   readonly origin: string;
-  readonly method: "GET" | "PUT" | "DELETE";
+  readonly method: "GET" | "POST" | "PUT" | "DELETE";
   readonly path: string;
   readonly headers: Readonly<Record<string, string>>;
   readonly body?: Buffer;
