--- a/rolldown.config.js
+++ b/rolldown.config.js
@@ -10,8 +10,14 @@
     alias: {
       "@anvildeal/core": source("./packages/core/src/index.ts"),
       "@anvildeal/daemon": source("./packages/daemon/src/direct/index.ts"),
+      "undici$": source("./deploy/undici_dispatchers.js"),
     },
     extensionAlias: { ".js": [".ts", ".js"] },
   },
-  output: { file: "target/anvildeal.js", format: "esm" },
+  output: {
+    file: "target/anvildeal.cjs",
+    format: "cjs",
+    minify: true,
+    legalComments: "none",
+  },
 };
