--- a/packages/daemon/src/direct/answer_writer.ts
+++ b/packages/daemon/src/direct/answer_writer.ts
@@ -2,6 +2,18 @@
 import { EventStreamCut } from "./event_stream_cut.js";
 import type { RawHeaders } from "./call_dialect.js";
 
+export interface AnswerFraming {
+  /** Pass only whole events of the stream on. */
+  readonly cutEvents: boolean;
+  /** Ask the caller to close its connection after the answer. */
+  readonly close: boolean;
+  /**
+   * The endpoint's answer ends with its connection. Its end cannot be told
+   * from a crash, so the caller's copy must not be framed as complete either.
+   */
+  readonly unframed: boolean;
+}
+
 /** The request of a caller and the answer that is being written to it. */
 export class AnswerWriter {
   readonly request: IncomingMessage;
@@ -38,8 +50,7 @@
   begin(
     status: number,
     headers: RawHeaders,
-    cutEvents: boolean,
-    close: boolean,
+    { close, cutEvents, unframed }: AnswerFraming,
   ): void {
     if (this.response.headersSent) {
       return;
@@ -52,7 +63,10 @@
       this.#hasLength ||= headers[i]!.toLowerCase() === "content-length";
       kept.push(headers[i]!, headers[i + 1]!);
     }
-    if (close) {
+    if (unframed) {
+      this.response.useChunkedEncodingByDefault = false;
+    }
+    if (close || unframed) {
       kept.push("Connection", "close");
     }
     this.response.sendDate = false;
--- a/packages/daemon/src/direct/endpoint_attempt.ts
+++ b/packages/daemon/src/direct/endpoint_attempt.ts
@@ -32,6 +32,7 @@
   #status = 0;
   #headers: RawHeaders = [];
   #endsConnection = false;
+  #unframed = false;
   #discardedBytes = 0;
   #hasProgress = false;
 
@@ -77,8 +78,11 @@
     writer.begin(
       this.#status,
       [...this.#headers, "Anvildeal-Endpoint", this.effect.endpointId],
-      this.effect.resumable && this.#status < 300,
-      close,
+      {
+        cutEvents: this.effect.resumable && this.#status < 300,
+        close,
+        unframed: this.#unframed,
+      },
     );
   }
 
@@ -182,9 +186,9 @@
     headers: Readonly<Record<string, string | string[] | undefined>>,
   ): void {
     const connection = String(headers["connection"] ?? "").toLowerCase();
-    const hasLength = headers["content-length"] !== undefined ||
-      headers["transfer-encoding"] !== undefined;
-    this.#endsConnection = connection.includes("close") || !hasLength;
+    this.#unframed = headers["content-length"] === undefined &&
+      headers["transfer-encoding"] === undefined;
+    this.#endsConnection = connection.includes("close") || this.#unframed;
     const timeout = /timeout=(\d+)/.exec(String(headers["keep-alive"] ?? ""));
     if (timeout) {
       this.#connection.noteIdleLimit(Number(timeout[1]) * 1000);
