--- a/deploy/start.cjs
+++ b/deploy/start.cjs
@@ -7,8 +7,9 @@
 const { join } = require("node:path");
 const { Script } = require("node:vm");
 
-const BUNDLE = join(__dirname, "../target/anvildeal.cjs");
-const CACHE = join(__dirname, "../target/anvildeal.cache");
+const TARGET = join(__dirname, "../target");
+const BUNDLE = join(TARGET, "anvildeal.cjs");
+const CACHE = join(TARGET, "anvildeal.cache");
 
 function readCache() {
   try {
@@ -19,23 +20,32 @@
   }
 }
 
-const writeCache = process.argv.includes("--write-cache");
-const source = readFileSync(BUNDLE, "utf8");
-const script = new Script(
-  `(function (exports, require, module, __filename, __dirname) {${source}\n})`,
-  { filename: BUNDLE, cachedData: writeCache ? undefined : readCache() },
-);
-const bundle = { exports: {} };
-script.runInThisContext()(
-  bundle.exports,
-  createRequire(BUNDLE),
-  bundle,
-  BUNDLE,
-  join(__dirname, "../target"),
-);
-if (writeCache) {
-  // Functions that ran during the start are part of the cache.
-  writeFileSync(CACHE, script.createCachedData());
-  // The router reports the missing settings file as an error, as it should.
-  process.exitCode = 0;
+function load(cachedData) {
+  const source = readFileSync(BUNDLE, "utf8");
+  return new Script(
+    `(function (exports, require, module, __filename, __dirname) {${source}\n})`,
+    { filename: BUNDLE, cachedData },
+  );
+}
+
+function run(script) {
+  const bundle = { exports: {} };
+  const start = script.runInThisContext();
+  start(bundle.exports, createRequire(BUNDLE), bundle, BUNDLE, TARGET);
+}
+
+function writeCache() {
+  const script = load(undefined);
+  const { warmUp } = require(join(TARGET, "warm_up.cjs"));
+  warmUp(() => run(script)).then(() => {
+    // Functions that ran during the warm-up are part of the cache.
+    writeFileSync(CACHE, script.createCachedData());
+    process.exit(0);
+  });
+}
+
+if (process.argv.includes("--write-cache")) {
+  writeCache();
+} else {
+  run(load(readCache()));
 }
--- a/packages/core/src/direct/direct_attempt.ts
+++ b/packages/core/src/direct/direct_attempt.ts
@@ -45,11 +45,18 @@
     case "failure":
       return receiveFailureAnswer(state, request, attempt, head, nowMs);
     case "invalid":
-      return failAttempt(state, request, attempt, {
-        kind: "foreign",
-        sent: true,
-        detail: `status ${head.status}`,
-      }, nowMs, request.answering);
+      return failAttempt(
+        state,
+        request,
+        attempt,
+        {
+          kind: "foreign",
+          sent: true,
+          detail: `status ${head.status}`,
+        },
+        nowMs,
+        request.answering,
+      );
   }
 }
 
@@ -148,12 +155,10 @@
   attempt.endpoint.failures.note(nowMs, true);
   request.possibleRuns++;
   if (!request.answering && !canRepeat(state, request, nowMs)) {
-    return canRelayFailure(head)
-      ? relay(request, attempt)
-      : [
-        ...closeFailed(request, attempt),
-        ...refuse(state, request, nowMs, "endpoint_failed"),
-      ];
+    return canRelayFailure(head) ? relay(request, attempt) : [
+      ...closeFailed(request, attempt),
+      ...refuse(state, request, nowMs, "endpoint_failed"),
+    ];
   }
   const effects: DirectEffect[] = [
     ...closeFailed(request, attempt),
--- a/packages/core/src/direct/direct_finish.ts
+++ b/packages/core/src/direct/direct_finish.ts
@@ -1,5 +1,9 @@
 import type { Millis } from "../clock.js";
-import type { DirectEffect, Refusal, DirectRefusalReason } from "./direct_event.js";
+import type {
+  DirectEffect,
+  DirectRefusalReason,
+  Refusal,
+} from "./direct_event.js";
 import type { ActiveRequest, DirectState } from "./direct_state.js";
 
 /** Pause after which a refused caller may come back. */
--- a/packages/core/src/direct/direct_place.ts
+++ b/packages/core/src/direct/direct_place.ts
@@ -76,12 +76,10 @@
     address: endpoint.record.address,
     deadlineMs: Math.floor(leftMs),
     accountName: request.account?.name,
-    urgency: request.call.model === undefined
-      ? undefined
-      : Math.min(
-        MAX_URGENCY,
-        request.account?.priority ?? request.route.priority,
-      ),
+    urgency: request.call.model === undefined ? undefined : Math.min(
+      MAX_URGENCY,
+      request.account?.priority ?? request.route.priority,
+    ),
     resume: request.answering,
     idempotent: isRepeatable(request.route),
     resumable: request.route.resumable,
--- a/packages/core/src/direct/direct_state.ts
+++ b/packages/core/src/direct/direct_state.ts
@@ -49,12 +49,20 @@
   lastRefusal: DirectRefusalReason | undefined;
 }
 
+/** A call that arrived before the router knew how to serve it. */
+export interface WaitingCall {
+  readonly call: DirectCall;
+  readonly receivedMs: Millis;
+}
+
 export interface DirectState {
   readonly options: DirectOptions;
   readonly directory: EndpointDirectory;
   readonly warmth: WarmthIndex;
   readonly requests: Map<number, ActiveRequest>;
   readonly retryWindows: Map<string, RetryWindow>;
+  /** Calls by key that wait for the first configuration and endpoints. */
+  readonly waiting: Map<number, WaitingCall>;
   routes: RouteTable | undefined;
   /** Routers that share the retry budgets, this one included. */
   routerCount: number;
@@ -71,6 +79,7 @@
     warmth: new WarmthIndex(),
     requests: new Map(),
     retryWindows: new Map(),
+    waiting: new Map(),
     routes: undefined,
     routerCount: 1,
     storeAvailable: false,
--- a/packages/core/src/direct/index.ts
+++ b/packages/core/src/direct/index.ts
@@ -1,10 +1,10 @@
 export * from "./choose_endpoint.js";
 export * from "./direct_event.js";
 export {
+  canServe,
   createDirectState,
   type DirectOptions,
   type DirectState,
-  canServe,
   ownLoads,
 } from "./direct_state.js";
 export * from "./endpoint_directory.js";
--- a/packages/core/src/direct/reduce_direct.ts
+++ b/packages/core/src/direct/reduce_direct.ts
@@ -15,6 +15,7 @@
 import {
   type ActiveAttempt,
   type ActiveRequest,
+  canServe,
   type DirectState,
   retryWindowOf,
 } from "./direct_state.js";
@@ -29,6 +30,12 @@
 /** A caller is answered this long before it stops to wait. */
 const ANSWER_MARGIN_MS: Millis = 20;
 
+/** A call that arrives during the start waits this long at the most. */
+const START_WAIT_MS: Millis = 800;
+
+/** Part of a call's deadline that it may wait during the start. */
+const START_WAIT_SHARE = 0.4;
+
 /** How long after an outage a removed entry may still come back. */
 const LAPSE_MS: Millis = 1800;
 
@@ -42,20 +49,33 @@
 ): DirectEffect[] {
   switch (event.type) {
     case "call_received":
-      return receiveCall(state, event.key, event.call, event.nowMs);
+      return canServe(state) || state.stopping
+        ? receiveCall(state, event.key, event.call, event.nowMs, event.nowMs)
+        : holdCall(state, event.key, event.call, event.nowMs);
     case "caller_gone":
-      return withRequest(state, event.key, (request) =>
-        loseCaller(state, request, event.nowMs));
+      state.waiting.delete(event.key);
+      return withRequest(
+        state,
+        event.key,
+        (request) => loseCaller(state, request, event.nowMs),
+      );
     case "attempt_head":
-      return withAttempt(state, event, (request, attempt) =>
-        receiveHead(state, request, attempt, event.head, event.nowMs));
+      return withAttempt(
+        state,
+        event,
+        (request, attempt) =>
+          receiveHead(state, request, attempt, event.head, event.nowMs),
+      );
     case "attempt_progress":
       return withAttempt(state, event, ({ key }) => [
         { type: "clear_timer", key, timer: "attempt" },
       ]);
     case "attempt_ended":
-      return withAttempt(state, event, (request) =>
-        endAttempt(state, request, event.nowMs));
+      return withAttempt(
+        state,
+        event,
+        (request) => endAttempt(state, request, event.nowMs),
+      );
     case "attempt_failed":
       return withAttempt(state, event, (request, attempt) =>
         failAttempt(
@@ -67,14 +87,27 @@
           event.canResume,
         ));
     case "timer_fired":
-      return withRequest(state, event.key, (request) =>
-        event.timer === "deadline"
-          ? passDeadline(state, request, event.nowMs)
-          : losePatience(state, request, event.nowMs));
+      if (state.waiting.has(event.key)) {
+        return releaseCall(state, event.key, event.nowMs);
+      }
+      return withRequest(
+        state,
+        event.key,
+        (request) =>
+          event.timer === "deadline"
+            ? passDeadline(state, request, event.nowMs)
+            : losePatience(state, request, event.nowMs),
+      );
     case "config_received":
-      return receiveConfig(state, event);
+      return [
+        ...receiveConfig(state, event),
+        ...releaseCalls(state, event.nowMs),
+      ];
     case "endpoints_changed":
-      return changeEndpoints(state, event);
+      return [
+        ...changeEndpoints(state, event),
+        ...releaseCalls(state, event.nowMs),
+      ];
     case "store_state_changed":
       return changeStoreState(state, event);
     case "peer_loads":
@@ -122,10 +155,51 @@
   );
 }
 
+/**
+ * Lets a call wait for the first configuration, which arrives a moment after
+ * the process starts. A refusal would use up the caller's few retries.
+ */
+function holdCall(
+  state: DirectState,
+  key: number,
+  call: DirectCall,
+  nowMs: Millis,
+): DirectEffect[] {
+  state.waiting.set(key, { call, receivedMs: nowMs });
+  const delayMs = Math.min(
+    START_WAIT_MS,
+    (call.deadlineMs ?? DEFAULT_DEADLINE_MS) * START_WAIT_SHARE,
+  );
+  return [{ type: "set_timer", key, timer: "deadline", delayMs }];
+}
+
+function releaseCall(
+  state: DirectState,
+  key: number,
+  nowMs: Millis,
+): DirectEffect[] {
+  const held = state.waiting.get(key);
+  if (!held) {
+    return [];
+  }
+  state.waiting.delete(key);
+  return receiveCall(state, key, held.call, held.receivedMs, nowMs);
+}
+
+function releaseCalls(state: DirectState, nowMs: Millis): DirectEffect[] {
+  if (!canServe(state)) {
+    return [];
+  }
+  return [...state.waiting.keys()].flatMap((key) =>
+    releaseCall(state, key, nowMs)
+  );
+}
+
 function receiveCall(
   state: DirectState,
   key: number,
   call: DirectCall,
+  receivedMs: Millis,
   nowMs: Millis,
 ): DirectEffect[] {
   const { routes } = state;
@@ -147,7 +221,7 @@
   if (account === "unknown") {
     return rejectCall(key, call, "unknown_key", routes.version);
   }
-  const request = createRequest(key, call, route, account, nowMs);
+  const request = createRequest(key, call, route, account, receivedMs);
   state.requests.set(key, request);
   retryWindowOf(state, request.service).noteRequest(nowMs);
   return [
--- a/packages/daemon/src/direct/direct_router_host.ts
+++ b/packages/daemon/src/direct/direct_router_host.ts
@@ -267,8 +267,7 @@
     const id = attemptKey(key, attempt);
     const at = () => ({ nowMs: this.#clock.nowMs(), key, attempt });
     const running = new EndpointAttempt(effect, connection, this.#dialect, {
-      head: (head) =>
-        this.#queue.push({ type: "attempt_head", ...at(), head }),
+      head: (head) => this.#queue.push({ type: "attempt_head", ...at(), head }),
       progress: () => this.#queue.push({ type: "attempt_progress", ...at() }),
       ended: () => this.#queue.push({ type: "attempt_ended", ...at() }),
       failed: (failure) =>
--- a/packages/daemon/src/direct/event_stream_cut.ts
+++ b/packages/daemon/src/direct/event_stream_cut.ts
@@ -50,7 +50,9 @@
   }
 
   #noteIds(whole: Buffer): void {
-    for (const [, id] of whole.toString("latin1").matchAll(/^id: ?(.*?)\r?$/gm)) {
+    for (
+      const [, id] of whole.toString("latin1").matchAll(/^id: ?(.*?)\r?$/gm)
+    ) {
       this.#lastEventId = id;
     }
   }
--- a/packages/daemon/src/direct/peer_mesh.ts
+++ b/packages/daemon/src/direct/peer_mesh.ts
@@ -9,11 +9,11 @@
 import {
   type Disposable,
   Emitter,
-  PeerDialer,
-  PeerServer,
   type PeerConnection,
   type PeerConnectionOptions,
+  PeerDialer,
   type PeerIdentity,
+  PeerServer,
   seedPeerId,
   TrafficMeter,
 } from "../net/index.js";
--- a/packages/daemon/src/direct/stdout_log.ts
+++ b/packages/daemon/src/direct/stdout_log.ts
@@ -66,7 +66,9 @@
   }
 
   #startWindow(nowMs: number): void {
-    if (nowMs >= this.#windowStartMs && nowMs - this.#windowStartMs < WINDOW_MS) {
+    if (
+      nowMs >= this.#windowStartMs && nowMs - this.#windowStartMs < WINDOW_MS
+    ) {
       return;
     }
     this.#windowStartMs = nowMs;
--- a/rolldown.config.js
+++ b/rolldown.config.js
@@ -2,9 +2,9 @@
 
 const source = (path) => fileURLToPath(new URL(path, import.meta.url));
 
-/** Bundles the router for the platform into one file, which starts faster. */
-export default {
-  input: "platform/src/main.ts",
+/** Bundles a program into one file, which starts faster. */
+const bundle = (input, file) => ({
+  input,
   platform: "node",
   resolve: {
     alias: {
@@ -14,10 +14,10 @@
     },
     extensionAlias: { ".js": [".ts", ".js"] },
   },
-  output: {
-    file: "target/anvildeal.cjs",
-    format: "cjs",
-    minify: true,
-    legalComments: "none",
-  },
-};
+  output: { file, format: "cjs", minify: true, comments: { legal: false } },
+});
+
+export default [
+  bundle("platform/src/main.ts", "target/anvildeal.cjs"),
+  bundle("platform/src/warm_up.ts", "target/warm_up.cjs"),
+];
