--- a/packages/core/src/direct/retry_window.ts
+++ b/packages/core/src/direct/retry_window.ts
@@ -19,8 +19,8 @@
  */
 export class RetryWindow {
   readonly #partMs: Millis;
-  readonly #requests = new Array<number>(PARTS).fill(0);
-  readonly #retries = new Array<number>(PARTS).fill(0);
+  readonly #requests = Array.from({ length: PARTS }, () => 0);
+  readonly #retries = Array.from({ length: PARTS }, () => 0);
   #part = 0;
 
   constructor(windowMs: Millis) {
--- a/packages/daemon/src/direct/answer_writer.ts
+++ b/packages/daemon/src/direct/answer_writer.ts
@@ -22,6 +22,7 @@
   #cut: EventStreamCut | undefined;
   #resumePoint: string | undefined;
   #hasLength = false;
+  #unframed = false;
 
   constructor(
     request: IncomingMessage,
@@ -63,6 +64,7 @@
       this.#hasLength ||= headers[i]!.toLowerCase() === "content-length";
       kept.push(headers[i]!, headers[i + 1]!);
     }
+    this.#unframed = unframed;
     if (unframed) {
       this.response.useChunkedEncodingByDefault = false;
     }
@@ -92,6 +94,10 @@
 
   /** Cuts the answer, so that it cannot look whole. */
   breakOff(): void {
+    if (this.#unframed) {
+      // A plain close would be the regular end of such an answer.
+      this.request.socket.resetAndDestroy();
+    }
     this.response.destroy();
   }
 }
--- a/packages/daemon/src/direct/directory_sync.ts
+++ b/packages/daemon/src/direct/directory_sync.ts
@@ -48,7 +48,8 @@
   readonly #records = new Map<string, EndpointRecord>();
   /** Directory revision of the records; 0 while none is known. */
   #revision = 0;
-  #failures = 0;
+  /** Consecutive failures by collection. */
+  readonly #failures = new Map<string, number>();
   #warmNews: WarmEntry[] = [];
   #warmTimer: NodeJS.Timeout | undefined;
   #behindSinceMs: Millis | undefined;
@@ -180,8 +181,7 @@
     });
     watcher.onAnswer(() => {
       count("ok");
-      this.#failures = 0;
-      this.#noteStore(true);
+      this.#noteFailures(collection.label, 0);
     });
     watcher.onFailure(({ historyGone, ...failure }) => {
       count("failed");
@@ -189,14 +189,21 @@
       if (historyGone) {
         return;
       }
-      this.#failures++;
-      if (this.#failures >= LOST_AFTER_FAILURES) {
-        this.#noteStore(false);
-      }
+      const failures = this.#failures.get(collection.label) ?? 0;
+      this.#noteFailures(collection.label, failures + 1);
     });
     return watcher;
   }
 
+  /** A single failure may be a watch that was cut, not an outage. */
+  #noteFailures(label: string, failures: number): void {
+    this.#failures.set(label, failures);
+    const most = Math.max(...this.#failures.values());
+    if (most === 0 || most >= LOST_AFTER_FAILURES) {
+      this.#noteStore(most === 0);
+    }
+  }
+
   #noteStore(available: boolean): void {
     this.#options.push({
       type: "store_state_changed",
