--- a/packages/core/src/direct/direct_attempt.ts
+++ b/packages/core/src/direct/direct_attempt.ts
@@ -36,7 +36,7 @@
   switch (verdict) {
     case "relay":
       endpoint.noteSuccess(nowMs);
-      return relay(request, attempt);
+      return relay(request, attempt, nowMs);
     case "not_run":
       if (head.otherEndpoint) {
         endpoint.suspect(nowMs);
@@ -97,16 +97,27 @@
 function relay(
   request: ActiveRequest,
   attempt: ActiveAttempt,
+  nowMs: Millis,
 ): DirectEffect[] {
   request.snapshot =
     advanceRequest(request.snapshot, { type: "accepted" }).snapshot;
   request.answering = true;
-  const effects: DirectEffect[] = [{
-    type: "relay",
-    key: request.key,
-    attempt: attempt.number,
-    endpointId: attempt.endpoint.id,
-  }];
+  const effects: DirectEffect[] = [
+    {
+      type: "relay",
+      key: request.key,
+      attempt: attempt.number,
+      endpointId: attempt.endpoint.id,
+    },
+    {
+      type: "measure",
+      measurement: {
+        metric: "direct_first_byte_ms",
+        value: nowMs - request.receivedMs,
+        labels: { kind: request.route.callKind },
+      },
+    },
+  ];
   if (request.route.callKind !== "stream") {
     effects.push({ type: "clear_timer", key: request.key, timer: "attempt" });
   }
@@ -155,7 +166,7 @@
   attempt.endpoint.failures.note(nowMs, true);
   request.possibleRuns++;
   if (!request.answering && !canRepeat(state, request, nowMs)) {
-    return canRelayFailure(head) ? relay(request, attempt) : [
+    return canRelayFailure(head) ? relay(request, attempt, nowMs) : [
       ...closeFailed(request, attempt),
       ...refuse(state, request, nowMs, "endpoint_failed"),
     ];
--- /dev/null
+++ b/packages/core/src/direct/endpoint_directory_test.ts
@@ -0,0 +1,74 @@
+import { describe, expect, it } from "vitest";
+import { EndpointDirectory } from "./endpoint_directory.js";
+import type { EndpointRecord } from "./routing_config.js";
+
+const RECORD: EndpointRecord = {
+  id: "e1",
+  service: "pool",
+  address: "10.0.0.1:80",
+  failureDomain: "a",
+  state: "ready",
+  incarnation: 1,
+};
+
+function add(directory: EndpointDirectory, fields = {}, lapseMs = 0) {
+  return directory.apply(
+    { upserts: [{ ...RECORD, ...fields }], removedIds: [], whole: false },
+    0,
+    lapseMs,
+  );
+}
+
+describe("EndpointDirectory", () => {
+  it("believes a removal at once while the directory is undisturbed", () => {
+    const directory = new EndpointDirectory();
+    add(directory);
+    directory.apply({ upserts: [], removedIds: ["e1"], whole: false }, 0, 0);
+    expect(directory.get("e1")).toBeUndefined();
+  });
+
+  it("keeps what an outage removed for a moment, in case it comes back", () => {
+    const directory = new EndpointDirectory();
+    add(directory);
+    directory.apply({ upserts: [], removedIds: [], whole: true }, 100, 1800);
+    expect(directory.get("e1")?.lapsedUntilMs).toBe(1900);
+    expect(directory.expire(1899)).toEqual([]);
+    expect(directory.expire(1900)).toMatchObject([{ change: "removed" }]);
+    expect(directory.get("e1")).toBeUndefined();
+  });
+
+  it("takes an entry back that appears again in time", () => {
+    const directory = new EndpointDirectory();
+    add(directory);
+    directory.apply({ upserts: [], removedIds: ["e1"], whole: false }, 0, 1800);
+    add(directory);
+    expect(directory.get("e1")?.lapsedUntilMs).toBeUndefined();
+    expect(directory.expire(5000)).toEqual([]);
+  });
+
+  it("never keeps a draining endpoint that was removed", () => {
+    const directory = new EndpointDirectory();
+    add(directory, { state: "draining" });
+    directory.apply({ upserts: [], removedIds: ["e1"], whole: false }, 0, 1800);
+    expect(directory.get("e1")).toBeUndefined();
+  });
+
+  it("starts anew for a process that was restarted under its id", () => {
+    const directory = new EndpointDirectory();
+    add(directory);
+    const before = directory.get("e1")!;
+    before.suspect(0);
+    expect(add(directory, { incarnation: 2 })).toMatchObject([
+      { change: "restarted" },
+    ]);
+    expect(directory.get("e1")).not.toBe(before);
+    expect(directory.get("e1")?.isSuspected(0)).toBe(false);
+  });
+
+  it("ignores a late entry of an earlier start", () => {
+    const directory = new EndpointDirectory();
+    add(directory, { incarnation: 2 });
+    add(directory, { incarnation: 1, address: "10.0.0.9:80" });
+    expect(directory.get("e1")?.record.address).toBe("10.0.0.1:80");
+  });
+});
--- /dev/null
+++ b/packages/core/src/direct/retry_window_test.ts
@@ -0,0 +1,53 @@
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import { RetryWindow } from "./retry_window.js";
+
+const WINDOW_MS = 10_000;
+
+describe("RetryWindow", () => {
+  it("never exceeds the budget in any window", () => {
+    const allowance = { ratio: 0.2, extra: 3 };
+    fc.assert(
+      fc.property(
+        fc.array(
+          fc.record({
+            gapMs: fc.integer({ min: 0, max: 1500 }),
+            retries: fc.integer({ min: 0, max: 4 }),
+          }),
+          { maxLength: 200 },
+        ),
+        (steps) => {
+          const window = new RetryWindow(WINDOW_MS);
+          const requests: number[] = [];
+          const retries: number[] = [];
+          let nowMs = 0;
+          for (const { gapMs, retries: wanted } of steps) {
+            nowMs += gapMs;
+            window.noteRequest(nowMs);
+            requests.push(nowMs);
+            for (let i = 0; i < wanted; i++) {
+              if (window.tryRetry(nowMs, allowance)) {
+                retries.push(nowMs);
+              }
+            }
+            const inLast = (times: number[], spanMs: number) =>
+              times.filter((time) => time > nowMs - spanMs).length;
+            expect(inLast(retries, WINDOW_MS * 0.9)).toBeLessThanOrEqual(
+              allowance.ratio * inLast(requests, WINDOW_MS * 1.1) +
+                allowance.extra,
+            );
+          }
+        },
+      ),
+      { seed: 1, numRuns: 200 },
+    );
+  });
+
+  it("allows retries again once the window has passed", () => {
+    const window = new RetryWindow(WINDOW_MS);
+    const allowance = { ratio: 0, extra: 1 };
+    expect(window.tryRetry(0, allowance)).toBe(true);
+    expect(window.tryRetry(5000, allowance)).toBe(false);
+    expect(window.tryRetry(11_000, allowance)).toBe(true);
+  });
+});
--- a/packages/core/src/metric_names.ts
+++ b/packages/core/src/metric_names.ts
@@ -140,11 +140,6 @@
     help: "Calls to the platform's directory by kind and result",
     labels: ["kind", "result"],
   },
-  log_lines_dropped_total: {
-    kind: "counter",
-    help: "Log lines left out to bound their volume",
-    labels: ["reason"],
-  },
 } as const satisfies Record<
   string,
   {
