--- /dev/null
+++ b/packages/core/src/direct/reduce_direct_property_test.ts
@@ -0,0 +1,412 @@
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import type { AnswerHead, DirectCall, DirectEffect } from "./direct_event.js";
+import { createDirectState, type DirectState } from "./direct_state.js";
+import { reduceDirect } from "./reduce_direct.js";
+import type { EndpointRecord, RoutingConfig } from "./routing_config.js";
+
+const RUNS = 400;
+const SEED = 20_261;
+const MAX_ATTEMPTS = 2;
+
+/** What the endpoint of an attempt does next. */
+type Answer =
+  | "whole"
+  | "error"
+  | "not_run"
+  | "other_endpoint"
+  | "foreign"
+  | "reset"
+  | "connect_failed"
+  | "silent";
+
+interface Step {
+  readonly action:
+    | "call"
+    | "answer"
+    | "end"
+    | "break"
+    | "gone"
+    | "patience"
+    | "config"
+    | "endpoints";
+  readonly pick: number;
+  readonly route: "read" | "write" | "chat" | "resume";
+  readonly answer: Answer;
+  readonly gapMs: number;
+}
+
+const stepArbitrary: fc.Arbitrary<Step> = fc.record({
+  action: fc.constantFrom(
+    "call",
+    "call",
+    "answer",
+    "answer",
+    "answer",
+    "end",
+    "break",
+    "gone",
+    "patience",
+    "config",
+    "endpoints",
+  ),
+  pick: fc.nat(1000),
+  route: fc.constantFrom("read", "write", "chat", "resume"),
+  answer: fc.constantFrom(
+    "whole",
+    "whole",
+    "error",
+    "not_run",
+    "other_endpoint",
+    "foreign",
+    "reset",
+    "connect_failed",
+    "silent",
+  ),
+  gapMs: fc.nat(400),
+});
+
+function config(version: number): RoutingConfig {
+  const route = (
+    name: string,
+    callKind: "idempotent" | "non_idempotent" | "stream",
+    resumable = false,
+  ) => ({
+    name,
+    host: "h",
+    pathPrefix: `/${name}/`,
+    callKind,
+    targets: [{ service: "s", weight: 1 }],
+    timeoutMs: 2000,
+    priority: 1,
+    maxAttempts: callKind === "idempotent" || resumable ? MAX_ATTEMPTS : 1,
+    open: true,
+    sticky: callKind === "stream",
+    resumable,
+  });
+  return {
+    version,
+    routes: [
+      route("read", "idempotent"),
+      route("write", "non_idempotent"),
+      route("chat", "stream"),
+      route("resume", "stream", true),
+    ],
+    services: [{ name: "s" }],
+    limits: {
+      maxHeaderBytes: 1000,
+      maxBodyBytes: 1000,
+      headerTimeoutMs: 1000,
+      idleTimeoutMs: 1000,
+    },
+  };
+}
+
+function endpoint(i: number, incarnation: number): EndpointRecord {
+  return {
+    id: `e${i}`,
+    service: "s",
+    address: `10.0.0.${i}:80`,
+    failureDomain: i % 2 === 0 ? "a" : "b",
+    state: incarnation % 3 === 2 ? "draining" : "ready",
+    incarnation,
+  };
+}
+
+function callTo(route: string, key: number): DirectCall {
+  return {
+    callId: `c${key}`,
+    host: "h",
+    path: `/${route}/x`,
+    method: "POST",
+    apiKey: undefined,
+    deadlineMs: 3000,
+    model: undefined,
+    promptTokens: 0,
+    outputTokens: 0,
+    promptParts: [{ id: `p${key % 3}`, tokens: 500 }, { id: "own", tokens: 9 }],
+    headerBytes: 10,
+    bodyBytes: 0,
+  };
+}
+
+/** Follows one request from the outside. */
+interface Followed {
+  readonly route: Step["route"];
+  attempt: number;
+  endpointId: string;
+  /** Attempts that ran, or may have run. */
+  runs: Set<number>;
+  relayed: boolean;
+  finals: string[];
+  forgotten: boolean;
+}
+
+class Model {
+  readonly state: DirectState;
+  readonly followed = new Map<number, Followed>();
+  nowMs = 1000;
+  version = 1;
+  #nextKey = 1;
+
+  constructor() {
+    this.state = createDirectState({
+      nodeId: "n",
+      failureDomain: "a",
+      retryRatio: 0.2,
+      retryExtra: 20,
+      retryWindowMs: 10_000,
+      loadMultiple: 1.5,
+    });
+    this.apply(reduceDirect(this.state, {
+      type: "config_received",
+      nowMs: 0,
+      config: config(1),
+      source: "test",
+    }));
+    this.#setEndpoints([1, 2, 3].map((i) => endpoint(i, 1)));
+  }
+
+  step({ action, answer, gapMs, pick, route }: Step): void {
+    this.nowMs += gapMs;
+    const open = [...this.followed].filter(([, { forgotten }]) => !forgotten);
+    const [key, followed] = open[pick % Math.max(1, open.length)] ?? [];
+    switch (action) {
+      case "call":
+        this.#call(route);
+        break;
+      case "config":
+        this.#changeConfig(pick % 5);
+        break;
+      case "endpoints":
+        this.#setEndpoints(
+          [1, 2, 3, 4].filter((i) => pick & (1 << i))
+            .map((i) => endpoint(i, 1 + pick % 5)),
+        );
+        break;
+      default:
+        if (key !== undefined && followed) {
+          this.#stepRequest(action, key, followed, answer);
+        }
+    }
+  }
+
+  /** Lets every deadline pass. */
+  finish(): void {
+    this.nowMs += 10_000;
+    for (const key of this.followed.keys()) {
+      this.apply(reduceDirect(this.state, {
+        type: "timer_fired",
+        nowMs: this.nowMs,
+        key,
+        timer: "deadline",
+      }));
+    }
+  }
+
+  apply(effects: readonly DirectEffect[]): void {
+    for (const effect of effects) {
+      const followed = "key" in effect
+        ? this.followed.get(effect.key)
+        : undefined;
+      if (!followed) {
+        continue;
+      }
+      switch (effect.type) {
+        case "start_attempt":
+          this.#checkStart(followed, effect.attempt);
+          followed.attempt = effect.attempt;
+          followed.endpointId = effect.endpointId;
+          break;
+        case "relay":
+          followed.relayed = true;
+          break;
+        case "refuse":
+          expect(followed.relayed).toBe(false);
+          if (effect.refusal.outcome === "not-run") {
+            expect([...followed.runs]).toEqual([]);
+          } else {
+            expect([408, 421, 429, 503]).not.toContain(effect.refusal.status);
+          }
+          followed.finals.push("refuse");
+          break;
+        case "break_off":
+          expect(followed.relayed).toBe(true);
+          followed.finals.push("break_off");
+          break;
+        case "forget":
+          expect(followed.forgotten).toBe(false);
+          followed.forgotten = true;
+          break;
+      }
+    }
+  }
+
+  #checkStart(followed: Followed, attempt: number): void {
+    expect(followed.forgotten).toBe(false);
+    expect(attempt).toBe(followed.attempt + 1);
+    const repeatable = followed.route === "read" ||
+      followed.route === "resume";
+    expect(followed.runs.size).toBeLessThan(repeatable ? MAX_ATTEMPTS : 1);
+  }
+
+  #call(route: Step["route"]): void {
+    const key = this.#nextKey++;
+    this.followed.set(key, {
+      route,
+      attempt: 0,
+      endpointId: "",
+      runs: new Set(),
+      relayed: false,
+      finals: [],
+      forgotten: false,
+    });
+    this.apply(reduceDirect(this.state, {
+      type: "call_received",
+      nowMs: this.nowMs,
+      key,
+      call: callTo(route, key),
+    }));
+  }
+
+  #stepRequest(
+    action: Step["action"],
+    key: number,
+    followed: Followed,
+    answer: Answer,
+  ): void {
+    const at = { nowMs: this.nowMs, key, attempt: followed.attempt };
+    if (action === "gone") {
+      followed.finals.push("gone");
+      this.apply(reduceDirect(this.state, { type: "caller_gone", ...at }));
+      return;
+    }
+    if (followed.attempt === 0) {
+      return;
+    }
+    switch (action) {
+      case "answer":
+        this.#answer(followed, at, answer);
+        break;
+      case "end":
+        if (followed.relayed) {
+          followed.finals.push("end");
+          this.apply(
+            reduceDirect(this.state, { type: "attempt_ended", ...at }),
+          );
+        }
+        break;
+      case "break":
+        followed.runs.add(followed.attempt);
+        this.apply(reduceDirect(this.state, {
+          type: "attempt_failed",
+          ...at,
+          failure: { kind: "reset", sent: true },
+          canResume: followed.route === "resume",
+        }));
+        break;
+      case "patience":
+        if (followed.route === "read" || followed.route === "resume") {
+          followed.runs.add(followed.attempt);
+          this.apply(reduceDirect(this.state, {
+            type: "timer_fired",
+            ...at,
+            timer: "attempt",
+          }));
+        }
+        break;
+    }
+  }
+
+  #answer(
+    followed: Followed,
+    at: { nowMs: number; key: number; attempt: number },
+    answer: Answer,
+  ): void {
+    if (answer === "silent" || followed.relayed) {
+      return;
+    }
+    if (answer === "reset" || answer === "connect_failed") {
+      const sent = answer === "reset";
+      if (sent) {
+        followed.runs.add(followed.attempt);
+      }
+      this.apply(reduceDirect(this.state, {
+        type: "attempt_failed",
+        ...at,
+        failure: { kind: sent ? "reset" : "connect", sent },
+        canResume: true,
+      }));
+      return;
+    }
+    if (answer !== "not_run" && answer !== "other_endpoint") {
+      followed.runs.add(followed.attempt);
+    }
+    this.apply(reduceDirect(this.state, {
+      type: "attempt_head",
+      ...at,
+      head: headOf(answer, at.key),
+    }));
+  }
+
+  #changeConfig(offset: number): void {
+    const before = this.state.routes!.version;
+    const version = Math.max(1, before + offset - 2);
+    this.apply(reduceDirect(this.state, {
+      type: "config_received",
+      nowMs: this.nowMs,
+      config: config(version),
+      source: "test",
+    }));
+    expect(this.state.routes!.version).toBe(Math.max(before, version));
+  }
+
+  #setEndpoints(upserts: readonly EndpointRecord[]): void {
+    this.apply(reduceDirect(this.state, {
+      type: "endpoints_changed",
+      nowMs: this.nowMs,
+      change: { upserts, removedIds: [], whole: true },
+      source: "test",
+    }));
+  }
+}
+
+function headOf(
+  answer: "whole" | "error" | "not_run" | "other_endpoint" | "foreign",
+  key: number,
+): AnswerHead {
+  return {
+    status: { whole: 200, error: 500, not_run: 503, other_endpoint: 421 }[
+      answer as "whole"
+    ] ?? 200,
+    callId: answer === "foreign" ? "another" : `c${key}`,
+    sealed: answer === "whole" || answer === "error",
+    notRun: answer === "not_run",
+    otherEndpoint: answer === "other_endpoint",
+    load: undefined,
+  };
+}
+
+describe("reduceDirect", () => {
+  it("keeps every promise, whatever order things happen in", () => {
+    fc.assert(
+      fc.property(fc.array(stepArbitrary, { maxLength: 150 }), (steps) => {
+        const model = new Model();
+        for (const step of steps) {
+          model.step(step);
+        }
+        model.finish();
+        for (const followed of model.followed.values()) {
+          expect(followed.forgotten).toBe(true);
+          expect(followed.finals.length).toBe(1);
+        }
+        expect(model.state.requests.size).toBe(0);
+        expect(model.state.waiting.size).toBe(0);
+        for (const view of model.state.directory.all()) {
+          expect(view.ownInFlight).toBe(0);
+        }
+      }),
+      { seed: SEED, numRuns: RUNS },
+    );
+  });
+});
