--- a/packages/core/src/direct/reduce_direct_property_test.ts
+++ b/packages/core/src/direct/reduce_direct_property_test.ts
@@ -79,7 +79,8 @@
     targets: [{ service: "s", weight: 1 }],
     timeoutMs: 2000,
     priority: 1,
-    maxAttempts: callKind === "idempotent" || resumable ? MAX_ATTEMPTS : 1,
+    // The kind forbids the repeat, not only the number of attempts.
+    maxAttempts: MAX_ATTEMPTS,
     open: true,
     sticky: callKind === "stream",
     resumable,
