--- a/packages/daemon/src/direct/direct_router_host.ts
+++ b/packages/daemon/src/direct/direct_router_host.ts
@@ -277,6 +277,7 @@
           failure,
           canResume: writer.canResume,
         }),
+      stale: (idleMs) => this.#connections.noteStale(idleMs),
       done: (reusable) => {
         this.#attempts.delete(id);
         if (reusable) {
--- a/packages/daemon/src/direct/endpoint_attempt.ts
+++ b/packages/daemon/src/direct/endpoint_attempt.ts
@@ -1,4 +1,9 @@
-import type { AnswerHead, AttemptFailure, StartAttempt } from "@anvildeal/core";
+import type {
+  AnswerHead,
+  AttemptFailure,
+  Millis,
+  StartAttempt,
+} from "@anvildeal/core";
 import type { Dispatcher } from "undici";
 import type { AnswerWriter } from "./answer_writer.js";
 import type { CallDialect, RawHeaders } from "./call_dialect.js";
@@ -14,6 +19,8 @@
   progress(): void;
   ended(): void;
   failed(failure: AttemptFailure): void;
+  /** A kept connection broke before any answer, after this idle time. */
+  stale(idleMs: Millis): void;
   /** The connection carries no request any more. */
   done(reusable: boolean): void;
 }
@@ -172,6 +179,10 @@
     }
     const discarding = this.#mode === "discarding";
     const sent = this.#controller !== undefined;
+    const { idleBeforeUseMs } = this.#connection;
+    if (sent && this.#status === 0 && idleBeforeUseMs !== undefined) {
+      this.#listener.stale(idleBeforeUseMs);
+    }
     this.#close(false);
     if (!discarding) {
       this.#listener.failed({
--- a/packages/daemon/src/direct/endpoint_connection.ts
+++ b/packages/daemon/src/direct/endpoint_connection.ts
@@ -24,6 +24,8 @@
   #idleLimitMs: Millis = DEFAULT_IDLE_MS - IDLE_MARGIN_MS;
   /** Monotonic time since which the connection carries no request. */
   idleSinceMs: Millis = 0;
+  /** Idle time before the current request; undefined for the first one. */
+  idleBeforeUseMs: Millis | undefined;
 
   constructor(address: string, onClosed: (self: EndpointConnection) => void) {
     this.#client = new Client(`http://${address}`, {
--- a/packages/daemon/src/direct/endpoint_connections.ts
+++ b/packages/daemon/src/direct/endpoint_connections.ts
@@ -2,17 +2,31 @@
 import type { Disposable } from "../net/index.js";
 import { EndpointConnection } from "./endpoint_connection.js";
 
-/** A call that may run twice may also meet a connection that just closed. */
+/** A call that may run twice can meet a connection that just closed. */
 const MAX_IDLE_REPEATABLE_MS: Millis = 30_000;
 
-/** A call that may run once only uses connections that worked just now. */
-const MAX_IDLE_ONCE_MS: Millis = 2500;
+/** A call that may run once uses connections that are surely still open. */
+const MAX_IDLE_ONCE_MS: Millis = 6000;
+
+/** Idle times below this are not doubted. */
+const MIN_IDLE_ONCE_MS: Millis = 200;
+
+/** Part of an idle time that proved too long which is trusted from then on. */
+const STALE_BACKOFF = 0.6;
+
+/** Growth of the trusted idle time with each second, up to the maximum. */
+const TRUST_GROWTH_MS: Millis = 100;
+
+/** An endpoint's second answer to one request shows within this time. */
+const SETTLE_MS: Millis = 30;
 
 /** Open connections to endpoints, kept for further requests. */
 export class EndpointConnections implements Disposable {
   readonly #clock: Clock;
   readonly #idle = new Map<string, EndpointConnection[]>();
   readonly #all = new Set<EndpointConnection>();
+  #trustedIdleMs: Millis = MAX_IDLE_ONCE_MS;
+  #trustedAtMs: Millis = 0;
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -25,8 +39,10 @@
   /**
    * Takes a connection to the endpoint, or opens one.
    *
-   * The connection that has been idle longest goes first: bytes that an
-   * endpoint sent after its last answer have had time to show and to end it.
+   * The one that has been idle longest goes first, which keeps more of them
+   * open through the pauses between bursts. It must have been idle for a
+   * moment, so that bytes that an endpoint sent after its last answer have had
+   * time to show and to end it.
    */
   acquire(
     endpointId: string,
@@ -35,13 +51,18 @@
   ): EndpointConnection {
     const key = poolKey(endpointId, address);
     const nowMs = this.#clock.nowMs();
-    const maxIdleMs = repeatable ? MAX_IDLE_REPEATABLE_MS : MAX_IDLE_ONCE_MS;
+    const maxIdleMs = repeatable
+      ? MAX_IDLE_REPEATABLE_MS
+      : this.#trustedIdle(nowMs);
     const idle = this.#idle.get(key) ?? [];
-    for (const [index, connection] of idle.entries()) {
-      if (connection.isReusable(nowMs, maxIdleMs)) {
-        idle.splice(index, 1);
-        return connection;
-      }
+    const index = idle.findIndex((connection) =>
+      connection.isReusable(nowMs, maxIdleMs) &&
+      nowMs - connection.idleSinceMs >= SETTLE_MS
+    );
+    if (index >= 0) {
+      const [connection] = idle.splice(index, 1);
+      connection!.idleBeforeUseMs = nowMs - connection!.idleSinceMs;
+      return connection!;
     }
     const opened = new EndpointConnection(address, (closed) => {
       this.#all.delete(closed);
@@ -70,6 +91,16 @@
     }
   }
 
+  /** Notes that a connection was dead when it was used after this idle time. */
+  noteStale(idleMs: Millis): void {
+    const nowMs = this.#clock.nowMs();
+    this.#trustedIdleMs = Math.max(
+      MIN_IDLE_ONCE_MS,
+      Math.min(this.#trustedIdle(nowMs), idleMs * STALE_BACKOFF),
+    );
+    this.#trustedAtMs = nowMs;
+  }
+
   /** Closes connections that are idle beyond their limit. */
   closeExpired(): void {
     const nowMs = this.#clock.nowMs();
@@ -90,6 +121,11 @@
     this.#idle.clear();
   }
 
+  #trustedIdle(nowMs: Millis): Millis {
+    const grownMs = (nowMs - this.#trustedAtMs) / 1000 * TRUST_GROWTH_MS;
+    return Math.min(MAX_IDLE_ONCE_MS, this.#trustedIdleMs + grownMs);
+  }
+
   #dropIdle(key: string, connection: EndpointConnection): void {
     const idle = this.#idle.get(key);
     if (!idle) {
