--- a/packages/core/src/direct/direct_place.ts
+++ b/packages/core/src/direct/direct_place.ts
@@ -46,9 +46,12 @@
   if (!choice) {
     request.snapshot =
       advanceRequest(request.snapshot, { type: "no_endpoint" }).snapshot;
+    const reason = leftMs < MIN_ATTEMPT_MS
+      ? "deadline_passed"
+      : request.lastRefusal ?? "no_endpoint";
     return request.answering
-      ? finishRequest(state, request, nowMs, "broken_off")
-      : refuse(state, request, nowMs, request.lastRefusal ?? "no_endpoint");
+      ? finishRequest(state, request, nowMs, "broken_off", reason)
+      : refuse(state, request, nowMs, reason);
   }
   request.snapshot =
     advanceRequest(request.snapshot, { type: "placed" }).snapshot;
