--- a/packages/core/src/direct/direct_event.ts
+++ b/packages/core/src/direct/direct_event.ts
@@ -61,6 +61,19 @@
   readonly detail?: string;
 }
 
+/** No request in flight at the endpoint has received anything. */
+export interface EndpointSilence {
+  readonly endpointId: string;
+  readonly quietMs: Millis;
+}
+
+/** An answer that has begun does not go on. */
+export interface AttemptSilence {
+  readonly key: number;
+  readonly attempt: number;
+  readonly quietMs: Millis;
+}
+
 /** Timers of one request. */
 export type RequestTimer = "deadline" | "attempt";
 
@@ -137,6 +150,13 @@
   }
   /** What another router, or an earlier life of this one, knows. */
   | { readonly type: "warmth_told"; readonly entries: readonly WarmEntry[] }
+  /** Endpoints and answers from which no byte has come for a while. */
+  | {
+    readonly type: "silence_observed";
+    readonly nowMs: Millis;
+    readonly endpoints: readonly EndpointSilence[];
+    readonly attempts: readonly AttemptSilence[];
+  }
   | { readonly type: "peers_changed"; readonly routerCount: number }
   | { readonly type: "tick"; readonly nowMs: Millis }
   | { readonly type: "stopping"; readonly nowMs: Millis };
--- a/packages/core/src/direct/direct_place.ts
+++ b/packages/core/src/direct/direct_place.ts
@@ -10,14 +10,17 @@
 /** Time left below which no attempt is started. */
 const MIN_ATTEMPT_MS: Millis = 5;
 
-/** An idempotent call without an answer is repeated after this time. */
-const CALL_PATIENCE_MS: Millis = 300;
+/** An attempt without an answer is repeated after this time at the latest. */
+const MAX_PATIENCE_MS: Millis = 1500;
 
-/** A resumable stream without its first bytes moves after this time. */
-const STREAM_PATIENCE_MS: Millis = 1500;
+/**
+ * Part of the latency objective after which an attempt without an answer is
+ * repeated: late enough for most answers, early enough for another one.
+ */
+const PATIENCE_SHARE = 0.6;
 
 /** Part of the time left after which an attempt is given up at the latest. */
-const PATIENCE_SHARE = 0.5;
+const LEFT_SHARE = 0.5;
 
 /** Copying fewer tokens than this is not worth the transfer. */
 const MIN_FETCHED_TOKENS = 256;
@@ -119,10 +122,12 @@
   ) {
     return undefined;
   }
-  const patienceMs = route.callKind === "stream"
-    ? STREAM_PATIENCE_MS
-    : CALL_PATIENCE_MS;
-  return Math.min(patienceMs, leftMs * PATIENCE_SHARE);
+  const objectiveMs = route.objectiveMs ?? Number.POSITIVE_INFINITY;
+  return Math.min(
+    MAX_PATIENCE_MS,
+    objectiveMs * PATIENCE_SHARE,
+    leftMs * LEFT_SHARE,
+  );
 }
 
 /** Prompt parts that other requests can have in common with this one. */
--- a/packages/core/src/direct/reduce_direct.ts
+++ b/packages/core/src/direct/reduce_direct.ts
@@ -4,6 +4,7 @@
   initialRequestSnapshot,
 } from "../router/request_machine.js";
 import { failAttempt, receiveHead } from "./direct_attempt.js";
+import { isRepeatable } from "./direct_rules.js";
 import type {
   DirectCall,
   DirectEffect,
@@ -36,6 +37,15 @@
 /** Part of a call's deadline that it may wait during the start. */
 const START_WAIT_SHARE = 0.4;
 
+/** A busy endpoint that sends nothing for this long is avoided. */
+const SILENT_ENDPOINT_MS: Millis = 700;
+
+/** Longest pause between events that callers of other routes accept. */
+const DEFAULT_GAP_MS: Millis = 1000;
+
+/** Part of the longest pause after which a stream is moved. */
+const GAP_SHARE = 0.6;
+
 /** How long after an outage a removed entry may still come back. */
 const LAPSE_MS: Millis = 1800;
 
@@ -119,6 +129,8 @@
     case "warmth_told":
       takeWarmth(state, event.entries);
       return [];
+    case "silence_observed":
+      return observeSilence(state, event);
     case "peers_changed":
       state.routerCount = Math.max(1, event.routerCount);
       return [];
@@ -391,6 +403,35 @@
   );
 }
 
+/** Avoids endpoints that fell silent, and moves streams that may be moved. */
+function observeSilence(
+  state: DirectState,
+  event: Extract<DirectEvent, { type: "silence_observed" }>,
+): DirectEffect[] {
+  const { attempts, endpoints, nowMs } = event;
+  for (const { endpointId, quietMs } of endpoints) {
+    if (quietMs >= SILENT_ENDPOINT_MS) {
+      state.directory.get(endpointId)?.suspect(nowMs);
+    }
+  }
+  return attempts.flatMap((silence) =>
+    withAttempt(state, silence, (request, attempt) => {
+      const limitMs = (request.route.gapObjectiveMs ?? DEFAULT_GAP_MS) *
+        GAP_SHARE;
+      return isRepeatable(request.route) && silence.quietMs >= limitMs
+        ? failAttempt(
+          state,
+          request,
+          attempt,
+          { kind: "silent", sent: true },
+          nowMs,
+          true,
+        )
+        : [];
+    })
+  );
+}
+
 function receiveConfig(
   state: DirectState,
   event: Extract<DirectEvent, { type: "config_received" }>,
--- /dev/null
+++ b/packages/core/src/direct/reduce_direct_test.ts
@@ -0,0 +1,288 @@
+import { describe, expect, it } from "vitest";
+import type {
+  AnswerHead,
+  DirectCall,
+  DirectEffect,
+  StartAttempt,
+} from "./direct_event.js";
+import { createDirectState, type DirectState } from "./direct_state.js";
+import { reduceDirect } from "./reduce_direct.js";
+import type { EndpointRecord, RoutingConfig } from "./routing_config.js";
+
+const OPTIONS = {
+  nodeId: "n",
+  failureDomain: "a",
+  retryRatio: 0.2,
+  retryExtra: 10,
+  retryWindowMs: 10_000,
+  loadMultiple: 1.5,
+};
+
+const ROUTE = {
+  name: "read",
+  host: "h",
+  pathPrefix: "/read/",
+  callKind: "idempotent" as const,
+  targets: [{ service: "s", weight: 1 }],
+  timeoutMs: 2000,
+  objectiveMs: 100,
+  priority: 1,
+  maxAttempts: 2,
+  open: true,
+  sticky: false,
+  resumable: false,
+};
+
+const CONFIG: RoutingConfig = {
+  version: 1,
+  routes: [
+    ROUTE,
+    {
+      ...ROUTE,
+      name: "write",
+      pathPrefix: "/write/",
+      callKind: "non_idempotent",
+      maxAttempts: 1,
+    },
+    {
+      ...ROUTE,
+      name: "resume",
+      pathPrefix: "/resume/",
+      callKind: "stream",
+      resumable: true,
+      gapObjectiveMs: 400,
+    },
+  ],
+  services: [{ name: "s" }],
+  limits: {
+    maxHeaderBytes: 1000,
+    maxBodyBytes: 1000,
+    headerTimeoutMs: 1000,
+    idleTimeoutMs: 1000,
+  },
+};
+
+const ENDPOINTS = ["e1", "e2", "e3"].map((id): EndpointRecord => ({
+  id,
+  service: "s",
+  address: "10.0.0.1:80",
+  failureDomain: "a",
+  state: "ready",
+  incarnation: 1,
+}));
+
+const HEAD: AnswerHead = {
+  status: 200,
+  callId: "c",
+  sealed: true,
+  notRun: false,
+  otherEndpoint: false,
+  load: undefined,
+};
+
+function callTo(path: string): DirectCall {
+  return {
+    callId: "c",
+    host: "h",
+    path,
+    method: "GET",
+    apiKey: undefined,
+    deadlineMs: 3000,
+    model: undefined,
+    promptTokens: 0,
+    outputTokens: 0,
+    promptParts: [],
+    headerBytes: 10,
+    bodyBytes: 0,
+  };
+}
+
+function receiveConfig(state: DirectState, nowMs = 0): DirectEffect[] {
+  return reduceDirect(state, {
+    type: "config_received",
+    nowMs,
+    config: CONFIG,
+    source: "test",
+  });
+}
+
+function receiveEndpoints(state: DirectState, nowMs = 0): DirectEffect[] {
+  return reduceDirect(state, {
+    type: "endpoints_changed",
+    nowMs,
+    change: { upserts: ENDPOINTS, removedIds: [], whole: true },
+    source: "test",
+  });
+}
+
+function servingState(): DirectState {
+  const state = createDirectState(OPTIONS);
+  receiveConfig(state);
+  receiveEndpoints(state);
+  return state;
+}
+
+function receive(state: DirectState, path: string, key = 1, nowMs = 0) {
+  return reduceDirect(state, {
+    type: "call_received",
+    nowMs,
+    key,
+    call: callTo(path),
+  });
+}
+
+function started(effects: readonly DirectEffect[]): StartAttempt[] {
+  return effects.filter((effect) => effect.type === "start_attempt");
+}
+
+function refusals(effects: readonly DirectEffect[]) {
+  return effects.flatMap((effect) =>
+    effect.type === "refuse" ? [effect.refusal] : []
+  );
+}
+
+describe("reduceDirect", () => {
+  describe("during the start", () => {
+    it("holds calls until configuration and endpoints are known", () => {
+      const state = createDirectState(OPTIONS);
+      expect(started(receive(state, "/read/x"))).toEqual([]);
+      expect(started(receiveConfig(state, 50))).toEqual([]);
+      const effects = receiveEndpoints(state, 100);
+      expect(started(effects).length).toBe(1);
+      // The wait counts against the caller's time.
+      expect(started(effects)[0]!.deadlineMs).toBe(1900);
+    });
+
+    it("refuses a held call when the wait is over", () => {
+      const state = createDirectState(OPTIONS);
+      const [timer] = receive(state, "/read/x");
+      expect(timer).toMatchObject({ type: "set_timer", delayMs: 800 });
+      const effects = reduceDirect(state, {
+        type: "timer_fired",
+        nowMs: 800,
+        key: 1,
+        timer: "deadline",
+      });
+      expect(refusals(effects)).toMatchObject([
+        { status: 503, reason: "no_config", outcome: "not-run" },
+      ]);
+    });
+
+    it("forgets a held call whose caller left", () => {
+      const state = createDirectState(OPTIONS);
+      receive(state, "/read/x");
+      reduceDirect(state, { type: "caller_gone", nowMs: 1, key: 1 });
+      receiveConfig(state, 2);
+      expect(started(receiveEndpoints(state, 3))).toEqual([]);
+    });
+  });
+
+  describe("when an endpoint does not answer", () => {
+    it("repeats what may be repeated within the latency objective", () => {
+      const state = servingState();
+      const effects = receive(state, "/read/x");
+      const timer = effects.find((effect) =>
+        effect.type === "set_timer" && effect.timer === "attempt"
+      );
+      expect(timer).toMatchObject({ delayMs: 60 });
+      const next = reduceDirect(state, {
+        type: "timer_fired",
+        nowMs: 60,
+        key: 1,
+        timer: "attempt",
+      });
+      expect(started(next)[0]!.endpointId)
+        .not.toBe(started(effects)[0]!.endpointId);
+    });
+
+    it("waits for a write and says that the outcome is unknown", () => {
+      const state = servingState();
+      const effects = receive(state, "/write/x");
+      expect(effects.filter(({ type }) => type === "set_timer").length).toBe(1);
+      const last = reduceDirect(state, {
+        type: "timer_fired",
+        nowMs: 2000,
+        key: 1,
+        timer: "deadline",
+      });
+      expect(refusals(last)).toMatchObject([
+        { status: 504, outcome: "unknown" },
+      ]);
+    });
+
+    it("sends later requests elsewhere once it has been silent for long", () => {
+      const state = servingState();
+      const [first] = started(receive(state, "/write/x"));
+      reduceDirect(state, {
+        type: "silence_observed",
+        nowMs: 800,
+        endpoints: [{ endpointId: first!.endpointId, quietMs: 800 }],
+        attempts: [],
+      });
+      const used = [2, 3, 4, 5].flatMap((key) =>
+        started(receive(state, "/write/x", key, 810))
+      ).map(({ endpointId }) => endpointId);
+      expect(used).not.toContain(first!.endpointId);
+    });
+
+    it("moves a stream that stopped, before its caller notices", () => {
+      const state = servingState();
+      const [first] = started(receive(state, "/resume/x"));
+      reduceDirect(state, {
+        type: "attempt_head",
+        nowMs: 50,
+        key: 1,
+        attempt: 1,
+        head: HEAD,
+      });
+      const silence = (quietMs: number) =>
+        reduceDirect(state, {
+          type: "silence_observed",
+          nowMs: 50 + quietMs,
+          endpoints: [],
+          attempts: [{ key: 1, attempt: 1, quietMs }],
+        });
+      expect(started(silence(200))).toEqual([]);
+      const [second] = started(silence(240));
+      expect(second).toMatchObject({ attempt: 2, resume: true });
+      expect(second!.endpointId).not.toBe(first!.endpointId);
+    });
+  });
+
+  describe("with too little time", () => {
+    it("refuses truthfully without an attempt", () => {
+      const state = servingState();
+      const effects = reduceDirect(state, {
+        type: "call_received",
+        nowMs: 0,
+        key: 1,
+        call: { ...callTo("/write/x"), deadlineMs: 22 },
+      });
+      expect(started(effects)).toEqual([]);
+      expect(refusals(effects)).toMatchObject([
+        { status: 503, reason: "deadline_passed", outcome: "not-run" },
+      ]);
+    });
+  });
+
+  describe("with a spent retry budget", () => {
+    it("gives a failed request up instead of loading the pool further", () => {
+      const state = servingState();
+      let attempts = 0;
+      for (let key = 1; key <= 40; key++) {
+        attempts += started(receive(state, "/read/x", key)).length;
+        attempts += started(reduceDirect(state, {
+          type: "attempt_failed",
+          nowMs: 1,
+          key,
+          attempt: 1,
+          failure: { kind: "reset", sent: true },
+          canResume: true,
+        })).length;
+      }
+      const allowed = 40 + 40 * OPTIONS.retryRatio + OPTIONS.retryExtra;
+      expect(attempts).toBeGreaterThan(40);
+      expect(attempts).toBeLessThanOrEqual(allowed);
+    });
+  });
+});
--- a/packages/daemon/src/direct/direct_router_host.ts
+++ b/packages/daemon/src/direct/direct_router_host.ts
@@ -1,5 +1,6 @@
 import { createServer, type Server } from "node:http";
 import {
+  type AttemptSilence,
   canServe,
   type Clock,
   createDirectState,
@@ -41,6 +42,15 @@
 
 const STOP_POLL_MS: Millis = 50;
 
+/** Interval at which silent endpoints are looked for. */
+const SILENCE_CHECK_MS: Millis = 100;
+
+/** A check that comes later than this many intervals says nothing. */
+const MAX_CHECK_DELAY = 2;
+
+/** Shorter silences are not reported. */
+const MIN_SILENCE_MS: Millis = 200;
+
 export interface DirectRouterOptions {
   readonly settings: DirectSettings;
   readonly dialect: CallDialect;
@@ -71,6 +81,8 @@
   readonly #attempts = new Map<string, EndpointAttempt>();
   readonly #timers = new Map<string, NodeJS.Timeout>();
   #tick: NodeJS.Timeout | undefined;
+  #silenceCheck: NodeJS.Timeout | undefined;
+  #silenceCheckedMs: Millis = 0;
   #wasReady = false;
 
   constructor(options: DirectRouterOptions) {
@@ -127,6 +139,10 @@
       await this.#metricsServer.listen(metricsAddress);
     }
     this.#tick = setInterval(() => this.#onTick(), TICK_MS);
+    this.#silenceCheck = setInterval(
+      () => this.#checkSilence(),
+      SILENCE_CHECK_MS,
+    );
   }
 
   /** Takes over what may change while the process runs. */
@@ -157,6 +173,7 @@
 
   dispose(): void {
     clearInterval(this.#tick);
+    clearInterval(this.#silenceCheck);
     for (const timer of this.#timers.values()) {
       clearTimeout(timer);
     }
@@ -193,6 +210,38 @@
     this.#noteReadiness();
   }
 
+  #checkSilence(): void {
+    const nowMs = this.#clock.nowMs();
+    const sinceLastMs = nowMs - this.#silenceCheckedMs;
+    this.#silenceCheckedMs = nowMs;
+    if (sinceLastMs > SILENCE_CHECK_MS * MAX_CHECK_DELAY) {
+      // This process stood still; bytes may wait to be read.
+      return;
+    }
+    const heardMs = new Map<string, Millis>();
+    const attempts: AttemptSilence[] = [];
+    for (const running of this.#attempts.values()) {
+      const { attempt, endpointId, key } = running.effect;
+      const lastMs = heardMs.get(endpointId) ?? running.heardMs;
+      heardMs.set(endpointId, Math.max(lastMs, running.heardMs));
+      const quietMs = nowMs - running.heardMs;
+      if (running.flowing && quietMs >= MIN_SILENCE_MS) {
+        attempts.push({ key, attempt, quietMs });
+      }
+    }
+    const endpoints = [...heardMs]
+      .map(([endpointId, lastMs]) => ({ endpointId, quietMs: nowMs - lastMs }))
+      .filter(({ quietMs }) => quietMs >= MIN_SILENCE_MS);
+    if (attempts.length + endpoints.length > 0) {
+      this.#queue.push({
+        type: "silence_observed",
+        nowMs,
+        endpoints,
+        attempts,
+      });
+    }
+  }
+
   #receive({ body, key, request, response }: EdgeCall): void {
     const writer = new AnswerWriter(
       request,
@@ -266,27 +315,34 @@
     );
     const id = attemptKey(key, attempt);
     const at = () => ({ nowMs: this.#clock.nowMs(), key, attempt });
-    const running = new EndpointAttempt(effect, connection, this.#dialect, {
-      head: (head) => this.#queue.push({ type: "attempt_head", ...at(), head }),
-      progress: () => this.#queue.push({ type: "attempt_progress", ...at() }),
-      ended: () => this.#queue.push({ type: "attempt_ended", ...at() }),
-      failed: (failure) =>
-        this.#queue.push({
-          type: "attempt_failed",
-          ...at(),
-          failure,
-          canResume: writer.canResume,
-        }),
-      stale: (idleMs) => this.#connections.noteStale(idleMs),
-      done: (reusable) => {
-        this.#attempts.delete(id);
-        if (reusable) {
-          this.#connections.release(endpointId, address, connection);
-        } else {
-          connection.destroy();
-        }
+    const running = new EndpointAttempt(
+      effect,
+      connection,
+      this.#dialect,
+      this.#clock,
+      {
+        head: (head) =>
+          this.#queue.push({ type: "attempt_head", ...at(), head }),
+        progress: () => this.#queue.push({ type: "attempt_progress", ...at() }),
+        ended: () => this.#queue.push({ type: "attempt_ended", ...at() }),
+        failed: (failure) =>
+          this.#queue.push({
+            type: "attempt_failed",
+            ...at(),
+            failure,
+            canResume: writer.canResume,
+          }),
+        stale: (idleMs) => this.#connections.noteStale(idleMs),
+        done: (reusable) => {
+          this.#attempts.delete(id);
+          if (reusable) {
+            this.#connections.release(endpointId, address, connection);
+          } else {
+            connection.destroy();
+          }
+        },
       },
-    });
+    );
     this.#attempts.set(id, running);
     running.start(writer);
   }
--- a/packages/daemon/src/direct/endpoint_attempt.ts
+++ b/packages/daemon/src/direct/endpoint_attempt.ts
@@ -1,6 +1,7 @@
 import type {
   AnswerHead,
   AttemptFailure,
+  Clock,
   Millis,
   StartAttempt,
 } from "@anvildeal/core";
@@ -42,19 +43,35 @@
   #unframed = false;
   #discardedBytes = 0;
   #hasProgress = false;
+  /** Monotonic time of the last bytes, or of the start. */
+  #heardMs: Millis;
+  readonly #clock: Clock;
 
   constructor(
     effect: StartAttempt,
     connection: EndpointConnection,
     dialect: CallDialect,
+    clock: Clock,
     listener: AttemptListener,
   ) {
+    this.#clock = clock;
+    this.#heardMs = clock.nowMs();
     this.effect = effect;
     this.#connection = connection;
     this.#dialect = dialect;
     this.#listener = listener;
   }
 
+  get heardMs(): Millis {
+    return this.#heardMs;
+  }
+
+  /** The answer goes to the caller, who takes it as it comes. */
+  get flowing(): boolean {
+    return this.#mode === "relaying" && this.#hasProgress &&
+      !this.#controller?.paused;
+  }
+
   start(writer: AnswerWriter): void {
     const { request, body } = writer;
     const resumePoint = writer.resumePoint;
@@ -121,6 +138,7 @@
     if (status < 200) {
       return;
     }
+    this.#heardMs = this.#clock.nowMs();
     this.#status = status;
     this.#headers = endToEndHeaders(rawHeadersOf(controller, headers), false);
     this.#noteConnection(headers);
@@ -140,6 +158,7 @@
       }
       return;
     }
+    this.#heardMs = this.#clock.nowMs();
     const writer = this.#writer;
     if (this.#mode !== "relaying" || !writer) {
       return;
--- a/packages/daemon/src/direct/endpoint_connection.ts
+++ b/packages/daemon/src/direct/endpoint_connection.ts
@@ -4,7 +4,7 @@
 import { splitAddress } from "../net/index.js";
 
 /** Connections between machines open within a few milliseconds. */
-const CONNECT_TIMEOUT_MS: Millis = 400;
+const CONNECT_TIMEOUT_MS: Millis = 250;
 
 /** Idle time after which the kernel looks whether the other end still lives. */
 const TCP_KEEP_ALIVE_MS: Millis = 1000;
--- a/rolldown.config.js
+++ b/rolldown.config.js
@@ -2,15 +2,26 @@
 
 const source = (path) => fileURLToPath(new URL(path, import.meta.url));
 
+/** Leaves out modules whose loading would take much of the start-up time. */
+const withoutHttp2 = {
+  name: "without-http2",
+  resolveId: (id) =>
+    id.endsWith("/client-h2.js")
+      ? source("./deploy/bundle/no_http2.cjs")
+      : undefined,
+};
+
 /** Bundles a program into one file, which starts faster. */
 const bundle = (input, file) => ({
   input,
   platform: "node",
+  plugins: [withoutHttp2],
   resolve: {
     alias: {
       "@anvildeal/core": source("./packages/core/src/index.ts"),
       "@anvildeal/daemon": source("./packages/daemon/src/direct/index.ts"),
-      "undici$": source("./deploy/undici_dispatchers.js"),
+      "prom-client$": source("./deploy/bundle/prom_client_parts.js"),
+      "undici$": source("./deploy/bundle/undici_dispatchers.js"),
     },
     extensionAlias: { ".js": [".ts", ".js"] },
   },
