--- a/packages/core/src/direct/choose_endpoint_test.ts
+++ b/packages/core/src/direct/choose_endpoint_test.ts
@@ -32,7 +32,7 @@
   describe("for prompts", () => {
     it("gives routers with equal views the same endpoint", () => {
       const ids = ["e1", "e2", "e3", "e4"];
-      const choices = [ids, [...ids].reverse()].map((order) =>
+      const choices = [ids, ids.toReversed()].map((order) =>
         chooseEndpoint(order.map((id) => endpoint(id)), request(), NOW_MS)
           ?.endpoint.id
       );
--- a/packages/core/src/direct/reduce_direct_property_test.ts
+++ b/packages/core/src/direct/reduce_direct_property_test.ts
@@ -1,4 +1,4 @@
-import fc from "fast-check";
+import * as fc from "fast-check";
 import { describe, expect, it } from "vitest";
 import type { AnswerHead, DirectCall, DirectEffect } from "./direct_event.js";
 import { createDirectState, type DirectState } from "./direct_state.js";
--- a/packages/core/src/direct/retry_window_test.ts
+++ b/packages/core/src/direct/retry_window_test.ts
@@ -1,4 +1,4 @@
-import fc from "fast-check";
+import * as fc from "fast-check";
 import { describe, expect, it } from "vitest";
 import { RetryWindow } from "./retry_window.js";
 
--- a/packages/daemon/src/fault_fixture.ts
+++ b/packages/daemon/src/fault_fixture.ts
@@ -1,5 +1,4 @@
 import { createHash, randomUUID } from "node:crypto";
-import { createServer } from "node:net";
 import {
   type Bundle,
   BundleSchema,
@@ -11,10 +10,10 @@
 import {
   expectedAnswer,
   InstanceList,
-  listenOnLoopback,
   ModelEngine,
   ObjectApi,
   PlainService,
+  reservePorts,
   type StandIn,
   TcpProxy,
 } from "@anvildeal/stand-ins";
@@ -216,7 +215,7 @@
       targetPort: Number(new URL(endpoint.url).port),
     });
     await engineProxy.start();
-    const peerPort = await freePort();
+    const peerPort = (await reservePorts("127.0.0.1", 1))[0]!;
     const peerProxy = new TcpProxy({ targetPort: peerPort });
     await peerProxy.start();
     this.#standIns.push(peerProxy, engineProxy, endpoint);
@@ -262,7 +261,7 @@
   }
 
   async #startRouter(id: string): Promise<void> {
-    const peerPort = await freePort();
+    const peerPort = (await reservePorts("127.0.0.1", 1))[0]!;
     const router = await RouterHost.create(RouterSettingsSchema.parse({
       role: "router",
       node: this.#nodeSection(id, peerPort),
@@ -454,13 +453,6 @@
   return { status, headers, body: await response.text(), whole: true };
 }
 
-async function freePort(): Promise<number> {
-  const server = createServer();
-  const port = await listenOnLoopback(server);
-  await new Promise((resolve) => server.close(resolve));
-  return port;
-}
-
 function sha256Hex(text: string): string {
   return createHash("sha256").update(text).digest("hex");
 }
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -12,3 +12,4 @@
 export * from "./stand_in.js";
 export * from "./tcp_proxy.js";
 export * from "./weight_store.js";
+export * from "./reserve_ports.js";
--- a/rolldown.config.js
+++ b/rolldown.config.js
@@ -20,6 +20,9 @@
     alias: {
       "@anvildeal/core": source("./packages/core/src/index.ts"),
       "@anvildeal/daemon": source("./packages/daemon/src/direct/index.ts"),
+      "@anvildeal/stand-ins": source(
+        "./packages/stand-ins/src/reserve_ports.ts",
+      ),
       "prom-client$": source("./deploy/bundle/prom_client_parts.js"),
       "undici$": source("./deploy/bundle/undici_dispatchers.js"),
     },
