--- a/packages/core/src/direct/direct_event.ts
+++ b/packages/core/src/direct/direct_event.ts
@@ -135,6 +135,8 @@
     readonly nowMs: Millis;
     readonly change: EndpointChange;
     readonly source: string;
+    /** Another router read this from a directory that answers it. */
+    readonly settled?: boolean;
   }
   | {
     readonly type: "store_state_changed";
--- a/packages/core/src/direct/direct_state.ts
+++ b/packages/core/src/direct/direct_state.ts
@@ -94,6 +94,11 @@
     !state.stopping;
 }
 
+/** Whether what the directory no longer lists may be the trace of an outage. */
+export function isDisturbed(state: DirectState, nowMs: Millis): boolean {
+  return !state.storeAvailable || nowMs < state.disturbedUntilMs;
+}
+
 /** Requests of this router in flight, by endpoint. */
 export function ownLoads(state: DirectState): Record<string, number> {
   const loads: Record<string, number> = {};
--- a/packages/core/src/direct/index.ts
+++ b/packages/core/src/direct/index.ts
@@ -5,6 +5,7 @@
   createDirectState,
   type DirectOptions,
   type DirectState,
+  isDisturbed,
   ownLoads,
 } from "./direct_state.js";
 export * from "./endpoint_directory.js";
--- a/packages/core/src/direct/reduce_direct.ts
+++ b/packages/core/src/direct/reduce_direct.ts
@@ -18,6 +18,7 @@
   type ActiveRequest,
   canServe,
   type DirectState,
+  isDisturbed,
   retryWindowOf,
 } from "./direct_state.js";
 import type { DirectoryNote } from "./endpoint_directory.js";
@@ -461,8 +462,7 @@
   state: DirectState,
   event: Extract<DirectEvent, { type: "endpoints_changed" }>,
 ): DirectEffect[] {
-  const disturbed = !state.storeAvailable ||
-    event.nowMs < state.disturbedUntilMs;
+  const disturbed = event.settled !== true && isDisturbed(state, event.nowMs);
   const notes = state.directory.apply(
     event.change,
     event.nowMs,
--- a/packages/core/src/wire/field_codes.ts
+++ b/packages/core/src/wire/field_codes.ts
@@ -119,6 +119,7 @@
   "id",
   "parts",
   "tokens",
+  "settled",
 ] as const;
 
 /** Code of each name, for the key map of the CBOR codec. */
--- a/packages/core/src/wire/messages.ts
+++ b/packages/core/src/wire/messages.ts
@@ -325,6 +325,8 @@
   config: RoutingConfigSchema.optional(),
   directory: z.object({
     revision: z.int().nonnegative(),
+    /** The sender reads the directory without disturbance. */
+    settled: z.boolean(),
     endpoints: z.array(EndpointRecordSchema),
   }).optional(),
 });
--- a/packages/daemon/src/direct/direct_router_host.ts
+++ b/packages/daemon/src/direct/direct_router_host.ts
@@ -8,6 +8,7 @@
   type DirectEvent,
   type DirectState,
   type EndpointRecord,
+  isDisturbed,
   type Millis,
   ownLoads,
   reduceDirect,
@@ -102,6 +103,7 @@
       ...options,
       push: (event) => this.#queue.push(event),
       configInForce: () => this.#state.routes?.config,
+      isSettled: () => !isDisturbed(this.#state, clock.nowMs()),
       warmEntries: () => this.#state.warmth.entries(),
       observe: (measurement) => this.#metrics.observe(measurement),
     });
--- a/packages/daemon/src/direct/directory_sync.ts
+++ b/packages/daemon/src/direct/directory_sync.ts
@@ -32,6 +32,8 @@
   readonly clock: Clock;
   readonly push: (event: DirectEvent) => void;
   readonly configInForce: () => RoutingConfig | undefined;
+  /** The directory answers this router, and has for a while. */
+  readonly isSettled: () => boolean;
   readonly warmEntries: () => readonly WarmEntry[];
   readonly observe: (measurement: Measurement) => void;
 }
@@ -226,7 +228,7 @@
   }
 
   #applyEndpoints(
-    update: WatchedUpdate<EndpointRecord>,
+    update: WatchedUpdate<EndpointRecord> & { readonly settled?: boolean },
     source: string,
   ): void {
     if (update.revision < this.#revision) {
@@ -251,6 +253,7 @@
         whole: update.whole,
       },
       source,
+      ...(update.settled === undefined ? {} : { settled: update.settled }),
     });
   }
 
@@ -324,6 +327,7 @@
         ? {
           directory: {
             revision: this.#revision,
+            settled: this.#options.isSettled(),
             endpoints: [...this.#records.values()],
           },
         }
@@ -341,6 +345,7 @@
     }
     if (directory && directory.revision > this.#revision) {
       this.#applyEndpoints({
+        settled: directory.settled,
         revision: directory.revision,
         upserts: directory.endpoints,
         removed: [],
--- a/packages/daemon/src/direct/peer_mesh.ts
+++ b/packages/daemon/src/direct/peer_mesh.ts
@@ -38,12 +38,6 @@
   heardMs: Millis;
 }
 
-interface MeshLink {
-  readonly connection: PeerConnection;
-  readonly nodeId: string;
-  lastMessageMs: Millis;
-}
-
 export interface MeshMessage {
   readonly nodeId: string;
   readonly message: Message;
@@ -66,9 +60,13 @@
   readonly #server: PeerServer;
   readonly #dialer: PeerDialer;
   readonly #routers = new Map<string, MeshRouter>();
-  readonly #links = new Map<PeerConnection, MeshLink>();
+  /** Routers behind the connections that others opened. */
+  readonly #accepted = new Map<PeerConnection, string>();
+  /** Routers behind the connections that this one opened, by dialled id. */
+  readonly #dialed = new Map<string, string>();
   readonly #dialedMs = new Map<string, Millis>();
-  readonly #dialedHeardMs = new Map<string, Millis>();
+  /** When a connected router was last heard, on whichever connection. */
+  readonly #heardMs = new Map<string, Millis>();
   readonly #onMessage = new Emitter<MeshMessage>();
   readonly #onPeer = new Emitter<{ nodeId: string; connected: boolean }>();
   readonly #connected = new Set<string>();
@@ -89,25 +87,21 @@
     this.#dialer = new PeerDialer(connectionOptions);
     this.#server.onConnection((connection) => this.#accept(connection));
     this.#dialer.onReady(({ peerId, hello }) => {
-      this.#dialedHeardMs.set(peerId, this.#nowMs());
-      this.#idOf.set(peerId, hello.nodeId);
-      this.#updateConnected();
+      this.#dialed.set(peerId, hello.nodeId);
+      this.#noteConnection(hello.nodeId);
     });
     this.#dialer.onMessage(({ peerId, message }) => {
-      this.#dialedHeardMs.set(peerId, this.#nowMs());
-      const nodeId = this.#idOf.get(peerId);
+      const nodeId = this.#dialed.get(peerId);
       if (nodeId !== undefined) {
         this.#receive(nodeId, message);
       }
     });
     this.#dialer.onClose(({ peerId }) => {
-      this.#idOf.delete(peerId);
+      this.#dialed.delete(peerId);
       this.#updateConnected();
     });
   }
 
-  readonly #idOf = new Map<string, string>();
-
   get meter(): TrafficMeter {
     return this.#meter;
   }
@@ -140,34 +134,19 @@
 
   /** Sends to all connected routers, once to each. */
   broadcast(message: Message): void {
-    const reached = new Set<string>();
-    for (const [peerId, nodeId] of this.#idOf) {
-      if (!reached.has(nodeId)) {
-        reached.add(nodeId);
-        this.#dialer.send(peerId, "", message);
-      }
-    }
-    for (const { connection, nodeId } of this.#links.values()) {
-      if (!reached.has(nodeId)) {
-        reached.add(nodeId);
-        connection.send(message);
-      }
+    for (const nodeId of this.#connected) {
+      this.sendTo(nodeId, message);
     }
   }
 
   /** Sends to one connected router; does nothing when it is not connected. */
   sendTo(nodeId: string, message: Message): void {
-    for (const [peerId, id] of this.#idOf) {
-      if (id === nodeId) {
-        this.#dialer.send(peerId, "", message);
-        return;
-      }
-    }
-    for (const link of this.#links.values()) {
-      if (link.nodeId === nodeId) {
-        link.connection.send(message);
-        return;
-      }
+    const peerId = keyOf(this.#dialed, nodeId);
+    const connection = keyOf(this.#accepted, nodeId);
+    if (peerId !== undefined && (this.#dials(nodeId) || !connection)) {
+      this.#dialer.send(peerId, "", message);
+    } else {
+      connection?.send(message);
     }
   }
 
@@ -213,15 +192,9 @@
         this.#routers.delete(nodeId);
       }
     }
-    for (const link of this.#links.values()) {
-      if (nowMs - link.lastMessageMs > SILENCE_MS) {
-        link.connection.close("silent");
-      }
-    }
-    for (const [peerId, heardMs] of this.#dialedHeardMs) {
-      if (this.#idOf.has(peerId) && nowMs - heardMs > SILENCE_MS) {
-        this.#dialer.close(peerId);
-        this.#idOf.delete(peerId);
+    for (const nodeId of [...this.#connected]) {
+      if (nowMs - (this.#heardMs.get(nodeId) ?? nowMs) > SILENCE_MS) {
+        this.#close(nodeId);
       }
     }
     this.#updateConnected();
@@ -269,30 +242,50 @@
 
   #accept(connection: PeerConnection): void {
     connection.onReady((hello) => {
-      this.#links.set(connection, {
-        connection,
-        nodeId: hello.nodeId,
-        lastMessageMs: this.#nowMs(),
-      });
-      this.#updateConnected();
+      this.#accepted.set(connection, hello.nodeId);
+      this.#noteConnection(hello.nodeId);
     });
     connection.onMessage((message) => {
-      const link = this.#links.get(connection);
-      if (link) {
-        link.lastMessageMs = this.#nowMs();
-        this.#receive(link.nodeId, message);
+      const nodeId = this.#accepted.get(connection);
+      if (nodeId !== undefined) {
+        this.#receive(nodeId, message);
       }
     });
     connection.onClose(() => {
-      this.#links.delete(connection);
+      this.#accepted.delete(connection);
       this.#updateConnected();
     });
   }
 
+  /** Of two connections between the same routers, one is used. */
+  #dials(nodeId: string): boolean {
+    return this.#options.identity.nodeId < nodeId;
+  }
+
+  #noteConnection(nodeId: string): void {
+    this.#heardMs.set(nodeId, this.#nowMs());
+    this.#updateConnected();
+  }
+
+  #close(nodeId: string): void {
+    for (const [peerId, id] of [...this.#dialed]) {
+      if (id === nodeId) {
+        this.#dialer.close(peerId);
+        this.#dialed.delete(peerId);
+      }
+    }
+    for (const [connection, id] of [...this.#accepted]) {
+      if (id === nodeId) {
+        connection.close("silent");
+      }
+    }
+  }
+
   #receive(nodeId: string, message: Message): void {
     if (nodeId === this.#options.identity.nodeId) {
       return;
     }
+    this.#heardMs.set(nodeId, this.#nowMs());
     const known = this.#routers.get(nodeId);
     if (known) {
       known.heardMs = this.#nowMs();
@@ -301,13 +294,7 @@
   }
 
   #updateConnected(): void {
-    const now = new Set<string>();
-    for (const nodeId of this.#idOf.values()) {
-      now.add(nodeId);
-    }
-    for (const { nodeId } of this.#links.values()) {
-      now.add(nodeId);
-    }
+    const now = new Set([...this.#dialed.values(), ...this.#accepted.values()]);
     now.delete(this.#options.identity.nodeId);
     for (const nodeId of now) {
       if (!this.#connected.has(nodeId)) {
@@ -318,6 +305,7 @@
     for (const nodeId of [...this.#connected]) {
       if (!now.has(nodeId)) {
         this.#connected.delete(nodeId);
+        this.#heardMs.delete(nodeId);
         this.#onPeer.fire({ nodeId, connected: false });
       }
     }
@@ -327,3 +315,12 @@
     return this.#options.clock.nowMs();
   }
 }
+
+function keyOf<K>(map: ReadonlyMap<K, string>, value: string): K | undefined {
+  for (const [key, item] of map) {
+    if (item === value) {
+      return key;
+    }
+  }
+  return undefined;
+}
