Tell peers versions instead of whole configurations, and fit the exchange to fleets of 30 routers

News of caches reached only direct neighbours, so 5.5 M tokens were read again. Peers are told the version and ask if the directory does not tell them; up to 33 routers know each other directly, larger fleets pass news on; states come less often in larger fleets; quick changes of the configuration are read together; an attempt is repeated only after four times the usual time to the first bytes; silence of most endpoints at once is taken for a fault of this router.

--- a/packages/core/src/direct/direct_attempt.ts
+++ b/packages/core/src/direct/direct_attempt.ts
@@ -16,6 +16,9 @@
   retryWindowOf,
 } from "./direct_state.js";
 
+/** Weight of the newest answer in the usual time to the first bytes. */
+const FIRST_BYTE_WEIGHT = 0.1;
+
 /** Further attempts that refusals of endpoints may cause. */
 const MAX_REFUSED_ATTEMPTS = 3;
 
@@ -35,6 +38,7 @@
   const verdict = judgeHead(head, request.call.callId);
   switch (verdict) {
     case "relay":
+      noteFirstByte(state, request, nowMs - attempt.startedMs);
       endpoint.noteSuccess(nowMs);
       return relay(request, attempt, nowMs);
     case "not_run":
@@ -94,6 +98,18 @@
   ];
 }
 
+function noteFirstByte(
+  state: DirectState,
+  { route }: ActiveRequest,
+  tookMs: Millis,
+): void {
+  const usualMs = state.firstByteMs.get(route.name) ?? tookMs;
+  state.firstByteMs.set(
+    route.name,
+    usualMs + (tookMs - usualMs) * FIRST_BYTE_WEIGHT,
+  );
+}
+
 function relay(
   request: ActiveRequest,
   attempt: ActiveAttempt,
--- a/packages/core/src/direct/direct_event.ts
+++ b/packages/core/src/direct/direct_event.ts
@@ -156,10 +156,16 @@
   | {
     readonly type: "silence_observed";
     readonly nowMs: Millis;
+    /** Endpoints with requests in flight, silent ones included. */
+    readonly busyEndpoints: number;
     readonly endpoints: readonly EndpointSilence[];
     readonly attempts: readonly AttemptSilence[];
   }
-  | { readonly type: "peers_changed"; readonly routerCount: number }
+  | {
+    readonly type: "peers_changed";
+    readonly routerCount: number;
+    readonly connectedCount: number;
+  }
   | { readonly type: "tick"; readonly nowMs: Millis }
   | { readonly type: "stopping"; readonly nowMs: Millis };
 
--- a/packages/core/src/direct/direct_place.ts
+++ b/packages/core/src/direct/direct_place.ts
@@ -19,6 +19,9 @@
  */
 const PATIENCE_SHARE = 0.6;
 
+/** Multiple of the usual time to the first bytes that is waited at least. */
+const USUAL_MULTIPLE = 4;
+
 /** Part of the time left after which an attempt is given up at the latest. */
 const LEFT_SHARE = 0.5;
 
@@ -91,7 +94,7 @@
     resumable: request.route.resumable,
     fetchCacheFrom: fetchCacheFrom?.record.address,
   }, ...noteWarmth(state, request, endpoint)];
-  const patienceMs = patienceOf(request, leftMs);
+  const patienceMs = patienceOf(state, request, leftMs);
   if (patienceMs !== undefined) {
     effects.push({
       type: "set_timer",
@@ -113,6 +116,7 @@
 
 /** Time after which an attempt without an answer is repeated elsewhere. */
 function patienceOf(
+  state: DirectState,
   request: ActiveRequest,
   leftMs: Millis,
 ): Millis | undefined {
@@ -125,7 +129,10 @@
   const objectiveMs = route.objectiveMs ?? Number.POSITIVE_INFINITY;
   return Math.min(
     MAX_PATIENCE_MS,
-    objectiveMs * PATIENCE_SHARE,
+    Math.max(
+      objectiveMs * PATIENCE_SHARE,
+      (state.firstByteMs.get(route.name) ?? 0) * USUAL_MULTIPLE,
+    ),
     leftMs * LEFT_SHARE,
   );
 }
--- a/packages/core/src/direct/direct_state.ts
+++ b/packages/core/src/direct/direct_state.ts
@@ -61,11 +61,15 @@
   readonly warmth: WarmthIndex;
   readonly requests: Map<number, ActiveRequest>;
   readonly retryWindows: Map<string, RetryWindow>;
+  /** Usual time to the first bytes of an answer, by route. */
+  readonly firstByteMs: Map<string, Millis>;
   /** Calls by key that wait for the first configuration and endpoints. */
   readonly waiting: Map<number, WaitingCall>;
   routes: RouteTable | undefined;
   /** Routers that share the retry budgets, this one included. */
   routerCount: number;
+  /** Not all routers are connected to each other, so news are passed on. */
+  passesNewsOn: boolean;
   storeAvailable: boolean;
   /** Until then removals may be the trace of an outage. */
   disturbedUntilMs: Millis;
@@ -79,9 +83,11 @@
     warmth: new WarmthIndex(),
     requests: new Map(),
     retryWindows: new Map(),
+    firstByteMs: new Map(),
     waiting: new Map(),
     routes: undefined,
     routerCount: 1,
+    passesNewsOn: false,
     storeAvailable: false,
     disturbedUntilMs: 0,
     stopping: false,
--- a/packages/core/src/direct/reduce_direct.ts
+++ b/packages/core/src/direct/reduce_direct.ts
@@ -41,6 +41,9 @@
 /** A busy endpoint that sends nothing for this long is avoided. */
 const SILENT_ENDPOINT_MS: Millis = 700;
 
+/** More silent endpoints than this share point to this router itself. */
+const OWN_FAULT_SHARE = 0.5;
+
 /** Longest pause between events that callers of other routes accept. */
 const DEFAULT_GAP_MS: Millis = 1000;
 
@@ -128,12 +131,12 @@
       }
       return [];
     case "warmth_told":
-      takeWarmth(state, event.entries);
-      return [];
+      return takeWarmth(state, event.entries);
     case "silence_observed":
       return observeSilence(state, event);
     case "peers_changed":
       state.routerCount = Math.max(1, event.routerCount);
+      state.passesNewsOn = event.routerCount - 1 > event.connectedCount;
       return [];
     case "tick":
       return expireEndpoints(state, event.nowMs);
@@ -409,7 +412,11 @@
   state: DirectState,
   event: Extract<DirectEvent, { type: "silence_observed" }>,
 ): DirectEffect[] {
-  const { attempts, endpoints, nowMs } = event;
+  const { attempts, busyEndpoints, endpoints, nowMs } = event;
+  if (endpoints.length > busyEndpoints * OWN_FAULT_SHARE && busyEndpoints > 2) {
+    // So many at once: the path from this router is what is slow.
+    return [];
+  }
   for (const { endpointId, quietMs } of endpoints) {
     if (quietMs >= SILENT_ENDPOINT_MS) {
       state.directory.get(endpointId)?.suspect(nowMs);
@@ -499,17 +506,23 @@
 function takeWarmth(
   state: DirectState,
   entries: readonly WarmEntry[],
-): void {
+): DirectEffect[] {
+  const news: DirectEffect[] = [];
   for (const { endpointId, incarnation, parts } of entries) {
     const service = state.directory.get(endpointId)?.record.service;
     const engine = service && state.routes?.service(service)?.engine;
-    state.warmth.note(
+    const added = state.warmth.note(
       endpointId,
       incarnation,
       parts,
       engine ? engine.cacheTokens : undefined,
     );
+    if (state.passesNewsOn && added.length > 0) {
+      const entry = { endpointId, incarnation, parts: added };
+      news.push({ type: "tell_warmth", entry });
+    }
   }
+  return news;
 }
 
 /** Follows the directory: what is gone or began anew holds nothing. */
--- a/packages/core/src/direct/reduce_direct_test.ts
+++ b/packages/core/src/direct/reduce_direct_test.ts
@@ -216,6 +216,7 @@
       reduceDirect(state, {
         type: "silence_observed",
         nowMs: 800,
+        busyEndpoints: 2,
         endpoints: [{ endpointId: first!.endpointId, quietMs: 800 }],
         attempts: [],
       });
@@ -239,6 +240,7 @@
         reduceDirect(state, {
           type: "silence_observed",
           nowMs: 50 + quietMs,
+          busyEndpoints: 2,
           endpoints: [],
           attempts: [{ key: 1, attempt: 1, quietMs }],
         });
--- a/packages/core/src/direct/warmth_index.ts
+++ b/packages/core/src/direct/warmth_index.ts
@@ -23,7 +23,7 @@
 const MAX_PARTS_PER_ENDPOINT = 4000;
 
 /** Part of an engine's cache that is taken to hold shared prompt parts. */
-const CACHE_SHARE = 0.8;
+const CACHE_SHARE = 0.6;
 
 interface EndpointParts {
   readonly incarnation: number;
--- a/packages/core/src/wire/field_codes.ts
+++ b/packages/core/src/wire/field_codes.ts
@@ -120,6 +120,7 @@
   "parts",
   "tokens",
   "settled",
+  "wantsWarmth",
 ] as const;
 
 /** Code of each name, for the key map of the CBOR codec. */
--- a/packages/core/src/wire/messages.ts
+++ b/packages/core/src/wire/messages.ts
@@ -318,6 +318,7 @@
   type: z.literal("fleet_query"),
   configVersion: z.int().nonnegative(),
   directoryRevision: z.int().nonnegative(),
+  wantsWarmth: z.boolean().optional(),
 });
 
 const FleetContentSchema = z.object({
--- a/packages/daemon/src/direct/collection_watcher.ts
+++ b/packages/daemon/src/direct/collection_watcher.ts
@@ -14,6 +14,9 @@
 const MAX_RETRY_MS: Millis = 1200;
 const RETRY_FACTOR = 1.7;
 
+/** Changes that follow each other within this time are read together. */
+const QUICK_CHANGE_MS: Millis = 300;
+
 /** A watch that failed after it waited this long was cut, not refused. */
 const CUT_AFTER_MS: Millis = 1000;
 
@@ -41,14 +44,27 @@
   #call = new AbortController();
   #revision: number | undefined;
   #retryMs: Millis = FIRST_RETRY_MS;
+  readonly #latestOnly: boolean;
+  /** The last call brought a change, so more may follow. */
+  #changing = false;
 
   readonly onUpdate = this.#onUpdate.event;
   readonly onFailure = this.#onFailure.event;
   /** Fires for each answer of the directory. */
   readonly onAnswer = this.#onAnswer.event;
 
-  /** @param random Uniform in [0, 1), for the jitter of retries. */
-  constructor(collection: Collection<T>, random: () => number) {
+  /**
+   * @param random Uniform in [0, 1), for the jitter of retries.
+   * @param latestOnly Only the newest state matters. After a change the
+   *   collection is listed again instead of watched, because a watch would
+   *   return each of many quick changes of a large object.
+   */
+  constructor(
+    collection: Collection<T>,
+    random: () => number,
+    latestOnly = false,
+  ) {
+    this.#latestOnly = latestOnly;
     this.#collection = collection;
     this.#random = random;
   }
@@ -105,8 +121,13 @@
   async #step(): Promise<void> {
     const { signal } = this.#call;
     const revision = this.#revision;
-    if (revision === undefined) {
+    if (revision === undefined || this.#changing) {
+      if (this.#changing) {
+        await sleep(QUICK_CHANGE_MS);
+      }
       const update = await this.#collection.list(signal);
+      this.#changing = this.#latestOnly && revision !== undefined &&
+        update.revision > revision;
       this.#revision = update.revision;
       this.#onUpdate.fire({ ...update, whole: true });
       return;
@@ -122,6 +143,7 @@
     }
     this.#revision = Math.max(revision, update.revision);
     if (update.upserts.length + update.removed.length > 0) {
+      this.#changing = this.#latestOnly;
       this.#onUpdate.fire({ ...update, whole: false });
     }
   }
--- a/packages/daemon/src/direct/direct_router_host.ts
+++ b/packages/daemon/src/direct/direct_router_host.ts
@@ -238,6 +238,7 @@
       this.#queue.push({
         type: "silence_observed",
         nowMs,
+        busyEndpoints: heardMs.size,
         endpoints,
         attempts,
       });
--- a/packages/daemon/src/direct/directory_sync.ts
+++ b/packages/daemon/src/direct/directory_sync.ts
@@ -18,6 +18,12 @@
 /** A peer that is ahead for this long is asked for what it knows. */
 const BEHIND_MS: Millis = 300;
 
+/** Peers to which a state is sent in each round. */
+const PEERS_PER_ROUND = 8;
+
+/** Every so many states carry the list of known routers. */
+const STATES_PER_ROUTER_LIST = 6;
+
 /** Delay for which news of caches are collected. */
 const WARMTH_DELAY_MS: Millis = 50;
 
@@ -54,6 +60,9 @@
   readonly #failures = new Map<string, number>();
   #warmNews: WarmEntry[] = [];
   #warmTimer: NodeJS.Timeout | undefined;
+  #inFlight: Readonly<Record<string, number>> = {};
+  #rounds = 0;
+  #states = 0;
   #behindSinceMs: Millis | undefined;
 
   constructor(options: DirectorySyncOptions) {
@@ -78,15 +87,15 @@
       options.logger.log(connected ? "peer_regained" : "peer_lost", {
         peer: nodeId,
       });
-      if (connected) {
-        this.#sendWarmth(nodeId);
+      if (connected && this.#mesh.connectedCount === 1) {
+        this.#askForWarmth(nodeId);
       }
     });
     this.#configs = this.#watch(options.configs, (update) => {
       for (const config of update.upserts) {
         this.#applyConfig(config, "directory");
       }
-    });
+    }, true);
     this.#endpoints = this.#watch(
       options.endpoints,
       (update) => this.#applyEndpoints(update, "directory"),
@@ -114,20 +123,22 @@
     return this.#mesh.isFirst;
   }
 
-  /** Tells the peers this router's state and keeps the connections up. */
+  /** Keeps the connections up and tells the peers this router's state. */
   tell(inFlight: Readonly<Record<string, number>>): void {
     this.#mesh.maintain();
     this.#options.push({
       type: "peers_changed",
       routerCount: this.#mesh.routerCount,
+      connectedCount: this.#mesh.connectedCount,
     });
-    this.#mesh.broadcast({
-      type: "fleet_state",
-      configVersion: this.#configVersion(),
-      directoryRevision: this.#revision,
-      inFlight: { ...inFlight },
-      routers: this.#mesh.knownRouters(),
-    });
+    this.#inFlight = inFlight;
+    // The messages of a router grow with the fleet, so they come less often.
+    const interval = Math.max(1, this.#mesh.connectedCount / PEERS_PER_ROUND);
+    this.#rounds++;
+    if (this.#rounds >= interval) {
+      this.#rounds = 0;
+      this.#tellState();
+    }
   }
 
   /** Tells the peers what an endpoint holds, together with other news. */
@@ -148,6 +159,29 @@
     this.#mesh.dispose();
   }
 
+  #tellState(): void {
+    this.#states++;
+    this.#mesh.broadcast({
+      type: "fleet_state",
+      configVersion: this.#configVersion(),
+      directoryRevision: this.#revision,
+      inFlight: { ...this.#inFlight },
+      routers: this.#states % STATES_PER_ROUTER_LIST === 1
+        ? this.#mesh.knownRouters()
+        : [this.#mesh.ownEntry()],
+    });
+  }
+
+  /** The first router that is met tells what it knows; others tell news. */
+  #askForWarmth(nodeId: string): void {
+    this.#mesh.sendTo(nodeId, {
+      type: "fleet_query",
+      configVersion: this.#configVersion(),
+      directoryRevision: this.#revision,
+      wantsWarmth: true,
+    });
+  }
+
   #sendWarmth(nodeId: string): void {
     const entries = [...this.#options.warmEntries()];
     if (entries.length > 0) {
@@ -162,9 +196,10 @@
   #watch<T>(
     collection: Collection<T>,
     apply: (update: WatchedUpdate<T>) => void,
+    latestOnly = false,
   ): CollectionWatcher<T> {
     const { logger, observe } = this.#options;
-    const watcher = new CollectionWatcher(collection, Math.random);
+    const watcher = new CollectionWatcher(collection, Math.random, latestOnly);
     const count = (result: string) =>
       observe({
         metric: "directory_calls_total",
@@ -223,7 +258,9 @@
       source,
     });
     if (this.#configVersion() > before) {
-      this.#mesh.broadcast({ type: "fleet_content", config });
+      // Peers that the directory does not tell ask for the content; sending it
+      // to all of them would fill the links of small machines.
+      this.#tellState();
     }
   }
 
@@ -274,6 +311,9 @@
         break;
       case "fleet_query":
         this.#answer(nodeId, message);
+        if (message.wantsWarmth) {
+          this.#sendWarmth(nodeId);
+        }
         break;
       case "fleet_content":
         this.#takeOver(nodeId, message);
--- a/packages/daemon/src/direct/peer_mesh.ts
+++ b/packages/daemon/src/direct/peer_mesh.ts
@@ -19,7 +19,10 @@
 } from "../net/index.js";
 
 /** Routers that this one connects to; larger fleets pass news on. */
-const FANOUT = 6;
+const FANOUT = 32;
+
+/** The router with the higher id dials as well after this time. */
+const DIAL_BACK_MS: Millis = 2000;
 
 /** A router that nobody has heard for this long is forgotten. */
 const FORGET_AFTER_MS: Millis = 12_000;
@@ -36,6 +39,7 @@
   address: string;
   incarnation: number;
   heardMs: Millis;
+  readonly learnedMs: Millis;
 }
 
 export interface MeshMessage {
@@ -153,20 +157,18 @@
   /** Routers to tell others about, the freshest first. */
   knownRouters(): KnownRouter[] {
     const nowMs = this.#nowMs();
-    const { identity, address } = this.#options;
     const others = [...this.#routers].map(([nodeId, router]) => ({
       nodeId,
       address: router.address,
       incarnation: router.incarnation,
       ageMs: Math.round(nowMs - router.heardMs),
     })).sort((a, b) => a.ageMs - b.ageMs);
-    const own: KnownRouter = {
-      nodeId: identity.nodeId,
-      address,
-      incarnation: identity.incarnation,
-      ageMs: 0,
-    };
-    return [own, ...others].slice(0, MAX_TOLD_ROUTERS);
+    return [this.ownEntry(), ...others].slice(0, MAX_TOLD_ROUTERS);
+  }
+
+  ownEntry(): KnownRouter {
+    const { address, identity: { incarnation, nodeId } } = this.#options;
+    return { nodeId, address, incarnation, ageMs: 0 };
   }
 
   /** Takes over what another router knows of the fleet. */
@@ -179,7 +181,13 @@
       const heardMs = nowMs - ageMs;
       const known = this.#routers.get(nodeId);
       if (ageMs < FORGET_AFTER_MS && (!known || heardMs > known.heardMs)) {
-        this.#routers.set(nodeId, { address, incarnation, heardMs });
+        const learnedMs = known?.learnedMs ?? nowMs;
+        this.#routers.set(nodeId, {
+          address,
+          incarnation,
+          heardMs,
+          learnedMs,
+        });
       }
     }
   }
@@ -210,11 +218,13 @@
 
   #dialMissing(nowMs: Millis): void {
     const ownId = this.#options.identity.nodeId;
-    // One side of each pair dials; both do while they do not know each other.
     const chosen = rankByRendezvous(ownId, [...this.#routers.keys()], FANOUT);
     for (const nodeId of chosen) {
       const router = this.#routers.get(nodeId);
-      if (router && !this.#connected.has(nodeId)) {
+      if (!router || this.#connected.has(nodeId)) {
+        continue;
+      }
+      if (this.#dials(nodeId) || nowMs - router.learnedMs > DIAL_BACK_MS) {
         this.#dial(nodeId, router.address, nowMs);
       }
     }
