--- /dev/null
+++ b/packages/daemon/src/direct/collection_watcher_test.ts
@@ -0,0 +1,141 @@
+import { afterEach, describe, expect, it } from "vitest";
+import {
+  Collection,
+  type CollectionUpdate,
+  DirectoryCallError,
+  HistoryGoneError,
+} from "./collection.js";
+import { CollectionWatcher, type WatchedUpdate } from "./collection_watcher.js";
+
+type Step = CollectionUpdate<string> | Error | "wait";
+
+/** Answers calls from a script and then waits until it is aborted. */
+class ScriptedCollection extends Collection<string> {
+  readonly label = "scripted";
+  readonly calls: string[] = [];
+  readonly #steps: Step[];
+
+  constructor(steps: Step[]) {
+    super();
+    this.#steps = steps;
+  }
+
+  list(signal: AbortSignal): Promise<CollectionUpdate<string>> {
+    this.calls.push("list");
+    return this.#next(signal);
+  }
+
+  watch(
+    afterRevision: number,
+    _waitMs: number,
+    signal: AbortSignal,
+  ): Promise<CollectionUpdate<string>> {
+    this.calls.push(`watch ${afterRevision}`);
+    return this.#next(signal);
+  }
+
+  #next(signal: AbortSignal): Promise<CollectionUpdate<string>> {
+    const step = this.#steps.shift() ?? "wait";
+    if (step instanceof Error) {
+      return Promise.reject(step);
+    }
+    if (step !== "wait") {
+      return Promise.resolve(step);
+    }
+    return new Promise((_resolve, reject) =>
+      signal.addEventListener(
+        "abort",
+        () => reject(new DirectoryCallError("aborted")),
+      )
+    );
+  }
+}
+
+function update(revision: number, ...upserts: string[]) {
+  return { revision, upserts, removed: [], ignored: [] };
+}
+
+describe("CollectionWatcher", () => {
+  let watcher: CollectionWatcher<string> | undefined;
+
+  afterEach(() => watcher?.dispose());
+
+  /** Runs until `count` calls were made. */
+  async function run(
+    steps: Step[],
+    count: number,
+    latestOnly = false,
+  ): Promise<{
+    calls: string[];
+    updates: WatchedUpdate<string>[];
+    failures: boolean[];
+  }> {
+    const collection = new ScriptedCollection(steps);
+    const updates: WatchedUpdate<string>[] = [];
+    const failures: boolean[] = [];
+    watcher = new CollectionWatcher(collection, () => 0, latestOnly);
+    watcher.onUpdate((item) => updates.push(item));
+    watcher.onFailure(({ historyGone }) => failures.push(historyGone));
+    watcher.start();
+    while (collection.calls.length < count) {
+      await new Promise((resolve) => setTimeout(resolve, 5));
+    }
+    return { calls: collection.calls, updates, failures };
+  }
+
+  it("lists once and watches from the revision of each answer", async () => {
+    const { calls, updates } = await run(
+      [update(5, "a"), update(6, "b"), update(9)],
+      4,
+    );
+    expect(calls).toEqual(["list", "watch 5", "watch 6", "watch 9"]);
+    expect(updates.map(({ whole }) => whole)).toEqual([true, false]);
+  });
+
+  it("lists again when the history is gone, without calling it an outage", async () => {
+    const { calls, failures } = await run(
+      [update(5), new HistoryGoneError("gone"), update(20, "a")],
+      4,
+    );
+    expect(calls).toEqual(["list", "watch 5", "list", "watch 20"]);
+    expect(failures).toEqual([true]);
+  });
+
+  it("goes on from the same revision after a failed call", async () => {
+    const { calls, failures } = await run(
+      [update(5), new DirectoryCallError("reset")],
+      3,
+    );
+    expect(calls).toEqual(["list", "watch 5", "watch 5"]);
+    expect(failures).toEqual([false]);
+  });
+
+  it("reads quick changes together where only the newest matters", async () => {
+    const { calls, updates } = await run(
+      [update(5, "v1"), update(6, "v2"), update(9, "v5"), update(9, "v5")],
+      5,
+      true,
+    );
+    expect(calls).toEqual(["list", "watch 5", "list", "list", "watch 9"]);
+    expect(updates.map(({ upserts }) => upserts[0])).toEqual([
+      "v1",
+      "v2",
+      "v5",
+      "v5",
+    ]);
+  });
+
+  it("takes over a revision that a peer is ahead with", async () => {
+    const collection = new ScriptedCollection([update(5)]);
+    watcher = new CollectionWatcher(collection, () => 0);
+    watcher.start();
+    while (collection.calls.length < 2) {
+      await new Promise((resolve) => setTimeout(resolve, 5));
+    }
+    watcher.advance(8);
+    while (collection.calls.length < 3) {
+      await new Promise((resolve) => setTimeout(resolve, 5));
+    }
+    expect(collection.calls).toEqual(["list", "watch 5", "watch 8"]);
+  });
+});
