--- a/packages/core/src/direct/direct_state.ts
+++ b/packages/core/src/direct/direct_state.ts
@@ -1,6 +1,10 @@
 import type { Millis } from "../clock.js";
 import type { RequestSnapshot } from "../router/request_machine.js";
-import type { DirectCall, DirectRefusalReason } from "./direct_event.js";
+import type {
+  DirectCall,
+  DirectEffect,
+  DirectRefusalReason,
+} from "./direct_event.js";
 import { EndpointDirectory } from "./endpoint_directory.js";
 import type { DirectEndpoint } from "./direct_endpoint.js";
 import { RetryWindow } from "./retry_window.js";
@@ -128,3 +132,29 @@
   state.retryWindows.set(service, window);
   return window;
 }
+
+/** Handles an event of a request that is still open. */
+export function withRequest(
+  state: DirectState,
+  key: number,
+  handle: (request: ActiveRequest) => DirectEffect[],
+): DirectEffect[] {
+  const request = state.requests.get(key);
+  return request ? handle(request) : [];
+}
+
+/** Events of attempts that were replaced or given up change nothing. */
+export function withAttempt(
+  state: DirectState,
+  { key, attempt }: { readonly key: number; readonly attempt: number },
+  handle: (request: ActiveRequest, attempt: ActiveAttempt) => DirectEffect[],
+): DirectEffect[] {
+  return withRequest(
+    state,
+    key,
+    (request) =>
+      request.attempt?.number === attempt
+        ? handle(request, request.attempt)
+        : [],
+  );
+}
--- a/packages/core/src/direct/reduce_direct_test.ts
+++ b/packages/core/src/direct/reduce_direct_test.ts
@@ -226,6 +226,43 @@
       expect(used).not.toContain(first!.endpointId);
     });
 
+    it("blames itself when most endpoints fall silent at once", () => {
+      // A large configuration once filled a router's link; it took all
+      // endpoints for dead and moved every stream.
+      const state = servingState();
+      const [first] = started(receive(state, "/write/x"));
+      reduceDirect(state, {
+        type: "silence_observed",
+        nowMs: 800,
+        busyEndpoints: 3,
+        endpoints: ["e1", "e2", "e3"].map((endpointId) => ({
+          endpointId,
+          quietMs: 800,
+        })),
+        attempts: [{ key: 1, attempt: 1, quietMs: 800 }],
+      });
+      const view = state.directory.get(first!.endpointId);
+      expect(view?.isSuspected(801)).toBe(false);
+    });
+
+    it("waits longer on routes whose answers usually take longer", () => {
+      const state = servingState();
+      for (let key = 1; key <= 30; key++) {
+        receive(state, "/read/x", key, key * 1000);
+        reduceDirect(state, {
+          type: "attempt_head",
+          nowMs: key * 1000 + 50,
+          key,
+          attempt: 1,
+          head: HEAD,
+        });
+      }
+      const timer = receive(state, "/read/x", 99, 50_000).find((effect) =>
+        effect.type === "set_timer" && effect.timer === "attempt"
+      );
+      expect(timer).toMatchObject({ delayMs: 200 });
+    });
+
     it("moves a stream that stopped, before its caller notices", () => {
       const state = servingState();
       const [first] = started(receive(state, "/resume/x"));
@@ -267,6 +304,30 @@
     });
   });
 
+  describe("with news of caches", () => {
+    const news = [{
+      endpointId: "e1",
+      incarnation: 1,
+      parts: [{ id: "page", tokens: 700 }],
+    }];
+
+    it.each([[5, 4, 0], [50, 30, 1]])(
+      "of a fleet of %i routers with %i connected passes them on %i times",
+      (routerCount, connectedCount, times) => {
+        const state = servingState();
+        reduceDirect(state, {
+          type: "peers_changed",
+          routerCount,
+          connectedCount,
+        });
+        const told = [1, 2].flatMap(() =>
+          reduceDirect(state, { type: "warmth_told", entries: news })
+        );
+        expect(told.length).toBe(times);
+      },
+    );
+  });
+
   describe("with a spent retry budget", () => {
     it("gives a failed request up instead of loading the pool further", () => {
       const state = servingState();
