--- a/packages/core/src/direct/choose_endpoint.ts
+++ b/packages/core/src/direct/choose_endpoint.ts
@@ -3,7 +3,7 @@
 import type { DirectEndpoint } from "./direct_endpoint.js";
 
 /** Requests that every endpoint may hold, whatever the mean is. */
-const LOAD_FLOOR = 2;
+const LOAD_FLOOR = 2.5;
 
 /** Samples from which a failure rate is believed. */
 const MIN_SAMPLES = 3;
--- a/packages/core/src/direct/direct_place.ts
+++ b/packages/core/src/direct/direct_place.ts
@@ -227,6 +227,7 @@
       endpoint: endpoint.id,
       attempt: request.attemptCount,
       decision: reason,
+      prompt_part: affinityKeyOf(request),
       cached_tokens: cachedTokens,
       shared_tokens: sum(sharedPartsOf(request)),
       fetch_from: fetchCacheFrom?.id,
