--- a/packages/daemon/src/direct/collection_watcher.ts
+++ b/packages/daemon/src/direct/collection_watcher.ts
@@ -14,6 +14,12 @@
 const MAX_RETRY_MS: Millis = 1200;
 const RETRY_FACTOR = 1.7;
 
+/**
+ * Pause after a change before the next watch: changes often come in groups, and
+ * each call is charged.
+ */
+const COLLECT_MS: Millis = 200;
+
 /** Changes that follow each other within this time are read together. */
 const QUICK_CHANGE_MS: Millis = 300;
 
@@ -145,6 +151,9 @@
     if (update.upserts.length + update.removed.length > 0) {
       this.#changing = this.#latestOnly;
       this.#onUpdate.fire({ ...update, whole: false });
+      if (!this.#latestOnly) {
+        await sleep(COLLECT_MS);
+      }
     }
   }
 
