--- a/packages/cli/src/fleet_commands.ts
+++ b/packages/cli/src/fleet_commands.ts
@@ -5,6 +5,7 @@
 import { CliError, usageError } from "./cli_error.js";
 import type { Command } from "./command.js";
 import { ExitCode } from "./exit_code.js";
+import { findTrail, formatTrail } from "./log_trail.js";
 import { formatTable } from "./table.js";
 
 const status: Command = {
@@ -22,8 +23,15 @@
   name: "explain",
   usage: "<request-id>",
   description: "Explain how a request was placed and answered",
-  options: [],
+  options: [{
+    flags: "--log",
+    description: "Explain from router log lines on standard input",
+  }],
   async run(context, [requestId]) {
+    if (context.options.log === true) {
+      const trail = findTrail(await context.io.readStdin(), requestId);
+      return { json: trail, text: formatTrail(trail) };
+    }
     const path = `/explain/${encodeURIComponent(requestId)}`;
     const json = await context.client().get(path);
     return { json, text: indented(json) };
