--- a/packages/daemon/src/direct/directory_sync.ts
+++ b/packages/daemon/src/direct/directory_sync.ts
@@ -78,6 +78,8 @@
       },
       address: settings.peerAddress,
       clock,
+      onRejected: (peer, detail) =>
+        options.logger.log("peer_rejected", { peer, detail }),
     });
     this.#mesh.setSeeds(settings.seeds);
     this.#mesh.onMessage(({ message, nodeId }) =>
--- a/packages/daemon/src/direct/peer_mesh.ts
+++ b/packages/daemon/src/direct/peer_mesh.ts
@@ -52,6 +52,8 @@
   /** Own address, as others reach it. */
   readonly address: string;
   readonly clock: Clock;
+  /** Called before a connection closes because of what the peer sent. */
+  readonly onRejected?: PeerConnectionOptions["onRejected"];
 }
 
 /**
@@ -86,6 +88,7 @@
       identity: options.identity,
       configVersion: 0,
       meter: this.#meter,
+      ...(options.onRejected ? { onRejected: options.onRejected } : {}),
     });
     this.#server = new PeerServer(connectionOptions);
     this.#dialer = new PeerDialer(connectionOptions);
