--- a/packages/core/src/direct/direct_place.ts
+++ b/packages/core/src/direct/direct_place.ts
@@ -25,6 +25,12 @@
 /** Part of the time left after which an attempt is given up at the latest. */
 const LEFT_SHARE = 0.5;
 
+/** Routers up to which states are exchanged often enough for the full bound. */
+const SMALL_FLEET_ROUTERS = 8;
+
+/** Part of the load over the mean that routers of larger fleets use. */
+const LARGE_FLEET_SHARE = 0.5;
+
 /** Copying fewer tokens than this is not worth the transfer. */
 const MIN_FETCHED_TOKENS = 256;
 
@@ -45,7 +51,7 @@
       cachedTokens: (endpoint) => cachedTokens(state, request, endpoint),
       failureDomain: state.options.failureDomain,
       tried: request.tried,
-      loadMultiple: state.options.loadMultiple,
+      loadMultiple: loadMultipleOf(state),
     },
     nowMs,
   );
@@ -64,6 +70,17 @@
   return startAttempt(state, request, choice, nowMs);
 }
 
+/**
+ * In a large fleet each router sends a small part of the requests and hears of
+ * the others' late, so it keeps more distance from the bound.
+ */
+function loadMultipleOf({ options, routerCount }: DirectState): number {
+  const { loadMultiple } = options;
+  return routerCount <= SMALL_FLEET_ROUTERS
+    ? loadMultiple
+    : 1 + (loadMultiple - 1) * LARGE_FLEET_SHARE;
+}
+
 function startAttempt(
   state: DirectState,
   request: ActiveRequest,
--- a/packages/core/src/direct/reduce_direct_test.ts
+++ b/packages/core/src/direct/reduce_direct_test.ts
@@ -49,6 +49,7 @@
       name: "resume",
       pathPrefix: "/resume/",
       callKind: "stream",
+      sticky: true,
       resumable: true,
       gapObjectiveMs: 400,
     },
@@ -328,6 +329,43 @@
     );
   });
 
+  describe("with a warm endpoint that is busy", () => {
+    // At a mean of 10 a bound of 1.5 allows 17 requests, one of 1.25 allows 15.
+    it.each([[5, "warm"], [28, "spilled"]])(
+      "keeps the distance that a fleet of %i routers needs",
+      (routerCount, decision) => {
+        const state = servingState();
+        const parts = [{ id: "page", tokens: 9000 }, { id: "own", tokens: 9 }];
+        for (const view of state.directory.all()) {
+          view.ownInFlight = view.id === "e1" ? 16 : 7;
+        }
+        reduceDirect(state, {
+          type: "warmth_told",
+          entries: [{
+            endpointId: "e1",
+            incarnation: 1,
+            parts: parts.slice(0, 1),
+          }],
+        });
+        reduceDirect(state, {
+          type: "peers_changed",
+          routerCount,
+          connectedCount: routerCount - 1,
+        });
+        const effects = reduceDirect(state, {
+          type: "call_received",
+          nowMs: 0,
+          key: 1,
+          call: { ...callTo("/resume/x"), promptParts: parts },
+        });
+        const placed = effects.find((effect) =>
+          effect.type === "log" && effect.event === "direct_attempt_started"
+        );
+        expect(placed).toMatchObject({ fields: { decision } });
+      },
+    );
+  });
+
   describe("with a spent retry budget", () => {
     it("gives a failed request up instead of loading the pool further", () => {
       const state = servingState();
--- a/packages/daemon/src/direct/stdout_log.ts
+++ b/packages/daemon/src/direct/stdout_log.ts
@@ -18,6 +18,7 @@
 export interface LogSink {
   readonly writableLength: number;
   write(text: string): unknown;
+  on(event: "error", listener: () => void): unknown;
 }
 
 /**
@@ -33,6 +34,7 @@
   #windowStartMs = 0;
   #lines = 0;
   #dropped = 0;
+  #readerGone = false;
 
   constructor(
     nodeId: string,
@@ -42,6 +44,10 @@
     this.#nodeId = nodeId;
     this.#sink = sink;
     this.#now = now;
+    sink.on("error", () => {
+      // The reader is gone. Nobody is left to tell; requests are served on.
+      this.#readerGone = true;
+    });
   }
 
   /** Lines left out since the last line that told their number. */
@@ -55,6 +61,7 @@
     const { level } = LOG_EVENTS[event];
     const limited = level === "info" || level === "debug";
     if (
+      this.#readerGone ||
       limited && this.#lines >= MAX_LINES_PER_S ||
       this.#sink.writableLength > MAX_QUEUED_BYTES
     ) {
@@ -73,6 +80,9 @@
     }
     this.#windowStartMs = nowMs;
     this.#lines = 0;
+    if (this.#readerGone) {
+      return;
+    }
     if (this.#dropped > 0 && this.#sink.writableLength <= MAX_QUEUED_BYTES) {
       const lines = this.#dropped;
       this.#dropped = 0;
--- a/packages/daemon/src/direct/stdout_log_test.ts
+++ b/packages/daemon/src/direct/stdout_log_test.ts
@@ -1,7 +1,8 @@
+import { EventEmitter } from "node:events";
 import { describe, expect, it } from "vitest";
 import { StdoutLog } from "./stdout_log.js";
 
-class Sink {
+class Sink extends EventEmitter {
   writableLength = 0;
   readonly lines: Record<string, unknown>[] = [];
 
@@ -36,6 +37,16 @@
     expect(log.droppedLines).toBe(1);
   });
 
+  it("survives the end of its reader", () => {
+    // Without a listener, the error of a closed pipe ends the process.
+    const sink = new Sink();
+    const log = new StdoutLog("n", sink);
+    sink.emit("error", new Error("write EPIPE"));
+    log.log("direct_request_finished");
+    expect(sink.lines).toEqual([]);
+    expect(log.droppedLines).toBe(1);
+  });
+
   it("goes on after the time of day jumped back", () => {
     const sink = new Sink();
     let wallMs = 1_000_000;
