--- a/deploy/start.cjs
+++ b/deploy/start.cjs
@@ -37,11 +37,18 @@
 function writeCache() {
   const script = load(undefined);
   const { warmUp } = require(join(TARGET, "warm_up.cjs"));
-  warmUp(() => run(script)).then(() => {
-    // Functions that ran during the warm-up are part of the cache.
-    writeFileSync(CACHE, script.createCachedData());
-    process.exit(0);
-  });
+  warmUp(() => run(script)).then(
+    () => {
+      // Functions that ran during the warm-up are part of the cache.
+      writeFileSync(CACHE, script.createCachedData());
+      process.exit(0);
+    },
+    (error) => {
+      // A router without a cache works; it only starts more slowly.
+      process.stderr.write(`no code cache was written: ${error.stack}\n`);
+      process.exit(0);
+    },
+  );
 }
 
 if (process.argv.includes("--write-cache")) {
