Leave a silent attempt only when it can go on elsewhere

Silence alone is no reason to end an answer. Rules, another endpoint and the budget are now looked at first.

--- a/packages/core/src/direct/direct_attempt.ts
+++ b/packages/core/src/direct/direct_attempt.ts
@@ -8,6 +8,7 @@
 } from "./direct_event.js";
 import { closeAttempt, finishRequest, refuse } from "./direct_finish.js";
 import { placeRequest } from "./direct_place.js";
+import type { RetryAllowance } from "./retry_window.js";
 import { canRelayFailure, isRepeatable, judgeHead } from "./direct_rules.js";
 import {
   type ActiveAttempt,
@@ -261,16 +262,39 @@
   );
 }
 
+/**
+ * Whether an attempt that is silent may be left for another endpoint. Silence
+ * alone is no reason to end an answer, so all must be there that it takes to
+ * go on elsewhere.
+ */
+export function canMoveOn(
+  state: DirectState,
+  request: ActiveRequest,
+  nowMs: Millis,
+): boolean {
+  const { possibleRuns, route, service, tried } = request;
+  return isRepeatable(route) && possibleRuns + 1 < route.maxAttempts &&
+    state.directory.ofService(service).some(({ id, record }) =>
+      record.state === "ready" && !tried.has(id)
+    ) &&
+    retryWindowOf(state, service).hasRetry(nowMs, allowanceOf(state));
+}
+
 function takeRetry(
   state: DirectState,
   request: ActiveRequest,
   nowMs: Millis,
 ): boolean {
-  const { retryExtra, retryRatio } = state.options;
-  return retryWindowOf(state, request.service).tryRetry(nowMs, {
-    ratio: retryRatio,
-    extra: retryExtra / state.routerCount,
-  });
+  return retryWindowOf(state, request.service)
+    .tryRetry(nowMs, allowanceOf(state));
+}
+
+/** This router's share of what all routers may repeat. */
+function allowanceOf({ options, routerCount }: DirectState): RetryAllowance {
+  return {
+    ratio: options.retryRatio,
+    extra: options.retryExtra / routerCount,
+  };
 }
 
 interface NotedFailure {
--- a/packages/core/src/direct/direct_silence.ts
+++ b/packages/core/src/direct/direct_silence.ts
@@ -1,7 +1,6 @@
 import type { Millis } from "../clock.js";
-import { failAttempt } from "./direct_attempt.js";
+import { canMoveOn, failAttempt } from "./direct_attempt.js";
 import type { DirectEffect, DirectEvent } from "./direct_event.js";
-import { isRepeatable } from "./direct_rules.js";
 import {
   type ActiveAttempt,
   type ActiveRequest,
@@ -12,6 +11,9 @@
 /** A busy endpoint that sends nothing for this long is avoided. */
 const SILENT_ENDPOINT_MS: Millis = 700;
 
+/** A silent attempt that cannot be left is looked at again after this time. */
+const RECHECK_MS: Millis = 200;
+
 /** More silent endpoints than this share point to this router itself. */
 const OWN_FAULT_SHARE = 0.5;
 
@@ -27,8 +29,13 @@
   request: ActiveRequest,
   nowMs: Millis,
 ): DirectEffect[] {
-  const { attempt } = request;
-  return attempt ? abandonAttempt(state, request, attempt, nowMs) : [];
+  const { attempt, key } = request;
+  if (!attempt) {
+    return [];
+  }
+  return canMoveOn(state, request, nowMs)
+    ? abandonAttempt(state, request, attempt, nowMs)
+    : [{ type: "set_timer", key, timer: "attempt", delayMs: RECHECK_MS }];
 }
 
 /** Avoids endpoints that fell silent, and moves streams that may be moved. */
@@ -50,7 +57,7 @@
     withAttempt(state, silence, (request, attempt) => {
       const limitMs = (request.route.gapObjectiveMs ?? DEFAULT_GAP_MS) *
         GAP_SHARE;
-      return isRepeatable(request.route) && silence.quietMs >= limitMs
+      return silence.quietMs >= limitMs && canMoveOn(state, request, nowMs)
         ? abandonAttempt(state, request, attempt, nowMs)
         : [];
     })
--- a/packages/core/src/direct/reduce_direct_test.ts
+++ b/packages/core/src/direct/reduce_direct_test.ts
@@ -227,6 +227,41 @@
       expect(used).not.toContain(first!.endpointId);
     });
 
+    it("keeps a silent stream that it could not continue elsewhere", () => {
+      // It once cut streams for their silence when the retry budget was spent.
+      const state = createDirectState({
+        ...OPTIONS,
+        retryRatio: 0,
+        retryExtra: 0,
+      });
+      receiveConfig(state);
+      receiveEndpoints(state);
+      receive(state, "/resume/x");
+      reduceDirect(state, {
+        type: "attempt_head",
+        nowMs: 50,
+        key: 1,
+        attempt: 1,
+        head: HEAD,
+      });
+      const effects = reduceDirect(state, {
+        type: "silence_observed",
+        nowMs: 1000,
+        busyEndpoints: 1,
+        endpoints: [],
+        attempts: [{ key: 1, attempt: 1, quietMs: 950 }],
+      });
+      expect(effects).toEqual([]);
+      const later = reduceDirect(state, {
+        type: "timer_fired",
+        nowMs: 1000,
+        key: 1,
+        timer: "attempt",
+      });
+      expect(later.map(({ type }) => type)).toEqual(["set_timer"]);
+      expect(state.requests.size).toBe(1);
+    });
+
     it("blames itself when most endpoints fall silent at once", () => {
       // A large configuration once filled a router's link; it took all
       // endpoints for dead and moved every stream.
--- a/packages/core/src/direct/retry_window.ts
+++ b/packages/core/src/direct/retry_window.ts
@@ -32,11 +32,15 @@
     this.#requests[this.#part % PARTS]!++;
   }
 
-  /** Takes one retry if the window still allows it. */
-  tryRetry(nowMs: Millis, { ratio, extra }: RetryAllowance): boolean {
+  /** Whether the window allows one more retry. */
+  hasRetry(nowMs: Millis, { ratio, extra }: RetryAllowance): boolean {
     this.#advance(nowMs);
-    const allowed = ratio * sum(this.#requests) + extra;
-    if (sum(this.#retries) + 1 > allowed) {
+    return sum(this.#retries) + 1 <= ratio * sum(this.#requests) + extra;
+  }
+
+  /** Takes one retry if the window still allows it. */
+  tryRetry(nowMs: Millis, allowance: RetryAllowance): boolean {
+    if (!this.hasRetry(nowMs, allowance)) {
       return false;
     }
     this.#retries[this.#part % PARTS]!++;
