Close kept connections of a stopping router after their answer, and refuse what arrives late

A stream had begun before SIGTERM, so its head did not ask the caller to close; the next request on that connection came 5.8 s after SIGTERM and was cut by the end of the process.

--- a/packages/core/src/direct/direct_admission.ts
+++ b/packages/core/src/direct/direct_admission.ts
@@ -28,6 +28,12 @@
 /** Part of a call's deadline that it may wait during the start. */
 const START_WAIT_SHARE = 0.4;
 
+/**
+ * A stopping router takes requests for as long as new callers may still reach
+ * it. Later ones could be cut by the end of the process.
+ */
+const ADMIT_AFTER_STOP_MS: Millis = 3500;
+
 /** Admits a call, or lets it wait while the router starts. */
 export function admitCall(
   state: DirectState,
@@ -35,6 +41,11 @@
   call: DirectCall,
   nowMs: Millis,
 ): DirectEffect[] {
+  if (
+    state.stopping && nowMs - state.stoppingSinceMs > ADMIT_AFTER_STOP_MS
+  ) {
+    return rejectCall(key, call, "stopping", state.routes?.version);
+  }
   return canServe(state) || state.stopping
     ? receiveCall(state, key, call, nowMs, nowMs)
     : holdCall(state, key, call, nowMs);
--- a/packages/core/src/direct/direct_state.ts
+++ b/packages/core/src/direct/direct_state.ts
@@ -78,6 +78,7 @@
   /** Until then removals may be the trace of an outage. */
   disturbedUntilMs: Millis;
   stopping: boolean;
+  stoppingSinceMs: Millis;
 }
 
 export function createDirectState(options: DirectOptions): DirectState {
@@ -95,6 +96,7 @@
     storeAvailable: false,
     disturbedUntilMs: 0,
     stopping: false,
+    stoppingSinceMs: 0,
   };
 }
 
--- a/packages/core/src/direct/reduce_direct.ts
+++ b/packages/core/src/direct/reduce_direct.ts
@@ -103,6 +103,7 @@
       return expireEndpoints(state, event.nowMs);
     case "stopping":
       state.stopping = true;
+      state.stoppingSinceMs = event.nowMs;
       return [];
   }
 }
--- a/packages/core/src/direct/reduce_direct_test.ts
+++ b/packages/core/src/direct/reduce_direct_test.ts
@@ -324,6 +324,19 @@
     });
   });
 
+  describe("when the router stops", () => {
+    it("serves what arrives soon after, and refuses what it might cut", () => {
+      const state = servingState();
+      reduceDirect(state, { type: "stopping", nowMs: 1000 });
+      expect(started(receive(state, "/resume/x", 1, 3000)).length).toBe(1);
+      const late = receive(state, "/resume/x", 2, 6000);
+      expect(started(late)).toEqual([]);
+      expect(refusals(late)).toMatchObject([
+        { status: 503, reason: "stopping", outcome: "not-run" },
+      ]);
+    });
+  });
+
   describe("with too little time", () => {
     it("refuses truthfully without an attempt", () => {
       const state = servingState();
--- a/packages/daemon/src/direct/edge_server.ts
+++ b/packages/daemon/src/direct/edge_server.ts
@@ -114,6 +114,12 @@
     const key = this.#nextKey++;
     const { socket } = request;
     this.#answering.set(socket, (this.#answering.get(socket) ?? 0) + 1);
+    response.once("finish", () => {
+      // Answers that began before the stop did not ask the caller to close.
+      if (this.#closing) {
+        socket.end();
+      }
+    });
     let delivered = false;
     response.once("close", () => {
       this.#release(socket);
