Let a few routers of a large fleet watch the endpoints for all

Cause: every router watched the list of endpoints itself. A list that a restarted router had just read also counted as news for the others, so each of them asked for all endpoints and started its own call anew.

Ruled out: stale reads, which may be older than the drain bound; pushing whole lists or configurations, which filled small links before.

Now routers of fleets of more than eight leave the watch to at least two of them that they hear, at most four ahead of them by rendezvous order. Watchers tell each change as a difference. Routers tell the revision of the last change instead of that of their last call. Tests: watch_duty, endpoint_sync, pauses of collection_watcher. Not measured yet.

--- a/packages/core/src/direct/direct_knowledge.ts
+++ b/packages/core/src/direct/direct_knowledge.ts
@@ -42,7 +42,9 @@
   state: DirectState,
   event: Extract<DirectEvent, { type: "endpoints_changed" }>,
 ): DirectEffect[] {
-  const disturbed = event.settled !== true && isDisturbed(state, event.nowMs);
+  const disturbed = event.settled === undefined
+    ? isDisturbed(state, event.nowMs)
+    : !event.settled;
   const notes = state.directory.apply(
     event.change,
     event.nowMs,
--- a/packages/core/src/direct/index.ts
+++ b/packages/core/src/direct/index.ts
@@ -15,3 +15,4 @@
 export * from "./route_table.js";
 export * from "./routing_config.js";
 export * from "./warmth_index.js";
+export * from "./watch_duty.js";
--- a/packages/core/src/log_events.ts
+++ b/packages/core/src/log_events.ts
@@ -185,6 +185,11 @@
     level: "info",
     message: "call to the directory failed",
   },
+  watch_duty_changed: {
+    code: 4039,
+    level: "info",
+    message: "router began or ceased to watch the directory for others",
+  },
   store_failed: {
     code: 4020,
     level: "warn",
--- a/packages/core/src/wire/field_codes.ts
+++ b/packages/core/src/wire/field_codes.ts
@@ -121,6 +121,9 @@
   "tokens",
   "settled",
   "wantsWarmth",
+  "lastChange",
+  "afterRevision",
+  "removedIds",
 ] as const;
 
 /** Code of each name, for the key map of the CBOR codec. */
--- a/packages/core/src/wire/messages.ts
+++ b/packages/core/src/wire/messages.ts
@@ -307,6 +307,7 @@
 const FleetStateSchema = z.object({
   type: z.literal("fleet_state"),
   configVersion: z.int().nonnegative(),
+  /** Revision of the last change of the directory that the sender knows of. */
   directoryRevision: z.int().nonnegative(),
   /** Requests in flight by endpoint; endpoints not named have none. */
   inFlight: z.record(id, z.int().nonnegative()),
@@ -317,6 +318,7 @@
 const FleetQuerySchema = z.object({
   type: z.literal("fleet_query"),
   configVersion: z.int().nonnegative(),
+  /** Revision up to which the sender knows the directory. */
   directoryRevision: z.int().nonnegative(),
   wantsWarmth: z.boolean().optional(),
 });
@@ -325,13 +327,33 @@
   type: z.literal("fleet_content"),
   config: RoutingConfigSchema.optional(),
   directory: z.object({
+    /** Revision up to which the sender knows the directory. */
     revision: z.int().nonnegative(),
+    /** Revision of the last change that the sender knows of. */
+    lastChange: z.int().nonnegative(),
     /** The sender reads the directory without disturbance. */
     settled: z.boolean(),
     endpoints: z.array(EndpointRecordSchema),
   }).optional(),
 });
 
+/** The sender watches the directory for routers that do not. */
+const FleetWatchingSchema = z.object({
+  type: z.literal("fleet_watching"),
+  directoryRevision: z.int().nonnegative(),
+});
+
+/** A change of the directory, for routers that know it up to `afterRevision`. */
+const FleetChangeSchema = z.object({
+  type: z.literal("fleet_change"),
+  afterRevision: z.int().nonnegative(),
+  revision: z.int().nonnegative(),
+  lastChange: z.int().nonnegative(),
+  settled: z.boolean(),
+  endpoints: z.array(EndpointRecordSchema),
+  removedIds: z.array(id),
+});
+
 /** What endpoints hold in their caches, as far as a router knows. */
 const FleetWarmthSchema = z.object({
   type: z.literal("fleet_warmth"),
@@ -369,6 +391,8 @@
   FleetQuerySchema,
   FleetContentSchema,
   FleetWarmthSchema,
+  FleetWatchingSchema,
+  FleetChangeSchema,
 ]);
 export type Message = z.infer<typeof MessageSchema>;
 export type MessageType = Message["type"];
--- a/packages/daemon/src/admin/admin_fixture.ts
+++ b/packages/daemon/src/admin/admin_fixture.ts
@@ -1,25 +1,13 @@
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
-import { type AccountTraffic, Clock, type OperatorRole } from "@anvildeal/core";
+import type { AccountTraffic, OperatorRole } from "@anvildeal/core";
+import { ManualClock } from "../manual_clock_fixture.js";
 import { AdminApi } from "./admin_api.js";
 import type { AdminLogEvent } from "./admin_log.js";
 import type { DrainResult } from "./admin_services.js";
 import { sha256Hex } from "./digest.js";
 import { MemoryObjectStore } from "./memory_object_store.js";
 
-/** Clock for tests that stands still until it is moved. */
-export class ManualClock extends Clock {
-  timeMs = 1_700_000_000_000;
-
-  nowMs(): number {
-    return this.timeMs;
-  }
-
-  wallMs(): number {
-    return this.timeMs;
-  }
-}
-
 /** Operators of the fixture; their keys are `<name>-key`. */
 const OPERATORS: Record<string, OperatorRole[]> = {
   paula: ["proposer"],
--- a/packages/daemon/src/direct/collection.ts
+++ b/packages/daemon/src/direct/collection.ts
@@ -8,7 +8,10 @@
 
 /** Items of a collection at, or up to, a revision of the directory. */
 export interface CollectionUpdate<T> {
+  /** Revision up to which the items are known. */
   readonly revision: number;
+  /** Latest revision of an item in the update; 0 when it names none. */
+  readonly lastChange: number;
   readonly upserts: readonly T[];
   /** Names of items that are gone or cannot be read any more. */
   readonly removed: readonly string[];
--- a/packages/daemon/src/direct/collection_watcher.ts
+++ b/packages/daemon/src/direct/collection_watcher.ts
@@ -8,7 +8,7 @@
 } from "./collection.js";
 
 /** Longest wait of one watch call; each call is charged. */
-const WATCH_WAIT_MS: Millis = 25_000;
+export const LONG_WATCH_MS: Millis = 25_000;
 
 const FIRST_RETRY_MS: Millis = 150;
 const MAX_RETRY_MS: Millis = 1200;
@@ -51,6 +51,12 @@
   #revision: number | undefined;
   #retryMs: Millis = FIRST_RETRY_MS;
   readonly #latestOnly: boolean;
+  #waitMs: Millis = LONG_WATCH_MS;
+  #answering = false;
+  /** Resolves when calls go on; undefined while they do. */
+  #pause:
+    | { readonly ended: Promise<void>; readonly end: () => void }
+    | undefined;
   /** The last call brought a change, so more may follow. */
   #changing = false;
 
@@ -80,10 +86,39 @@
     return this.#revision;
   }
 
+  /** Whether calls are made and the last one was answered. */
+  get following(): boolean {
+    return this.#answering && this.#pause === undefined;
+  }
+
+  /** Sets how long each watch call waits for changes. */
+  setWait(waitMs: Millis): void {
+    this.#waitMs = waitMs;
+  }
+
   start(): void {
     void this.#run();
   }
 
+  /** Ends the call that waits; nothing is called until {@link resume}. */
+  pause(): void {
+    if (this.#pause === undefined) {
+      let end = () => {};
+      const ended = new Promise<void>((resolve) => {
+        end = resolve;
+      });
+      this.#pause = { ended, end };
+      this.#answering = false;
+      this.#call.abort();
+    }
+  }
+
+  /** Goes on from the revision that is known by now. */
+  resume(): void {
+    this.#pause?.end();
+    this.#pause = undefined;
+  }
+
   /**
    * Takes over items that another router read at a later revision. A call that
    * waits is started anew, since its connection may have gone silent.
@@ -98,6 +133,7 @@
 
   dispose(): void {
     this.#disposed.abort();
+    this.resume();
     this.#call.abort();
     this.#onUpdate.dispose();
     this.#onFailure.dispose();
@@ -105,12 +141,17 @@
   }
 
   async #run(): Promise<void> {
-    while (!this.#disposed.signal.aborted) {
+    for (;;) {
+      await this.#pause?.ended;
+      if (this.#disposed.signal.aborted) {
+        return;
+      }
       this.#call = new AbortController();
       const startedMs = performance.now();
       try {
         await this.#step();
         this.#retryMs = FIRST_RETRY_MS;
+        this.#answering = this.#pause === undefined;
         this.#onAnswer.fire();
       } catch (error) {
         if (this.#disposed.signal.aborted) {
@@ -119,6 +160,7 @@
         if (this.#call.signal.aborted) {
           continue;
         }
+        this.#answering = false;
         await this.#recover(error, performance.now() - startedMs);
       }
     }
@@ -140,7 +182,7 @@
     }
     const update = await this.#collection.watch(
       revision,
-      WATCH_WAIT_MS,
+      this.#waitMs,
       signal,
     );
     if (this.#revision !== revision) {
--- a/packages/daemon/src/direct/collection_watcher_test.ts
+++ b/packages/daemon/src/direct/collection_watcher_test.ts
@@ -52,7 +52,13 @@
 }
 
 function update(revision: number, ...upserts: string[]) {
-  return { revision, upserts, removed: [], ignored: [] };
+  return {
+    revision,
+    lastChange: upserts.length > 0 ? revision : 0,
+    upserts,
+    removed: [],
+    ignored: [],
+  };
 }
 
 describe("CollectionWatcher", () => {
@@ -125,6 +131,26 @@
     ]);
   });
 
+  it("makes no call during a pause, and goes on from where peers are", async () => {
+    const collection = new ScriptedCollection([update(5)]);
+    watcher = new CollectionWatcher(collection, () => 0);
+    watcher.start();
+    while (collection.calls.length < 2) {
+      await new Promise((resolve) => setTimeout(resolve, 5));
+    }
+    expect(watcher.following).toBe(true);
+    watcher.pause();
+    watcher.advance(8);
+    await new Promise((resolve) => setTimeout(resolve, 30));
+    expect(watcher.following).toBe(false);
+    expect(collection.calls).toEqual(["list", "watch 5"]);
+    watcher.resume();
+    while (collection.calls.length < 3) {
+      await new Promise((resolve) => setTimeout(resolve, 5));
+    }
+    expect(collection.calls).toEqual(["list", "watch 5", "watch 8"]);
+  });
+
   it("takes over a revision that a peer is ahead with", async () => {
     const collection = new ScriptedCollection([update(5)]);
     watcher = new CollectionWatcher(collection, () => 0);
--- a/packages/daemon/src/direct/directory_sync.ts
+++ b/packages/daemon/src/direct/directory_sync.ts
@@ -13,6 +13,7 @@
 import type { Collection } from "./collection.js";
 import { CollectionWatcher, type WatchedUpdate } from "./collection_watcher.js";
 import type { DirectSettings } from "./direct_settings.js";
+import { EndpointSync } from "./endpoint_sync.js";
 import { PeerMesh } from "./peer_mesh.js";
 
 /** A peer that is ahead for this long is asked for what it knows. */
@@ -52,10 +53,7 @@
   readonly #options: DirectorySyncOptions;
   readonly #mesh: PeerMesh;
   readonly #configs: CollectionWatcher<RoutingConfig>;
-  readonly #endpoints: CollectionWatcher<EndpointRecord>;
-  readonly #records = new Map<string, EndpointRecord>();
-  /** Directory revision of the records; 0 while none is known. */
-  #revision = 0;
+  readonly #endpoints: EndpointSync;
   /** Consecutive failures by collection. */
   readonly #failures = new Map<string, number>();
   #warmNews: WarmEntry[] = [];
@@ -89,6 +87,9 @@
       options.logger.log(connected ? "peer_regained" : "peer_lost", {
         peer: nodeId,
       });
+      if (!connected) {
+        this.#endpoints.forgetWatcher(nodeId);
+      }
       if (connected && this.#mesh.connectedCount === 1) {
         this.#askForWarmth(nodeId);
       }
@@ -98,10 +99,13 @@
         this.#applyConfig(config, "directory");
       }
     }, true);
-    this.#endpoints = this.#watch(
-      options.endpoints,
-      (update) => this.#applyEndpoints(update, "directory"),
-    );
+    this.#endpoints = new EndpointSync({
+      ...options,
+      nodeId: settings.nodeId,
+      watcher: this.#watch(options.endpoints, () => {}),
+      broadcast: (message) => this.#mesh.broadcast(message),
+      onRest: () => this.#noteFailures(options.endpoints.label, 0),
+    });
   }
 
   start(): void {
@@ -133,6 +137,7 @@
       routerCount: this.#mesh.routerCount,
       connectedCount: this.#mesh.connectedCount,
     });
+    this.#endpoints.tick(this.#mesh.routerCount);
     this.#inFlight = inFlight;
     // The messages of a router grow with the fleet, so they come less often.
     const interval = Math.max(1, this.#mesh.connectedCount / PEERS_PER_ROUND);
@@ -166,7 +171,7 @@
     this.#mesh.broadcast({
       type: "fleet_state",
       configVersion: this.#configVersion(),
-      directoryRevision: this.#revision,
+      directoryRevision: this.#endpoints.lastChange,
       inFlight: { ...this.#inFlight },
       routers: this.#states % STATES_PER_ROUTER_LIST === 1
         ? this.#mesh.knownRouters()
@@ -179,7 +184,7 @@
     this.#mesh.sendTo(nodeId, {
       type: "fleet_query",
       configVersion: this.#configVersion(),
-      directoryRevision: this.#revision,
+      directoryRevision: this.#endpoints.revision,
       wantsWarmth: true,
     });
   }
@@ -266,36 +271,6 @@
     }
   }
 
-  #applyEndpoints(
-    update: WatchedUpdate<EndpointRecord> & { readonly settled?: boolean },
-    source: string,
-  ): void {
-    if (update.revision < this.#revision) {
-      return;
-    }
-    this.#revision = update.revision;
-    if (update.whole) {
-      this.#records.clear();
-    }
-    for (const record of update.upserts) {
-      this.#records.set(record.id, record);
-    }
-    for (const id of update.removed) {
-      this.#records.delete(id);
-    }
-    this.#options.push({
-      type: "endpoints_changed",
-      nowMs: this.#options.clock.nowMs(),
-      change: {
-        upserts: update.upserts,
-        removedIds: update.removed,
-        whole: update.whole,
-      },
-      source,
-      ...(update.settled === undefined ? {} : { settled: update.settled }),
-    });
-  }
-
   #receive(nodeId: string, message: Message): void {
     switch (message.type) {
       case "fleet_state":
@@ -320,6 +295,13 @@
       case "fleet_content":
         this.#takeOver(nodeId, message);
         break;
+      case "fleet_watching":
+        this.#endpoints.noteWatcher(nodeId);
+        this.#compare(nodeId, { ...message, configVersion: 0 });
+        break;
+      case "fleet_change":
+        this.#endpoints.takeChange(nodeId, message);
+        break;
     }
   }
 
@@ -332,19 +314,20 @@
     },
   ): void {
     const ahead = configVersion > this.#configVersion() ||
-      directoryRevision > this.#revision;
+      directoryRevision > this.#endpoints.revision;
     if (!ahead) {
       return;
     }
     const nowMs = this.#options.clock.nowMs();
     this.#behindSinceMs ??= nowMs;
-    const unknown = this.#configVersion() === 0 || this.#revision === 0;
+    const unknown = this.#configVersion() === 0 ||
+      this.#endpoints.revision === 0;
     if (unknown || nowMs - this.#behindSinceMs >= BEHIND_MS) {
       this.#behindSinceMs = undefined;
       this.#mesh.sendTo(nodeId, {
         type: "fleet_query",
         configVersion: this.#configVersion(),
-        directoryRevision: this.#revision,
+        directoryRevision: this.#endpoints.revision,
       });
     }
   }
@@ -358,22 +341,14 @@
   ): void {
     const config = this.#options.configInForce();
     const newer = config && config.version > query.configVersion;
-    const ahead = this.#revision > query.directoryRevision;
+    const ahead = this.#endpoints.lastChange > query.directoryRevision;
     if (!newer && !ahead) {
       return;
     }
     this.#mesh.sendTo(nodeId, {
       type: "fleet_content",
       ...(newer ? { config } : {}),
-      ...(ahead
-        ? {
-          directory: {
-            revision: this.#revision,
-            settled: this.#options.isSettled(),
-            endpoints: [...this.#records.values()],
-          },
-        }
-        : {}),
+      ...(ahead ? { directory: this.#endpoints.content() } : {}),
     });
   }
 
@@ -381,20 +356,11 @@
     nodeId: string,
     { config, directory }: Extract<Message, { type: "fleet_content" }>,
   ): void {
-    const source = `peer ${nodeId}`;
     if (config && config.version > this.#configVersion()) {
-      this.#applyConfig(config, source);
+      this.#applyConfig(config, `peer ${nodeId}`);
     }
-    if (directory && directory.revision > this.#revision) {
-      this.#applyEndpoints({
-        settled: directory.settled,
-        revision: directory.revision,
-        upserts: directory.endpoints,
-        removed: [],
-        ignored: [],
-        whole: true,
-      }, source);
-      this.#endpoints.advance(directory.revision);
+    if (directory) {
+      this.#endpoints.takeContent(nodeId, directory);
     }
   }
 }
