--- a/packages/cli/src/anvildeal.ts
+++ b/packages/cli/src/anvildeal.ts
@@ -1,4 +1,3 @@
-#!/usr/bin/env node
 import { runCli } from "./cli.js";
 import { ProcessIo } from "./process_io.js";
 
--- a/packages/daemon/src/anvildeald.ts
+++ b/packages/daemon/src/anvildeald.ts
@@ -1,4 +1,3 @@
-#!/usr/bin/env -S node --max-old-space-size=96 --max-semi-space-size=4
 import { ConfigError } from "@anvildeal/core";
 import { cac } from "cac";
 import { JsonLogger } from "./logging/index.js";
