--- /dev/null
+++ b/packages/baseline/src/main.ts
@@ -0,0 +1,14 @@
+import { readSettingsFile, SETTINGS_VARIABLE } from "@anvildeal/platform";
+import { PassThrough } from "./pass_through.js";
+
+const settingsPath = process.env[SETTINGS_VARIABLE];
+if (settingsPath === undefined) {
+  process.stderr.write(`${SETTINGS_VARIABLE} is not set\n`);
+  process.exitCode = 2;
+} else {
+  const passThrough = new PassThrough(readSettingsFile(settingsPath));
+  process.on("SIGTERM", () => {
+    void passThrough.stop().then(() => process.exit(0));
+  });
+  await passThrough.start();
+}
--- /dev/null
+++ b/packages/baseline/src/pass_through_test.ts
@@ -0,0 +1,64 @@
+import { HEADER, readSettingsFile } from "@anvildeal/platform";
+import {
+  call,
+  PlatformStandIn,
+  settingsFile,
+} from "@anvildeal/platform/stand-ins";
+import { mkdtempSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { PassThrough } from "./pass_through.js";
+
+// A baseline that cannot serve would make every comparison look good.
+describe("the baseline", () => {
+  let platform: PlatformStandIn;
+  let passThrough: PassThrough;
+  let port: number;
+
+  beforeEach(async () => {
+    platform = new PlatformStandIn();
+    await platform.start();
+    const file = await settingsFile("edge-1", platform.storeAddress);
+    const path = join(mkdtempSync(join(tmpdir(), "baseline-")), "boot.conf");
+    writeFileSync(path, file.text);
+    const settings = readSettingsFile(path);
+    port = Number(settings.callerAddress.split(":")[1]);
+    passThrough = new PassThrough(settings);
+    await passThrough.start();
+  });
+
+  afterEach(() => {
+    passThrough.dispose();
+    platform.stop();
+  });
+
+  it("passes a request on unchanged, and its answer back", async () => {
+    const result = await call(port, "/write/a?b=c", {
+      method: "PUT",
+      body: "some text",
+    });
+    expect(result.status).toBe(200);
+    const [seen] = platform.app.flatMap((endpoint) => endpoint.seen);
+    expect(seen).toMatchObject({
+      method: "PUT",
+      path: "/write/a?b=c",
+      body: "some text",
+    });
+  });
+
+  it("sends prompts that share a part to one engine", async () => {
+    for (let i = 0; i < 6; i++) {
+      const result = await call(port, "/chat/a", {
+        headers: { [HEADER.promptParts]: `aa:500,${i}b:10` },
+      });
+      expect(result.status).toBe(200);
+    }
+    const busy = platform.pool.filter(({ seen }) => seen.length > 0);
+    expect(busy).toHaveLength(1);
+  });
+
+  it("answers 404 where no route leads", async () => {
+    expect((await call(port, "/nowhere")).status).toBe(404);
+  });
+});
