--- a/packages/baseline/src/main.ts
+++ b/packages/baseline/src/main.ts
@@ -10,5 +10,8 @@
   process.on("SIGTERM", () => {
     void passThrough.stop().then(() => process.exit(0));
   });
-  await passThrough.start();
+  passThrough.start().catch((error: unknown) => {
+    process.stderr.write(`${error}\n`);
+    process.exit(1);
+  });
 }
