--- a/packages/daemon/src/direct/directory_sync.ts
+++ b/packages/daemon/src/direct/directory_sync.ts
@@ -20,7 +20,7 @@
 const BEHIND_MS: Millis = 300;
 
 /** Peers to which a state is sent in each round. */
-const PEERS_PER_ROUND = 8;
+const PEERS_PER_ROUND = 16;
 
 /** Every so many states carry the list of known routers. */
 const STATES_PER_ROUTER_LIST = 6;
