Split the reducer harness by what it holds: nodes, engines, records, invariants

Behaviour is unchanged; with a store that lets every keyed call start, the property test still fails as it should.

--- /dev/null
+++ b/packages/core/src/router/harness/harness_engines.ts
@@ -0,0 +1,106 @@
+import type { SidecarEvent } from "../../sidecar/index.js";
+import type { Submit } from "../../wire/index.js";
+import { type AnswerSpec, answerTexts, sseEvent } from "./harness_answer.js";
+import type { HarnessInvariants } from "./harness_invariants.js";
+import type { RunningCall, SidecarNode } from "./harness_nodes.js";
+import type { WithoutTime } from "./harness_step.js";
+
+export interface HarnessEnginesOptions {
+  readonly invariants: HarnessInvariants;
+  readonly reach: (
+    sidecar: SidecarNode,
+    event: WithoutTime<SidecarEvent>,
+  ) => void;
+  /** Runs something after the event that is being reduced. */
+  readonly defer: (run: () => void) => void;
+}
+
+/** The endpoints behind the sidecars; their answers advance by rounds. */
+export class HarnessEngines {
+  readonly #options: HarnessEnginesOptions;
+
+  constructor(options: HarnessEnginesOptions) {
+    this.#options = options;
+  }
+
+  /** Gives the next part of an answer, unless the call is paused. */
+  advance(sidecar: SidecarNode, call: RunningCall): void {
+    const { attemptId, chunks, submit } = call;
+    if (call.paused) {
+      return;
+    }
+    const index = call.next++;
+    if (index === 0) {
+      this.#options.reach(sidecar, {
+        type: "call_head",
+        attemptId,
+        status: 200,
+        headers: submit.kind === "chat"
+          ? { "content-type": "text/event-stream" }
+          : {},
+      });
+    } else if (index <= chunks.length) {
+      this.#options.reach(sidecar, {
+        type: "call_data",
+        attemptId,
+        data: chunks[index - 1],
+        outputTokens: submit.kind === "chat" ? 1 : 0,
+      });
+    } else {
+      sidecar.calls.delete(attemptId);
+      this.#options.reach(sidecar, { type: "call_ended", attemptId });
+    }
+  }
+
+  /** Breaks the oldest call off after it has started. */
+  breakOff(sidecar: SidecarNode): void {
+    const [call] = sidecar.calls.values();
+    if (call) {
+      sidecar.calls.delete(call.attemptId);
+      this.#options.reach(sidecar, {
+        type: "call_failed",
+        attemptId: call.attemptId,
+        mayHaveRun: true,
+        reason: "engine reset the connection",
+      });
+    }
+  }
+
+  /** Starts a call, or refuses the connection. */
+  start(sidecar: SidecarNode, attemptId: string, submit: Submit): void {
+    if (!sidecar.engineAccepts) {
+      this.#options.defer(() =>
+        this.#options.reach(sidecar, {
+          type: "call_failed",
+          attemptId,
+          mayHaveRun: false,
+          reason: "connection refused",
+        })
+      );
+      return;
+    }
+    this.#options.invariants.countExecution(submit);
+    const texts = answerTexts(
+      JSON.parse(new TextDecoder().decode(submit.body)) as AnswerSpec,
+    );
+    const given = submit.resumeText ?? "";
+    if (!texts.join("").startsWith(given)) {
+      this.#options.invariants.violate(
+        `${attemptId} continues foreign text ${given}`,
+      );
+    }
+    const done = texts.findIndex((_, i) =>
+      texts.slice(0, i).join("") === given
+    );
+    const rest = done === -1 ? [] : texts.slice(done);
+    sidecar.calls.set(attemptId, {
+      attemptId,
+      submit,
+      chunks: rest.map((text) =>
+        new TextEncoder().encode(submit.kind === "chat" ? sseEvent(text) : text)
+      ),
+      next: 0,
+      paused: false,
+    });
+  }
+}
--- /dev/null
+++ b/packages/core/src/router/harness/harness_nodes.ts
@@ -0,0 +1,135 @@
+import type { InstanceRow } from "../../membership/index.js";
+import { CacheAwarePolicy } from "../../placement/cache_aware_policy.js";
+import { createSidecarState, type SidecarState } from "../../sidecar/index.js";
+import type { Message, Submit } from "../../wire/index.js";
+import { createRouterState, type RouterState } from "../router_state.js";
+import type { Direction } from "./harness_step.js";
+
+/** Smallest buffer that the settings allow; the sidecar uses 64 KiB. */
+const STREAM_BUFFER_BYTES = 1;
+
+export interface RouterNode {
+  readonly id: string;
+  readonly state: RouterState;
+  /** Incarnations of which this router has seen that they drain. */
+  readonly drained: Set<string>;
+  version: number;
+}
+
+export interface RunningCall {
+  readonly attemptId: string;
+  readonly submit: Submit;
+  readonly chunks: readonly Uint8Array[];
+  next: number;
+  paused: boolean;
+}
+
+export interface SidecarNode {
+  readonly id: string;
+  incarnation: number;
+  state: SidecarState;
+  version: number;
+  engineAccepts: boolean;
+  readonly calls: Map<string, RunningCall>;
+  readonly undecided: Map<string, Submit>;
+}
+
+/** A connection; each side may already have closed its end. */
+export interface Link {
+  readonly connectionId: string;
+  readonly router: RouterNode;
+  readonly sidecar: SidecarNode;
+  readonly incarnation: number;
+  ready: boolean;
+  routerOpen: boolean;
+  sidecarOpen: boolean;
+  readonly unsent: Message[];
+  readonly frames: Record<Direction, Message[]>;
+  readonly silent: Record<Direction, boolean>;
+}
+
+export function createRouterNode(id: string, seed: number): RouterNode {
+  return {
+    id,
+    state: createRouterState({
+      nodeId: id,
+      failureDomain: "a",
+      seed,
+      placement: new CacheAwarePolicy(),
+      probeCount: 3,
+      probeFreshMs: 250,
+      probeTimeoutMs: 100,
+      enforceBound: true,
+      plainRetries: false,
+      detectSilence: true,
+    }),
+    drained: new Set(),
+    version: 0,
+  };
+}
+
+export function createSidecarNode(
+  id: string,
+  seed: number,
+  nowMs: number,
+): SidecarNode {
+  return {
+    id,
+    incarnation: 1,
+    state: createSidecar(id, 1, seed, nowMs),
+    version: 0,
+    engineAccepts: true,
+    calls: new Map(),
+    undecided: new Map(),
+  };
+}
+
+/** Starts a node again under its id; it keeps nothing. */
+export function renewSidecarNode(node: SidecarNode, nowMs: number): void {
+  node.incarnation++;
+  node.calls.clear();
+  node.undecided.clear();
+  node.version = 0;
+  node.state = createSidecar(
+    node.id,
+    node.incarnation,
+    node.incarnation,
+    nowMs,
+  );
+}
+
+function createSidecar(
+  id: string,
+  incarnation: number,
+  seed: number,
+  nowMs: number,
+): SidecarState {
+  return createSidecarState({
+    endpointId: id,
+    incarnation,
+    address: "127.0.0.1:1",
+    pool: "p",
+    seed,
+    streamBufferBytes: STREAM_BUFFER_BYTES,
+    firstCome: false,
+  }, nowMs);
+}
+
+/** The instance list that names all nodes. */
+export function instanceRows(
+  routers: readonly RouterNode[],
+  sidecars: readonly SidecarNode[],
+): InstanceRow[] {
+  const row = (instanceId: string, role: InstanceRow["role"]) => ({
+    instanceId,
+    role,
+    pool: role === "endpoint" ? "p" : "",
+    address: "127.0.0.1:1",
+    failureDomain: "a",
+    state: "live" as const,
+  });
+  return [
+    ...routers.map(({ id }) => row(id, "router")),
+    ...sidecars.map(({ id }) => row(id, "endpoint")),
+  ];
+}
--- /dev/null
+++ b/packages/core/src/router/harness/harness_records.ts
@@ -0,0 +1,50 @@
+import type { ExecutionDecision } from "../../sidecar/index.js";
+import type { StoredAnswer, Submit } from "../../wire/index.js";
+
+interface CallRecord {
+  readonly attemptId: string;
+  readonly fingerprint: string;
+  answer: StoredAnswer | undefined;
+}
+
+/** The store of keyed calls, as far as sidecars need it. */
+export class HarnessRecords {
+  readonly #records = new Map<string, CallRecord>();
+  up = true;
+
+  decide(attemptId: string, submit: Submit): ExecutionDecision {
+    const refuse = (
+      reason: "store_unavailable" | "duplicate_running" | "duplicate_finished",
+      answer?: StoredAnswer,
+    ): ExecutionDecision => ({
+      type: "refuse",
+      reason,
+      outcome: reason === "store_unavailable" ? "not-run" : "unknown",
+      retryAfterMs: 1000,
+      answer,
+    });
+    if (!this.up) {
+      return refuse("store_unavailable");
+    }
+    const key = submit.idempotencyKey ?? "";
+    const record = this.#records.get(key);
+    if (!record) {
+      const fingerprint = submit.fingerprint ?? "";
+      this.#records.set(key, { attemptId, fingerprint, answer: undefined });
+      return { type: "start" };
+    }
+    return record.answer
+      ? refuse("duplicate_finished", record.answer)
+      : refuse("duplicate_running");
+  }
+
+  /** Keeps the answer of a finished call, unless the store is away. */
+  finish(attemptId: string, answer: StoredAnswer | undefined): void {
+    const record = [...this.#records.values()].find((other) =>
+      other.attemptId === attemptId
+    );
+    if (record && this.up) {
+      record.answer = answer;
+    }
+  }
+}
--- a/packages/core/src/router/router_sidecar_property_test.ts
+++ b/packages/core/src/router/router_sidecar_property_test.ts
@@ -1,6 +1,7 @@
 import * as fc from "fast-check";
 import { describe, expect, it } from "vitest";
-import { ReducerHarness, type Step } from "./reducer_harness.js";
+import type { Step } from "./harness/harness_step.js";
+import { ReducerHarness } from "./harness/reducer_harness.js";
 
 const SEED = 20_261;
 const RUNS = 150;
