Never pass news of caches on

Cause: a router passed news on to all its peers whenever it knew of a router that it was not connected to, so one cut or dead machine made each piece of news reach each of 28 routers 27 times.

A router now tells only its own placements, to the routers that it is connected to.

--- a/packages/core/src/direct/direct_event.ts
+++ b/packages/core/src/direct/direct_event.ts
@@ -164,7 +164,6 @@
   | {
     readonly type: "peers_changed";
     readonly routerCount: number;
-    readonly connectedCount: number;
   }
   | { readonly type: "tick"; readonly nowMs: Millis }
   | { readonly type: "stopping"; readonly nowMs: Millis };
--- a/packages/core/src/direct/direct_knowledge.ts
+++ b/packages/core/src/direct/direct_knowledge.ts
@@ -83,27 +83,24 @@
   }];
 }
 
-/** Takes over what another router knows of caches. */
+/**
+ * Takes over what another router knows of caches. News are not passed on: they
+ * would reach each router as often as it has peers.
+ */
 export function takeWarmth(
   state: DirectState,
   entries: readonly WarmEntry[],
-): DirectEffect[] {
-  const news: DirectEffect[] = [];
+): void {
   for (const { endpointId, incarnation, parts } of entries) {
     const service = state.directory.get(endpointId)?.record.service;
     const engine = service && state.routes?.service(service)?.engine;
-    const added = state.warmth.note(
+    state.warmth.note(
       endpointId,
       incarnation,
       parts,
       engine ? engine.cacheTokens : undefined,
     );
-    if (state.passesNewsOn && added.length > 0) {
-      const entry = { endpointId, incarnation, parts: added };
-      news.push({ type: "tell_warmth", entry });
-    }
   }
-  return news;
 }
 
 /** Follows the directory: what is gone or began anew holds nothing. */
--- a/packages/core/src/direct/direct_state.ts
+++ b/packages/core/src/direct/direct_state.ts
@@ -72,8 +72,6 @@
   routes: RouteTable | undefined;
   /** Routers that share the retry budgets, this one included. */
   routerCount: number;
-  /** Not all routers are connected to each other, so news are passed on. */
-  passesNewsOn: boolean;
   storeAvailable: boolean;
   /** Until then removals may be the trace of an outage. */
   disturbedUntilMs: Millis;
@@ -92,7 +90,6 @@
     waiting: new Map(),
     routes: undefined,
     routerCount: 1,
-    passesNewsOn: false,
     storeAvailable: false,
     disturbedUntilMs: 0,
     stopping: false,
--- a/packages/core/src/direct/reduce_direct.ts
+++ b/packages/core/src/direct/reduce_direct.ts
@@ -92,12 +92,12 @@
       }
       return [];
     case "warmth_told":
-      return takeWarmth(state, event.entries);
+      takeWarmth(state, event.entries);
+      return [];
     case "silence_observed":
       return observeSilence(state, event);
     case "peers_changed":
       state.routerCount = Math.max(1, event.routerCount);
-      state.passesNewsOn = event.routerCount - 1 > event.connectedCount;
       return [];
     case "tick":
       return expireEndpoints(state, event.nowMs);
--- a/packages/daemon/src/direct/directory_sync.ts
+++ b/packages/daemon/src/direct/directory_sync.ts
@@ -135,7 +135,6 @@
     this.#options.push({
       type: "peers_changed",
       routerCount: this.#mesh.routerCount,
-      connectedCount: this.#mesh.connectedCount,
     });
     this.#endpoints.tick(this.#mesh.routerCount);
     this.#inFlight = inFlight;
