Repeat news of caches to a router that was cut off

Cause: news that were told while a router was cut off, or while its path was silent and not yet noticed, never reached it once they were no longer passed on by others.

--- a/packages/daemon/src/direct/directory_sync.ts
+++ b/packages/daemon/src/direct/directory_sync.ts
@@ -15,6 +15,7 @@
 import type { DirectSettings } from "./direct_settings.js";
 import { EndpointSync } from "./endpoint_sync.js";
 import { PeerMesh } from "./peer_mesh.js";
+import { WarmthNews } from "./warmth_news.js";
 
 /** A peer that is ahead for this long is asked for what it knows. */
 const BEHIND_MS: Millis = 300;
@@ -25,9 +26,6 @@
 /** Every so many states carry the list of known routers. */
 const STATES_PER_ROUTER_LIST = 6;
 
-/** Delay for which news of caches are collected. */
-const WARMTH_DELAY_MS: Millis = 50;
-
 /** Consecutive failures from which the directory counts as lost. */
 const LOST_AFTER_FAILURES = 2;
 
@@ -54,10 +52,9 @@
   readonly #mesh: PeerMesh;
   readonly #configs: CollectionWatcher<RoutingConfig>;
   readonly #endpoints: EndpointSync;
+  readonly #news: WarmthNews;
   /** Consecutive failures by collection. */
   readonly #failures = new Map<string, number>();
-  #warmNews: WarmEntry[] = [];
-  #warmTimer: NodeJS.Timeout | undefined;
   #inFlight: Readonly<Record<string, number>> = {};
   #rounds = 0;
   #states = 0;
@@ -79,6 +76,11 @@
       onRejected: (peer, detail) =>
         options.logger.log("peer_rejected", { peer, detail }),
     });
+    this.#news = new WarmthNews({
+      clock,
+      broadcast: (message) => this.#mesh.broadcast(message),
+      sendTo: (nodeId, message) => this.#mesh.sendTo(nodeId, message),
+    });
     this.#mesh.setSeeds(settings.seeds);
     this.#mesh.onMessage(({ message, nodeId }) =>
       this.#receive(nodeId, message)
@@ -89,8 +91,11 @@
       });
       if (!connected) {
         this.#endpoints.forgetWatcher(nodeId);
+        this.#news.noteLost(nodeId);
+        return;
       }
-      if (connected && this.#mesh.connectedCount === 1) {
+      this.#news.noteRegained(nodeId);
+      if (this.#mesh.connectedCount === 1) {
         this.#askForWarmth(nodeId);
       }
     });
@@ -149,19 +154,13 @@
 
   /** Tells the peers what an endpoint holds, together with other news. */
   tellWarmth(entry: WarmEntry): void {
-    this.#warmNews.push(entry);
-    this.#warmTimer ??= setTimeout(() => {
-      this.#warmTimer = undefined;
-      const entries = this.#warmNews;
-      this.#warmNews = [];
-      this.#mesh.broadcast({ type: "fleet_warmth", entries });
-    }, WARMTH_DELAY_MS);
+    this.#news.tell(entry);
   }
 
   dispose(): void {
-    clearTimeout(this.#warmTimer);
     this.#configs.dispose();
     this.#endpoints.dispose();
+    this.#news.dispose();
     this.#mesh.dispose();
   }
 
