Read the index of caches as soon as the store answers after an outage

An outage of more than ten seconds ended the reading for good.

Ruled out: a lost index; it was written until the store went away.

A failed read is now repeated at the first answer of the store.

--- a/packages/daemon/src/direct/direct_router_host.ts
+++ b/packages/daemon/src/direct/direct_router_host.ts
@@ -106,6 +106,7 @@
       isSettled: () => !isDisturbed(this.#state, clock.nowMs()),
       warmEntries: () => this.#state.warmth.entries(),
       observe: (measurement) => this.#metrics.observe(measurement),
+      onAnswer: () => this.#warmth.noteStoreAnswer(),
     });
     this.#warmth = new WarmthKeeper({
       document: options.warmthDocument,
--- a/packages/daemon/src/direct/directory_sync.ts
+++ b/packages/daemon/src/direct/directory_sync.ts
@@ -41,6 +41,8 @@
   readonly isSettled: () => boolean;
   readonly warmEntries: () => readonly WarmEntry[];
   readonly observe: (measurement: Measurement) => void;
+  /** Called at each answer of the directory. */
+  readonly onAnswer: () => void;
 }
 
 /**
@@ -223,6 +225,7 @@
     });
     watcher.onAnswer(() => {
       count("ok");
+      this.#options.onAnswer();
       this.#noteFailures(collection.label, 0);
     });
     watcher.onFailure(({ historyGone, ...failure }) => {
--- a/packages/daemon/src/direct/warmth_keeper.ts
+++ b/packages/daemon/src/direct/warmth_keeper.ts
@@ -6,6 +6,8 @@
 
 const FIRST_RETRY_MS: Millis = 300;
 const MAX_RETRY_MS: Millis = 3000;
+
+/** Reads on the keeper's own account; later ones follow the store's answers. */
 const MAX_READS = 6;
 
 /** Least time between two writes; each one is charged. */
@@ -44,6 +46,9 @@
   readonly #options: WarmthKeeperOptions;
   #reads = 0;
   #retryMs: Millis = FIRST_RETRY_MS;
+  #retry: NodeJS.Timeout | undefined;
+  /** The document was not read yet, and no read is under way. */
+  #unread = false;
   #timer: NodeJS.Timeout | undefined;
   #changed = false;
   #writing = false;
@@ -57,6 +62,17 @@
     void this.#read();
   }
 
+  /**
+   * Reads the document at once if reading it failed before: a router that
+   * started during an outage must know the caches before calls arrive.
+   */
+  noteStoreAnswer(): void {
+    if (this.#unread) {
+      clearTimeout(this.#retry);
+      void this.#read();
+    }
+  }
+
   /** Writes soon, if this router is the writer then. */
   noteChange(): void {
     this.#changed = true;
@@ -76,11 +92,14 @@
 
   dispose(): void {
     this.#disposed = true;
+    this.#unread = false;
+    clearTimeout(this.#retry);
     clearTimeout(this.#timer);
   }
 
   async #read(): Promise<void> {
     const { document, logger, onRead } = this.#options;
+    this.#unread = false;
     try {
       const value = await document.read();
       if (value !== undefined) {
@@ -92,9 +111,11 @@
         call: "read",
         detail: error instanceof Error ? error.message : String(error),
       });
+      this.#unread = !this.#disposed;
       this.#reads++;
       if (!this.#disposed && this.#reads < MAX_READS) {
-        setTimeout(() => void this.#read(), this.#retryMs).unref();
+        this.#retry = setTimeout(() => void this.#read(), this.#retryMs);
+        this.#retry.unref();
         this.#retryMs = Math.min(MAX_RETRY_MS, this.#retryMs * 2);
       }
     }
--- a/packages/daemon/src/direct/warmth_news.ts
+++ b/packages/daemon/src/direct/warmth_news.ts
@@ -2,7 +2,7 @@
 import type { Disposable } from "../net/index.js";
 
 /** Delay for which news are collected. */
-const COLLECT_MS: Millis = 50;
+const COLLECT_MS: Millis = 10;
 
 /** How long news are kept for routers that could not be reached. */
 const KEEP_MS: Millis = 30_000;
--- a/packages/daemon/src/direct/warmth_news_test.ts
+++ b/packages/daemon/src/direct/warmth_news_test.ts
@@ -39,13 +39,13 @@
   function tellAt(timeMs: number, endpointId: string): void {
     clock.timeMs = timeMs;
     news.tell(entry(endpointId));
-    vi.advanceTimersByTime(50);
+    vi.advanceTimersByTime(10);
   }
 
   it("tells news that come together in one message", () => {
     news.tell(entry("a"));
     news.tell(entry("b"));
-    vi.advanceTimersByTime(50);
+    vi.advanceTimersByTime(10);
     expect(sent).toEqual([{ to: "all", endpoints: ["a", "b"] }]);
   });
 
