Listen for callers while the router is still being loaded

Cause: from the start of a process to its first listen about 70 ms of processor time pass in loading the bundle, twice that on half a core, on top of Node's own start. A small file now listens first, and the router takes the listening socket over with what it has accepted.

--- a/deploy/start.cjs
+++ b/deploy/start.cjs
@@ -1,6 +1,6 @@
 /**
  * Starts the bundled router from V8's code cache, which saves most of the time
- * of compiling it. With `--write-cache` it writes the cache instead.
+ * of compiling it; callers can connect meanwhile. With `--write-cache` it writes the cache instead.
  */
 const { readFileSync, writeFileSync } = require("node:fs");
 const { createRequire } = require("node:module");
@@ -28,10 +28,11 @@
   );
 }
 
-function run(script) {
+function run(script, early) {
   const bundle = { exports: {} };
   const start = script.runInThisContext();
   start(bundle.exports, createRequire(BUNDLE), bundle, BUNDLE, TARGET);
+  bundle.exports.startRouter(early);
 }
 
 function writeCache() {
@@ -54,5 +55,6 @@
 if (process.argv.includes("--write-cache")) {
   writeCache();
 } else {
-  run(load(readCache()));
+  const { listenEarly } = require(join(TARGET, "early_listener.cjs"));
+  listenEarly().then((early) => run(load(readCache()), early));
 }
--- a/packages/daemon/src/direct/direct_router_host.ts
+++ b/packages/daemon/src/direct/direct_router_host.ts
@@ -25,7 +25,11 @@
 import type { Collection } from "./collection.js";
 import type { DirectSettings } from "./direct_settings.js";
 import { DirectorySync } from "./directory_sync.js";
-import { type EdgeCall, EdgeServer } from "./edge_server.js";
+import {
+  type EarlyConnections,
+  type EdgeCall,
+  EdgeServer,
+} from "./edge_server.js";
 import { EndpointAttempt } from "./endpoint_attempt.js";
 import { EndpointConnections } from "./endpoint_connections.js";
 import { MetricsServer } from "./metrics_server.js";
@@ -61,6 +65,8 @@
   readonly warmthDocument: SharedDocument;
   readonly logger: Logger;
   readonly clock: Clock;
+  /** Listens on the callers' address already. */
+  readonly earlyConnections?: EarlyConnections;
 }
 
 /** Carries out what the reducer of a router without sidecars decides. */
@@ -81,6 +87,7 @@
   readonly #writers = new Map<number, AnswerWriter>();
   readonly #attempts = new Map<string, EndpointAttempt>();
   readonly #timers = new Map<string, NodeJS.Timeout>();
+  readonly #earlyConnections: EarlyConnections | undefined;
   #tick: NodeJS.Timeout | undefined;
   #silenceCheck: NodeJS.Timeout | undefined;
   #silenceCheckedMs: Millis = 0;
@@ -92,6 +99,7 @@
     this.#dialect = dialect;
     this.#logger = logger;
     this.#clock = clock;
+    this.#earlyConnections = options.earlyConnections;
     this.#connections = new EndpointConnections(clock);
     this.#state = createDirectState(settings);
     this.#queue = new EventQueue((event) => {
@@ -133,7 +141,11 @@
     this.#sync.start();
     this.#warmth.start();
     const caller = splitAddress(callerAddress);
-    await this.#edge.listen(caller.host, caller.port);
+    if (this.#earlyConnections) {
+      await this.#edge.takeOver(this.#earlyConnections);
+    } else {
+      await this.#edge.listen(caller.host, caller.port);
+    }
     if (readyAddress !== undefined) {
       const { host, port } = splitAddress(readyAddress);
       await listen(this.#ready, host, port);
--- a/packages/daemon/src/direct/edge_server.ts
+++ b/packages/daemon/src/direct/edge_server.ts
@@ -4,7 +4,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { Socket } from "node:net";
+import type { Server as NetServer, Socket } from "node:net";
 import type { CallerLimits, Millis } from "@anvildeal/core";
 import { listen } from "../listen.js";
 import { type Disposable, Emitter } from "../net/index.js";
@@ -42,6 +42,12 @@
   readonly status: string;
 }
 
+/** A listening server and the connections that it has accepted, unread. */
+export interface EarlyConnections {
+  readonly server: NetServer;
+  readonly sockets: Socket[];
+}
+
 /** HTTP server for callers: reads requests whole. */
 export class EdgeServer implements Disposable {
   readonly #server: Server;
@@ -83,6 +89,18 @@
     return listen(this.#server, host, port);
   }
 
+  /** Serves the callers of a server that listens already. */
+  async takeOver({ server, sockets }: EarlyConnections): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(server, () => resolve());
+    });
+    for (const socket of sockets.splice(0)) {
+      this.#server.emit("connection", socket);
+      socket.resume();
+    }
+  }
+
   applyLimits(limits: CallerLimits): void {
     this.#maxBodyBytes = limits.maxBodyBytes;
     this.#server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
--- a/rolldown.config.js
+++ b/rolldown.config.js
@@ -32,6 +32,7 @@
 });
 
 export default [
-  bundle("platform/src/main.ts", "target/anvildeal.cjs"),
+  bundle("platform/src/start_router.ts", "target/anvildeal.cjs"),
+  bundle("platform/src/early_listener.ts", "target/early_listener.cjs"),
   bundle("platform/src/warm_up.ts", "target/warm_up.cjs"),
 ];
