--- a/packages/daemon/src/direct/stdout_log.ts
+++ b/packages/daemon/src/direct/stdout_log.ts
@@ -12,6 +12,9 @@
 /** Bytes that may wait for a slow reader. */
 const MAX_QUEUED_BYTES = 512 * 1024;
 
+/** Characters of a text that a line holds; callers choose some texts. */
+const MAX_TEXT_LENGTH = 300;
+
 const WINDOW_MS: Millis = 1000;
 
 /** The part of a stream that the log needs. */
@@ -25,7 +28,8 @@
  * Writes one JSON object a line to standard output.
  *
  * Lines beyond the rate, or that a reader does not take in time, are left out
- * and counted; errors and warnings are exempt from the rate.
+ * and counted; errors and warnings are exempt from the rate. Long texts are
+ * cut.
  */
 export class StdoutLog implements Logger {
   readonly #nodeId: string;
@@ -101,9 +105,19 @@
           name: event,
           node: this.#nodeId,
           message,
-          ...fields,
+          ...shortened(fields),
         })
       }\n`,
     );
   }
 }
+
+function shortened(fields: LogFields): LogFields {
+  let result = fields;
+  for (const [key, value] of Object.entries(fields)) {
+    if (typeof value === "string" && value.length > MAX_TEXT_LENGTH) {
+      result = { ...result, [key]: `${value.slice(0, MAX_TEXT_LENGTH)}...` };
+    }
+  }
+  return result;
+}
--- a/packages/daemon/src/direct/stdout_log_test.ts
+++ b/packages/daemon/src/direct/stdout_log_test.ts
@@ -37,6 +37,13 @@
     expect(log.droppedLines).toBe(1);
   });
 
+  it("cuts texts that a caller can make as long as its headers", () => {
+    const sink = new Sink();
+    const log = new StdoutLog("n", sink);
+    log.log("direct_call_rejected", { request_id: "x".repeat(100_000) });
+    expect(String(sink.lines[0]!["request_id"]).length).toBe(303);
+  });
+
   it("survives the end of its reader", () => {
     // Without a listener, the error of a closed pipe ends the process.
     const sink = new Sink();
