--- a/packages/cli/src/log_trail.ts
+++ b/packages/cli/src/log_trail.ts
@@ -14,6 +14,8 @@
   readonly conclusion: string;
 }
 
+const FIRST_ERROR_STATUS = 400;
+
 const OMITTED: ReadonlySet<string> = new Set([
   "event",
   "level",
@@ -107,9 +109,7 @@
     return "The request has no end: the router ended while it was in flight. " +
       `Look for process_stopping and process_started of ${last.node}.`;
   }
-  return `${OUTCOMES[String(last.fields["outcome"])] ?? "Ended"}: ${
-    reasonOf(last)
-  }.${failureOf(lines)}`;
+  return `${outcomeOf(last)}: ${reasonOf(last)}.${failureOf(lines)}`;
 }
 
 const OUTCOMES: Readonly<Record<string, string>> = {
@@ -120,6 +120,14 @@
   "unknown": "Given up; it may have run",
 };
 
+function outcomeOf({ fields }: TrailLine): string {
+  const { outcome, status } = fields;
+  const failed = outcome === "answered" && Number(status) >= FIRST_ERROR_STATUS;
+  return failed
+    ? `Answered with the endpoint's own failure, status ${String(status)}`
+    : OUTCOMES[String(outcome)] ?? "Ended";
+}
+
 function reasonOf({ fields }: TrailLine): string {
   const reason = fields["reason"];
   return reason === undefined
--- a/packages/cli/src/log_trail_test.ts
+++ b/packages/cli/src/log_trail_test.ts
@@ -68,6 +68,22 @@
       [finished("not-run", "no_endpoint")],
       "Refused, and not run: no ready endpoint of the service was known.",
     ],
+    [
+      // Once said only that the request was answered.
+      "a failure that the endpoint answered with",
+      [
+        line("direct_request_finished", {
+          at: 3,
+          request_id: "r1",
+          outcome: "answered",
+          status: 500,
+          attempts: 2,
+          took_ms: 30,
+        }),
+      ],
+      "Answered with the endpoint's own failure, status 500: after 30 ms and " +
+      "2 attempts.",
+    ],
     [
       "a stream broken off",
       [STARTED, FAILED, finished("broken_off", "retry_budget_spent")],
--- a/packages/core/src/direct/direct_admission.ts
+++ b/packages/core/src/direct/direct_admission.ts
@@ -161,6 +161,7 @@
     attemptCount: 0,
     possibleRuns: 0,
     answering: false,
+    answerStatus: undefined,
     lastRefusal: undefined,
   };
 }
--- a/packages/core/src/direct/direct_attempt.ts
+++ b/packages/core/src/direct/direct_attempt.ts
@@ -41,7 +41,7 @@
     case "relay":
       noteFirstByte(state, request, nowMs - attempt.startedMs);
       endpoint.noteSuccess(nowMs);
-      return relay(request, attempt, nowMs);
+      return relay(request, attempt, head.status, nowMs);
     case "not_run":
       if (head.otherEndpoint) {
         endpoint.suspect(nowMs);
@@ -114,11 +114,14 @@
 function relay(
   request: ActiveRequest,
   attempt: ActiveAttempt,
+  status: number,
   nowMs: Millis,
 ): DirectEffect[] {
   request.snapshot =
     advanceRequest(request.snapshot, { type: "accepted" }).snapshot;
   request.answering = true;
+  // A stream that goes on elsewhere keeps the status of its first head.
+  request.answerStatus ??= status;
   const effects: DirectEffect[] = [
     {
       type: "relay",
@@ -183,10 +186,12 @@
   attempt.endpoint.failures.note(nowMs, true);
   request.possibleRuns++;
   if (!request.answering && !canRepeat(state, request, nowMs)) {
-    return canRelayFailure(head) ? relay(request, attempt, nowMs) : [
-      ...closeFailed(request, attempt),
-      ...refuse(state, request, nowMs, "endpoint_failed"),
-    ];
+    return canRelayFailure(head)
+      ? relay(request, attempt, head.status, nowMs)
+      : [
+        ...closeFailed(request, attempt),
+        ...refuse(state, request, nowMs, "endpoint_failed"),
+      ];
   }
   const effects: DirectEffect[] = [
     ...closeFailed(request, attempt),
--- a/packages/core/src/direct/direct_finish.ts
+++ b/packages/core/src/direct/direct_finish.ts
@@ -56,6 +56,7 @@
   reason: DirectRefusalReason,
 ): DirectEffect[] {
   const refusal = refusalOf(reason, request.possibleRuns > 0);
+  request.answerStatus = refusal.status;
   return [
     { type: "refuse", key: request.key, refusal },
     ...finishRequest(state, request, nowMs, refusal.outcome, reason),
@@ -95,6 +96,7 @@
         route: route.name,
         outcome,
         reason,
+        status: request.answerStatus,
         endpoint: endpointId,
         attempts: request.attemptCount,
         possible_runs: request.possibleRuns,
--- a/packages/core/src/direct/direct_state.ts
+++ b/packages/core/src/direct/direct_state.ts
@@ -50,6 +50,8 @@
   possibleRuns: number;
   /** The head of an answer went to the caller. */
   answering: boolean;
+  /** Status that the caller got, or gets now. */
+  answerStatus: number | undefined;
   lastRefusal: DirectRefusalReason | undefined;
 }
 
