--- a/packages/baseline/src/pass_through_test.ts
+++ b/packages/baseline/src/pass_through_test.ts
@@ -3,10 +3,8 @@
   call,
   PlatformStandIn,
   settingsFile,
+  SettingsFolder,
 } from "@anvildeal/platform/stand-ins";
-import { mkdtempSync, writeFileSync } from "node:fs";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { PassThrough } from "./pass_through.js";
 
@@ -20,9 +18,9 @@
     platform = new PlatformStandIn();
     await platform.start();
     const file = await settingsFile("edge-1", platform.storeAddress);
-    const path = join(mkdtempSync(join(tmpdir(), "baseline-")), "boot.conf");
-    writeFileSync(path, file.text);
-    const settings = readSettingsFile(path);
+    const folder = new SettingsFolder(file.text);
+    const settings = readSettingsFile(folder.path);
+    folder.remove();
     port = Number(settings.callerAddress.split(":")[1]);
     passThrough = new PassThrough(settings);
     await passThrough.start();
