--- a/packages/baseline/src/pass_through.ts
+++ b/packages/baseline/src/pass_through.ts
@@ -5,6 +5,7 @@
   type ServerResponse,
 } from "node:http";
 import { pipeline } from "node:stream/promises";
+import { setTimeout as sleep } from "node:timers/promises";
 import {
   type DirectAccount,
   type DirectCall,
@@ -299,7 +300,3 @@
     );
   });
 }
-
-function sleep(ms: Millis): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
