Follow the directory across a restore from an older copy

Cause: the platform's store may come back from a copy some seconds old. Revisions go back and are given out again, and its answers name an era that rises by one. Nothing read it: a list with a lower revision was dropped, so endpoints stayed as they were until the revisions had caught up, and a watch from a revision that was given out again missed changes.

Change: a position in the directory is an epoch and a revision; the watcher lists again when the epoch rises, peers exchange positions and ignore those of earlier epochs, and a pending watch is ended when another router or collection noticed the restore. The prompt cache index is stored again. The first watch after a failed call waits 1 s instead of 25 s, so that a restore or the end of an outage is seen. Configuration versions never went back and still do not.

--- a/packages/core/src/direct/direct_event.ts
+++ b/packages/core/src/direct/direct_event.ts
@@ -176,6 +176,12 @@
     readonly nowMs: Millis;
     readonly available: boolean;
   }
+  /** The directory was restored from an older copy and lacks its last changes. */
+  | {
+    readonly type: "directory_restored";
+    readonly nowMs: Millis;
+    readonly epoch: number;
+  }
   | {
     readonly type: "peer_loads_received";
     readonly nowMs: Millis;
@@ -326,6 +332,10 @@
     readonly timer: RequestTimer;
   }
   /** Report to the peers which prompt parts an endpoint has newly cached. */
+  | {
+    /** Stores the prompt cache index in the directory again. */
+    readonly type: "store_prompt_cache";
+  }
   | {
     readonly type: "broadcast_prompt_cache_entry";
     readonly entry: PromptCacheEntry;
--- a/packages/core/src/direct/direct_state.ts
+++ b/packages/core/src/direct/direct_state.ts
@@ -104,6 +104,11 @@
    * recent outage of the directory.
    */
   directoryUnreliableUntilMs: Millis;
+  /**
+   * Until this time, the directory may list endpoints as they were before it
+   * was restored from an older copy.
+   */
+  directoryOutdatedUntilMs: Millis;
   stopping: boolean;
   /** Time of the event `stopping`; 0 until that event. */
   stoppingSinceMs: Millis;
@@ -122,6 +127,7 @@
     routerCount: 1,
     directoryAvailable: false,
     directoryUnreliableUntilMs: 0,
+    directoryOutdatedUntilMs: 0,
     stopping: false,
     stoppingSinceMs: 0,
   };
--- a/packages/core/src/direct/direct_updates.ts
+++ b/packages/core/src/direct/direct_updates.ts
@@ -54,11 +54,10 @@
   const unreliable = event.directoryReliable === undefined
     ? isDirectoryUnreliable(state, event.nowMs)
     : !event.directoryReliable;
-  const transitions = state.directory.apply(
-    event.change,
-    event.nowMs,
-    unreliable ? LAPSED_ENDPOINT_RETENTION_MS : 0,
-  );
+  const transitions = state.directory.apply(event.change, event.nowMs, {
+    lapsedRetentionMs: unreliable ? LAPSED_ENDPOINT_RETENTION_MS : 0,
+    mayBeOutdated: event.nowMs < state.directoryOutdatedUntilMs,
+  });
   removeStalePromptCaches(state, transitions);
   return logTransitions(transitions, event.source);
 }
@@ -69,6 +68,9 @@
   nowMs: Millis,
 ): DirectEffect[] {
   const transitions = state.directory.removeLapsed(nowMs);
+  if (nowMs >= state.directoryOutdatedUntilMs) {
+    transitions.push(...state.directory.applyDeferredRecords());
+  }
   removeStalePromptCaches(state, transitions);
   return logTransitions(transitions, "lapse");
 }
@@ -92,6 +94,31 @@
   }];
 }
 
+/**
+ * Records that the directory was restored from an older copy. Its entries count
+ * as unreliable until those who write them had time to write them again, and
+ * the prompt cache contents must be stored again.
+ */
+export function applyDirectoryRestore(
+  state: DirectState,
+  event: Extract<DirectEvent, { type: "directory_restored" }>,
+): DirectEffect[] {
+  const untilMs = event.nowMs + UNRELIABLE_AFTER_OUTAGE_MS;
+  state.directoryUnreliableUntilMs = untilMs;
+  state.directoryOutdatedUntilMs = untilMs;
+  return [
+    { type: "store_prompt_cache" },
+    {
+      type: "log",
+      event: "store_restored",
+      fields: {
+        epoch: event.epoch,
+        config_version: state.configIndex?.version,
+      },
+    },
+  ];
+}
+
 /**
  * Adds prompt cache entries from a peer or the directory to the index. They are
  * not forwarded; otherwise each router would receive them from every peer.
--- a/packages/core/src/direct/endpoint_directory.ts
+++ b/packages/core/src/direct/endpoint_directory.ts
@@ -13,6 +13,23 @@
   readonly isSnapshot: boolean;
 }
 
+/** How far the list of endpoints can be trusted when a change is applied. */
+export interface ChangeContext {
+  /**
+   * How long a ready endpoint is kept as lapsed when it is no longer listed. 0
+   * removes it at once; used while the directory is reliable.
+   */
+  readonly lapsedRetentionMs: Millis;
+  /**
+   * The directory was just restored from an older copy. It may list endpoints
+   * that have left, or list draining endpoints as ready.
+   */
+  readonly mayBeOutdated: boolean;
+}
+
+/** Number of removed endpoints that are remembered. */
+const MAX_REMOVED_ENDPOINTS = 1000;
+
 /**
  * How a directory update changed the state of one endpoint; written to the log.
  */
@@ -35,6 +52,17 @@
 export class EndpointDirectory {
   readonly #endpoints = new Map<string, DirectEndpoint>();
   readonly #byService = new Map<string, Set<DirectEndpoint>>();
+  /**
+   * Incarnations of endpoints that the directory removed, by id; the endpoint
+   * that was removed last comes last.
+   */
+  readonly #removedIncarnations = new Map<string, number>();
+  /**
+   * Records of a directory that may be outdated which contradict newer
+   * knowledge, by id. They are applied when the directory is up to date and
+   * still lists them.
+   */
+  readonly #deferredRecords = new Map<string, EndpointRecord>();
 
   get(id: string): DirectEndpoint | undefined {
     return this.#endpoints.get(id);
@@ -52,26 +80,26 @@
     return [...this.#byService.get(service) ?? []];
   }
 
-  /**
-   * Applies a change of the list and returns the changed endpoints.
-   *
-   * @param lapsedRetentionMs How long a ready endpoint is kept as lapsed when
-   *   it is no longer listed. 0 removes it at once; used while the directory is
-   *   reliable.
-   */
+  /** Applies a change of the list and returns the changed endpoints. */
   apply(
     change: EndpointChange,
     nowMs: Millis,
-    lapsedRetentionMs: Millis,
+    { lapsedRetentionMs, mayBeOutdated }: ChangeContext,
   ): EndpointTransition[] {
     const transitions: EndpointTransition[] = [];
     for (const record of change.upserts) {
+      this.#deferredRecords.delete(record.id);
+      if (mayBeOutdated && this.#contradictsNewerKnowledge(record)) {
+        this.#deferredRecords.set(record.id, record);
+        continue;
+      }
       const transition = this.#upsert(record);
       if (transition) {
         transitions.push(transition);
       }
     }
     for (const id of this.#removedIds(change)) {
+      this.#deferredRecords.delete(id);
       const endpoint = this.#endpoints.get(id);
       if (!endpoint || endpoint.lapsedUntilMs !== undefined) {
         continue;
@@ -81,12 +109,22 @@
         transitions.push(transitionOf(endpoint.record, "lapsed"));
       } else {
         this.#remove(endpoint);
+        this.#rememberRemoval(endpoint.record);
         transitions.push(transitionOf(endpoint.record, "removed"));
       }
     }
     return transitions;
   }
 
+  /** Applies the records that were deferred while the directory was outdated. */
+  applyDeferredRecords(): EndpointTransition[] {
+    const transitions = [...this.#deferredRecords.values()].flatMap((record) =>
+      this.#upsert(record) ?? []
+    );
+    this.#deferredRecords.clear();
+    return transitions;
+  }
+
   /** Removes lapsed endpoints whose `lapsedUntilMs` has passed. */
   removeLapsed(nowMs: Millis): EndpointTransition[] {
     const transitions: EndpointTransition[] = [];
@@ -109,6 +147,27 @@
     return [...this.#endpoints.keys()].filter((id) => !listedIds.has(id));
   }
 
+  /**
+   * Whether the record shows an endpoint as ready that is known to be draining
+   * or to have been removed.
+   */
+  #contradictsNewerKnowledge(record: EndpointRecord): boolean {
+    const known = this.#endpoints.get(record.id);
+    return known
+      ? known.record.state === "draining" && record.state === "ready" &&
+        !isOtherProcess(known.record, record)
+      : this.#removedIncarnations.get(record.id) === record.incarnation;
+  }
+
+  #rememberRemoval({ id, incarnation }: EndpointRecord): void {
+    this.#removedIncarnations.delete(id);
+    this.#removedIncarnations.set(id, incarnation);
+    if (this.#removedIncarnations.size > MAX_REMOVED_ENDPOINTS) {
+      const [oldestId] = this.#removedIncarnations.keys();
+      this.#removedIncarnations.delete(oldestId!);
+    }
+  }
+
   #upsert(record: EndpointRecord): EndpointTransition | undefined {
     const known = this.#endpoints.get(record.id);
     if (!known) {
--- a/packages/core/src/direct/endpoint_directory_test.ts
+++ b/packages/core/src/direct/endpoint_directory_test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from "vitest";
-import { EndpointDirectory } from "./endpoint_directory.js";
+import { type ChangeContext, EndpointDirectory } from "./endpoint_directory.js";
 import type { EndpointRecord } from "./routing_config.js";
 
 const RECORD: EndpointRecord = {
@@ -11,11 +11,19 @@
   incarnation: 1,
 };
 
-function add(directory: EndpointDirectory, fields = {}, lapsedRetentionMs = 0) {
+const RELIABLE = { lapsedRetentionMs: 0, mayBeOutdated: false };
+const AFTER_OUTAGE = { lapsedRetentionMs: 1800, mayBeOutdated: false };
+const AFTER_RESTORE = { lapsedRetentionMs: 1800, mayBeOutdated: true };
+
+function add(
+  directory: EndpointDirectory,
+  fields = {},
+  context: ChangeContext = RELIABLE,
+) {
   return directory.apply(
     { upserts: [{ ...RECORD, ...fields }], removedIds: [], isSnapshot: false },
     0,
-    lapsedRetentionMs,
+    context,
   );
 }
 
@@ -26,7 +34,7 @@
     directory.apply(
       { upserts: [], removedIds: ["e1"], isSnapshot: false },
       0,
-      0,
+      RELIABLE,
     );
     expect(directory.get("e1")).toBeUndefined();
   });
@@ -37,7 +45,7 @@
     directory.apply(
       { upserts: [], removedIds: [], isSnapshot: true },
       100,
-      1800,
+      AFTER_OUTAGE,
     );
     expect(directory.get("e1")?.lapsedUntilMs).toBe(1900);
     expect(directory.removeLapsed(1899)).toEqual([]);
@@ -51,7 +59,7 @@
     directory.apply(
       { upserts: [], removedIds: ["e1"], isSnapshot: false },
       0,
-      1800,
+      AFTER_OUTAGE,
     );
     add(directory);
     expect(directory.get("e1")?.lapsedUntilMs).toBeUndefined();
@@ -64,7 +72,7 @@
     directory.apply(
       { upserts: [], removedIds: ["e1"], isSnapshot: false },
       0,
-      1800,
+      AFTER_OUTAGE,
     );
     expect(directory.get("e1")).toBeUndefined();
   });
@@ -87,4 +95,77 @@
     add(directory, { incarnation: 1, address: "10.0.0.9:80" });
     expect(directory.get("e1")?.record.address).toBe("10.0.0.1:80");
   });
+
+  describe("after the directory was restored from an older copy", () => {
+    const remove = (directory: EndpointDirectory) =>
+      directory.apply(
+        { upserts: [], removedIds: ["e1"], isSnapshot: false },
+        0,
+        RELIABLE,
+      );
+
+    it("does not use a draining endpoint that the copy lists as ready", () => {
+      const directory = new EndpointDirectory();
+      add(directory, { state: "draining" });
+      expect(add(directory, {}, AFTER_RESTORE)).toEqual([]);
+      expect(directory.get("e1")?.record.state).toBe("draining");
+    });
+
+    it("does not use an endpoint that was removed before the copy came back", () => {
+      const directory = new EndpointDirectory();
+      add(directory);
+      remove(directory);
+      add(directory, {}, AFTER_RESTORE);
+      expect(directory.get("e1")).toBeUndefined();
+    });
+
+    it("uses such endpoints again if they are still listed at the end", () => {
+      const directory = new EndpointDirectory();
+      add(directory, { state: "draining" });
+      add(directory, { id: "e2" });
+      directory.apply(
+        { upserts: [], removedIds: ["e2"], isSnapshot: false },
+        0,
+        RELIABLE,
+      );
+      add(directory, {}, AFTER_RESTORE);
+      add(directory, { id: "e2" }, AFTER_RESTORE);
+      expect(directory.applyDeferredRecords()).toMatchObject([
+        { endpointId: "e1", change: "ready" },
+        { endpointId: "e2", change: "added" },
+      ]);
+      expect(directory.applyDeferredRecords()).toEqual([]);
+    });
+
+    it("drops a deferred record that is removed or written again", () => {
+      const directory = new EndpointDirectory();
+      add(directory, { state: "draining" });
+      add(directory, {}, AFTER_RESTORE);
+      add(directory, { state: "draining" }, AFTER_RESTORE);
+      expect(directory.applyDeferredRecords()).toEqual([]);
+      add(directory, {}, AFTER_RESTORE);
+      remove(directory);
+      expect(directory.applyDeferredRecords()).toEqual([]);
+    });
+
+    it("uses a new process under the id of a removed endpoint at once", () => {
+      const directory = new EndpointDirectory();
+      add(directory);
+      remove(directory);
+      expect(add(directory, { incarnation: 2 }, AFTER_RESTORE)).toMatchObject([
+        { change: "added" },
+      ]);
+    });
+
+    it("keeps a ready endpoint that the copy lacks until its retention ends", () => {
+      const directory = new EndpointDirectory();
+      add(directory);
+      directory.apply(
+        { upserts: [], removedIds: [], isSnapshot: true },
+        0,
+        AFTER_RESTORE,
+      );
+      expect(directory.get("e1")?.lapsedUntilMs).toBe(1800);
+    });
+  });
 });
--- a/packages/core/src/direct/index.ts
+++ b/packages/core/src/direct/index.ts
@@ -15,4 +15,5 @@
 export * from "./routing_config_index.js";
 export * from "./routing_config.js";
 export * from "./prompt_cache_index.js";
+export * from "./directory_position.js";
 export * from "./directory_watcher_election.js";
--- a/packages/core/src/direct/reduce_direct.ts
+++ b/packages/core/src/direct/reduce_direct.ts
@@ -10,6 +10,7 @@
 import { finishRequest, refuse } from "./direct_finish.js";
 import {
   applyConfig,
+  applyDirectoryRestore,
   applyDirectoryState,
   applyEndpointChange,
   applyPromptCacheEntries,
@@ -89,6 +90,8 @@
       ];
     case "directory_state_changed":
       return applyDirectoryState(state, event);
+    case "directory_restored":
+      return applyDirectoryRestore(state, event);
     case "peer_loads_received":
       for (const endpoint of state.directory.all()) {
         const requests = event.inFlight[endpoint.id] ?? 0;
--- a/packages/core/src/log_events.ts
+++ b/packages/core/src/log_events.ts
@@ -165,6 +165,13 @@
     level: "info",
     message: "directory answers again",
   },
+  store_restored: {
+    code: 4040,
+    level: "warn",
+    message:
+      "directory was restored from an older copy; collections are listed" +
+      " again",
+  },
   record_ignored: {
     code: 4034,
     level: "warn",
--- a/packages/core/src/wire/field_codes.ts
+++ b/packages/core/src/wire/field_codes.ts
@@ -124,6 +124,7 @@
   "lastChange",
   "afterRevision",
   "removedIds",
+  "directoryEpoch",
 ] as const;
 
 /** Code of each name, for the key map of the CBOR codec. */
--- a/packages/core/src/wire/messages.ts
+++ b/packages/core/src/wire/messages.ts
@@ -322,6 +322,12 @@
 });
 export type KnownRouter = z.infer<typeof KnownRouterSchema>;
 
+/**
+ * Epoch of the directory to which the revisions of a message belong. Routers
+ * that predate the field omit it.
+ */
+const directoryEpoch = z.int().nonnegative().default(0);
+
 /**
  * State that routers send to each other several times a second in a fleet that
  * has no sidecars.
@@ -335,6 +341,7 @@
    * nothing changed since.
    */
   directoryRevision: z.int().nonnegative(),
+  directoryEpoch,
   /** Requests in flight by endpoint; endpoints not named have none. */
   inFlight: z.record(id, z.int().nonnegative()),
   routers: z.array(KnownRouterSchema).max(32),
@@ -349,6 +356,7 @@
   configVersion: z.int().nonnegative(),
   /** Directory revision up to which the sender has all changes. */
   directoryRevision: z.int().nonnegative(),
+  directoryEpoch,
   /** Whether the sender also requests prompt cache contents. */
   wantsWarmth: z.boolean().optional(),
 });
@@ -357,6 +365,7 @@
   type: z.literal("fleet_content"),
   config: RoutingConfigSchema.optional(),
   directory: z.object({
+    directoryEpoch,
     /** Directory revision up to which the sender has all changes. */
     revision: z.int().nonnegative(),
     /** Revision of the last directory change that the sender knows of. */
@@ -377,6 +386,7 @@
   type: z.literal("fleet_watching"),
   /** Revision of the last directory change that the sender knows of. */
   directoryRevision: z.int().nonnegative(),
+  directoryEpoch,
 });
 
 /**
@@ -385,6 +395,7 @@
  */
 const FleetChangeSchema = z.object({
   type: z.literal("fleet_change"),
+  directoryEpoch,
   afterRevision: z.int().nonnegative(),
   revision: z.int().nonnegative(),
   lastChange: z.int().nonnegative(),
--- a/packages/daemon/src/direct/collection.ts
+++ b/packages/daemon/src/direct/collection.ts
@@ -1,4 +1,4 @@
-import type { Millis } from "@anvildeal/core";
+import type { DirectoryPosition, Millis } from "@anvildeal/core";
 
 /** An item that could not be decoded. */
 export interface IgnoredItem {
@@ -9,12 +9,10 @@
 }
 
 /**
- * Result of a list or watch call: all items of a collection at a revision of
+ * Result of a list or watch call: all items of a collection at a position of
  * the directory, or the changes up to it.
  */
-export interface CollectionUpdate<T> {
-  /** Revision up to which the items are known. */
-  readonly revision: number;
+export interface CollectionUpdate<T> extends DirectoryPosition {
   /** Latest revision of an item in the update; 0 if the update has no item. */
   readonly lastChange: number;
   readonly upserts: readonly T[];
@@ -28,7 +26,8 @@
 }
 
 /**
- * The directory no longer has the changes since the requested revision; the
+ * The directory does not have the changes since the requested revision: it
+ * discarded them, or it was restored from a copy that lacks them. The
  * collection must be listed again.
  */
 export class HistoryGoneError extends Error {
@@ -57,7 +56,8 @@
 
   /**
    * Waits up to `waitMs` for changes after a revision; returns an update
-   * without items if there were none.
+   * without items if there were none. If the directory was restored since the
+   * revision was read, the update has another epoch and may lack changes.
    *
    * Rejects with {@link HistoryGoneError} or {@link DirectoryCallError}.
    */
--- a/packages/daemon/src/direct/collection_watcher.ts
+++ b/packages/daemon/src/direct/collection_watcher.ts
@@ -1,9 +1,14 @@
 import { setTimeout as sleep } from "node:timers/promises";
-import type { Millis } from "@anvildeal/core";
+import {
+  type DirectoryPosition,
+  isLaterPosition,
+  type Millis,
+} from "@anvildeal/core";
 import { type Disposable, Emitter } from "../net/index.js";
 import {
   type Collection,
   type CollectionUpdate,
+  DirectoryCallError,
   HistoryGoneError,
 } from "./collection.js";
 
@@ -14,6 +19,12 @@
 const MAX_RETRY_MS: Millis = 1200;
 const RETRY_FACTOR = 1.7;
 
+/**
+ * Longest wait of the first watch call after a failed call. Its answer tells
+ * soon whether the directory is available again and whether it was restored.
+ */
+const WAIT_AFTER_FAILURE_MS: Millis = 1000;
+
 /**
  * Delay between a change and the next watch call. Changes often come in groups,
  * and each watch call is charged for; the delay lets one call read a group.
@@ -56,15 +67,21 @@
   readonly #onUpdate = new Emitter<WatchedUpdate<T>>();
   readonly #onFailure = new Emitter<WatchFailure>();
   readonly #onAnswer = new Emitter<void>();
+  readonly #onEpoch = new Emitter<number>();
   readonly #disposed = new AbortController();
   #callController = new AbortController();
-  #revision: number | undefined;
+  /** Position up to which the items are known; undefined before the first list. */
+  #position: DirectoryPosition | undefined;
+  /** Highest epoch that an answer or a peer named. */
+  #epoch = 0;
   /** Revision of the latest change that a call returned; 0 if there is none. */
   #lastChange = 0;
   #retryMs: Millis = FIRST_RETRY_MS;
   readonly #latestOnly: boolean;
   #watchWaitMs: Millis = MAX_WATCH_WAIT_MS;
   #lastCallSucceeded = false;
+  /** The last call that was not aborted failed. */
+  #lastCallFailed = false;
   /** Set while calls are paused. `ended` resolves when they resume. */
   #pause:
     | { readonly ended: Promise<void>; readonly end: () => void }
@@ -76,6 +93,8 @@
   readonly onFailure = this.#onFailure.event;
   /** Fires after each successful call. */
   readonly onAnswer = this.#onAnswer.event;
+  /** Fires with the epoch of each answer, before its update. */
+  readonly onEpoch = this.#onEpoch.event;
 
   /**
    * @param random Uniform in [0, 1), for the jitter of retries.
@@ -93,9 +112,9 @@
     this.#random = random;
   }
 
-  /** Revision up to which the items are known; undefined before the first list. */
-  get revision(): number | undefined {
-    return this.#revision;
+  /** Position up to which the items are known; undefined before the first list. */
+  get position(): DirectoryPosition | undefined {
+    return this.#position;
   }
 
   /** Whether the watcher is not paused and its last call succeeded. */
@@ -132,18 +151,33 @@
   }
 
   /**
-   * Continues from a later revision, whose items another router sent. Restarts
+   * Continues from a later position, whose items another router sent. Restarts
    * the pending call, since it may have missed the change because its
    * connection stalled.
    */
-  advanceTo(revision: number): void {
-    if (this.#revision === undefined || revision <= this.#revision) {
+  advanceTo(position: DirectoryPosition): void {
+    if (
+      this.#position === undefined || !isLaterPosition(position, this.#position)
+    ) {
       return;
     }
-    this.#revision = revision;
+    this.#position = position;
+    this.#epoch = Math.max(this.#epoch, position.epoch);
     this.#callController.abort();
   }
 
+  /**
+   * Lists the collection again if it was read in an earlier epoch than this one.
+   * The pending call is aborted, since the directory may have forgotten it.
+   */
+  advanceToEpoch(epoch: number): void {
+    this.#epoch = Math.max(this.#epoch, epoch);
+    if (this.#position !== undefined && this.#position.epoch < epoch) {
+      this.#position = undefined;
+      this.#callController.abort();
+    }
+  }
+
   dispose(): void {
     this.#disposed.abort();
     this.resume();
@@ -151,6 +185,7 @@
     this.#onUpdate.dispose();
     this.#onFailure.dispose();
     this.#onAnswer.dispose();
+    this.#onEpoch.dispose();
   }
 
   async #run(): Promise<void> {
@@ -164,6 +199,7 @@
       try {
         await this.#callOnce();
         this.#retryMs = FIRST_RETRY_MS;
+        this.#lastCallFailed = false;
         this.#lastCallSucceeded = this.#pause === undefined;
         this.#onAnswer.fire();
       } catch (error) {
@@ -174,6 +210,7 @@
           continue;
         }
         this.#lastCallSucceeded = false;
+        this.#lastCallFailed = true;
         await this.#handleFailure(error, performance.now() - startedMs);
       }
     }
@@ -181,31 +218,30 @@
 
   async #callOnce(): Promise<void> {
     const { signal } = this.#callController;
-    const revision = this.#revision;
-    if (revision === undefined || this.#relistNext) {
-      if (this.#relistNext) {
-        await sleep(RELIST_DELAY_MS);
-      }
-      const update = await this.#collection.list(signal);
-      // The revision of the directory is no measure here, because it also rises
-      // with changes of other collections.
-      this.#relistNext = this.#latestOnly && revision !== undefined &&
-        update.lastChange > this.#lastChange;
-      this.#revision = update.revision;
-      this.#lastChange = update.lastChange;
-      this.#onUpdate.fire({ ...update, isSnapshot: true });
+    const position = this.#position;
+    if (position === undefined || this.#relistNext) {
+      await this.#list(position, signal);
       return;
     }
     const update = await this.#collection.watch(
-      revision,
-      this.#watchWaitMs,
+      position.revision,
+      this.#lastCallFailed
+        ? Math.min(WAIT_AFTER_FAILURE_MS, this.#watchWaitMs)
+        : this.#watchWaitMs,
       signal,
     );
-    if (this.#revision !== revision) {
+    if (this.#position !== position) {
       // advanceTo() was called meanwhile, so this response is outdated.
       return;
     }
-    this.#revision = Math.max(revision, update.revision);
+    this.#checkEpoch(update);
+    if (update.epoch !== position.epoch) {
+      throw new HistoryGoneError("the directory was restored from a copy");
+    }
+    this.#position = {
+      epoch: position.epoch,
+      revision: Math.max(position.revision, update.revision),
+    };
     this.#lastChange = Math.max(this.#lastChange, update.lastChange);
     if (update.upserts.length + update.removed.length > 0) {
       this.#relistNext = this.#latestOnly;
@@ -216,8 +252,37 @@
     }
   }
 
+  async #list(
+    position: DirectoryPosition | undefined,
+    signal: AbortSignal,
+  ): Promise<void> {
+    if (this.#relistNext) {
+      await sleep(RELIST_DELAY_MS);
+    }
+    const update = await this.#collection.list(signal);
+    this.#checkEpoch(update);
+    // The revision of the directory is no measure here, because it also rises
+    // with changes of other collections.
+    this.#relistNext = this.#latestOnly && position?.epoch === update.epoch &&
+      update.lastChange > this.#lastChange;
+    this.#position = { epoch: update.epoch, revision: update.revision };
+    this.#lastChange = update.lastChange;
+    this.#onUpdate.fire({ ...update, isSnapshot: true });
+  }
+
+  /** Throws if an answer was given before the directory was last restored. */
+  #checkEpoch({ epoch }: DirectoryPosition): void {
+    if (epoch < this.#epoch) {
+      throw new DirectoryCallError(
+        `the answer is of epoch ${epoch}, before epoch ${this.#epoch}`,
+      );
+    }
+    this.#epoch = epoch;
+    this.#onEpoch.fire(epoch);
+  }
+
   async #handleFailure(error: unknown, waitedMs: Millis): Promise<void> {
-    const call = this.#revision === undefined ? "list" : "watch";
+    const call = this.#position === undefined ? "list" : "watch";
     const detail = error instanceof Error ? error.message : String(error);
     const historyGone = error instanceof HistoryGoneError;
     this.#onFailure.fire({
@@ -227,7 +292,7 @@
       historyGone,
     });
     if (historyGone) {
-      this.#revision = undefined;
+      this.#position = undefined;
       return;
     }
     if (waitedMs > RETRY_RESET_AFTER_MS) {
--- a/packages/daemon/src/direct/collection_watcher_test.ts
+++ b/packages/daemon/src/direct/collection_watcher_test.ts
@@ -13,6 +13,7 @@
 class ScriptedCollection extends Collection<string> {
   readonly label = "scripted";
   readonly calls: string[] = [];
+  readonly waitsMs: number[] = [];
   readonly #steps: Step[];
 
   constructor(steps: Step[]) {
@@ -27,9 +28,10 @@
 
   watch(
     afterRevision: number,
-    _waitMs: number,
+    waitMs: number,
     signal: AbortSignal,
   ): Promise<CollectionUpdate<string>> {
+    this.waitsMs.push(waitMs);
     this.calls.push(`watch ${afterRevision}`);
     return this.#next(signal);
   }
@@ -53,6 +55,7 @@
 
 function update(revision: number, ...upserts: string[]) {
   return {
+    epoch: 1,
     revision,
     lastChange: upserts.length > 0 ? revision : 0,
     upserts,
@@ -119,6 +122,22 @@
     expect(failures).toEqual([false]);
   });
 
+  // A call that waits 25 s for changes would tell as late as that whether the
+  // directory is available again.
+  it("waits only briefly in the first call after a failed call", async () => {
+    const collection = new ScriptedCollection([
+      update(5),
+      new DirectoryCallError("reset"),
+      update(5),
+    ]);
+    watcher = new CollectionWatcher(collection, () => 0);
+    watcher.start();
+    while (collection.calls.length < 4) {
+      await new Promise((resolve) => setTimeout(resolve, 5));
+    }
+    expect(collection.waitsMs).toEqual([25_000, 1000, 25_000]);
+  });
+
   it("combines changes in quick succession if only the newest state matters", async () => {
     const { calls, updates } = await run(
       [update(5, "v1"), update(6, "v2"), update(9, "v5"), update(9, "v5")],
@@ -150,6 +169,79 @@
     expect(calls).toEqual(["list", "watch 5", "list", "watch 9"]);
   });
 
+  describe("when the directory was restored from an older copy", () => {
+    const restored = { epoch: 2 };
+
+    it("lists again if the revision that it watched was given out again", async () => {
+      const { calls, updates, failures } = await run(
+        [
+          update(5, "a"),
+          { ...update(6, "lost history"), ...restored },
+          { ...update(6, "b"), ...restored },
+        ],
+        4,
+      );
+      expect(calls).toEqual(["list", "watch 5", "list", "watch 6"]);
+      expect(updates.map(({ upserts }) => upserts[0])).toEqual(["a", "b"]);
+      expect(failures).toEqual([true]);
+    });
+
+    it("continues from the lower revision of the copy", async () => {
+      const { calls } = await run(
+        [
+          update(50, "a"),
+          new HistoryGoneError("unknown revision"),
+          { ...update(6, "b"), ...restored },
+          { ...update(7), ...restored },
+        ],
+        5,
+      );
+      expect(calls).toEqual(["list", "watch 50", "list", "watch 6", "watch 7"]);
+    });
+
+    it("reports the epoch of an answer before its update", async () => {
+      const collection = new ScriptedCollection([update(5, "a")]);
+      const seen: (number | string)[] = [];
+      watcher = new CollectionWatcher(collection, () => 0);
+      watcher.onEpoch((epoch) => seen.push(epoch));
+      watcher.onUpdate(({ upserts }) => seen.push(...upserts));
+      watcher.start();
+      while (collection.calls.length < 2) {
+        await new Promise((resolve) => setTimeout(resolve, 5));
+      }
+      expect(seen).toEqual([1, "a"]);
+    });
+
+    it("lists again at once when another router noticed it", async () => {
+      const collection = new ScriptedCollection([update(5), "wait", {
+        ...update(3),
+        ...restored,
+      }]);
+      watcher = new CollectionWatcher(collection, () => 0);
+      watcher.start();
+      while (collection.calls.length < 2) {
+        await new Promise((resolve) => setTimeout(resolve, 5));
+      }
+      watcher.advanceToEpoch(2);
+      while (collection.calls.length < 4) {
+        await new Promise((resolve) => setTimeout(resolve, 5));
+      }
+      expect(collection.calls).toEqual(["list", "watch 5", "list", "watch 3"]);
+    });
+
+    it("ignores an answer that was given before", async () => {
+      const { updates, failures } = await run(
+        [
+          { ...update(5, "copy"), ...restored },
+          update(9, "lost history"),
+        ],
+        3,
+      );
+      expect(updates.map(({ upserts }) => upserts[0])).toEqual(["copy"]);
+      expect(failures).toEqual([false]);
+    });
+  });
+
   it("makes no call while paused, and resumes from the revision of a peer", async () => {
     const collection = new ScriptedCollection([update(5)]);
     watcher = new CollectionWatcher(collection, () => 0);
@@ -159,7 +251,7 @@
     }
     expect(watcher.isFollowing).toBe(true);
     watcher.pause();
-    watcher.advanceTo(8);
+    watcher.advanceTo({ epoch: 1, revision: 8 });
     await new Promise((resolve) => setTimeout(resolve, 30));
     expect(watcher.isFollowing).toBe(false);
     expect(collection.calls).toEqual(["list", "watch 5"]);
@@ -177,7 +269,7 @@
     while (collection.calls.length < 2) {
       await new Promise((resolve) => setTimeout(resolve, 5));
     }
-    watcher.advanceTo(8);
+    watcher.advanceTo({ epoch: 1, revision: 8 });
     while (collection.calls.length < 3) {
       await new Promise((resolve) => setTimeout(resolve, 5));
     }
--- a/packages/daemon/src/direct/direct_router_host.ts
+++ b/packages/daemon/src/direct/direct_router_host.ts
@@ -325,6 +325,9 @@
         this.#directorySync.broadcastPromptCacheEntry(effect.entry);
         this.#promptCachePersistence.markChanged();
         break;
+      case "store_prompt_cache":
+        this.#promptCachePersistence.markChanged();
+        break;
       case "apply_limits":
         this.#edge.applyLimits(this.#state.configIndex!.config.limits);
         break;
--- a/packages/daemon/src/direct/directory_sync.ts
+++ b/packages/daemon/src/direct/directory_sync.ts
@@ -1,12 +1,15 @@
-import type {
-  Clock,
-  DirectEvent,
-  EndpointRecord,
-  Measurement,
-  Message,
-  Millis,
-  PromptCacheEntry,
-  RoutingConfig,
+import {
+  type Clock,
+  type DirectEvent,
+  type DirectoryPosition,
+  type EndpointRecord,
+  isLaterPosition,
+  type Measurement,
+  type Message,
+  type MessageOf,
+  type Millis,
+  type PromptCacheEntry,
+  type RoutingConfig,
 } from "@anvildeal/core";
 import type { Logger } from "../logging/index.js";
 import { type Disposable, splitAddress } from "../net/index.js";
@@ -54,6 +57,12 @@
   readonly onAnswer: () => void;
 }
 
+/** How much of the configuration and of the endpoints another router knows. */
+type PeerPosition = Pick<
+  MessageOf<"fleet_state">,
+  "configVersion" | "directoryEpoch" | "directoryRevision"
+>;
+
 /**
  * Keeps configuration, endpoints and prompt cache contents up to date. They
  * come from the directory, or from other routers if those are ahead or the
@@ -63,11 +72,14 @@
   readonly #options: DirectorySyncOptions;
   readonly #mesh: PeerMesh;
   readonly #configs: CollectionWatcher<RoutingConfig>;
+  readonly #endpointWatcher: CollectionWatcher<EndpointRecord>;
   readonly #endpoints: EndpointSync;
   readonly #promptCacheBroadcaster: PromptCacheBroadcaster;
   /** Consecutive failed calls by label of the collection. */
   readonly #failures = new Map<string, number>();
   #inFlightByEndpoint: Readonly<Record<string, number>> = {};
+  /** Highest known epoch of the directory; undefined before the first answer. */
+  #epoch: number | undefined;
   #ticksSinceStateBroadcast = 0;
   #stateBroadcastCount = 0;
   /**
@@ -120,10 +132,11 @@
         this.#applyConfig(config, "directory");
       }
     }, true);
+    this.#endpointWatcher = this.#createWatcher(options.endpoints, () => {});
     this.#endpoints = new EndpointSync({
       ...options,
       nodeId: settings.nodeId,
-      watcher: this.#createWatcher(options.endpoints, () => {}),
+      watcher: this.#endpointWatcher,
       broadcast: (message) => this.#mesh.broadcast(message),
       onWatchPaused: () => this.#recordFailures(options.endpoints.label, 0),
     });
@@ -197,7 +210,8 @@
     this.#mesh.broadcast({
       type: "fleet_state",
       configVersion: this.#configVersion(),
-      directoryRevision: this.#endpoints.lastChange,
+      directoryRevision: this.#endpoints.lastChange.revision,
+      directoryEpoch: this.#endpoints.lastChange.epoch,
       inFlight: { ...this.#inFlightByEndpoint },
       routers: this.#stateBroadcastCount % STATES_PER_ROUTER_LIST === 1
         ? this.#mesh.knownRouters()
@@ -210,12 +224,17 @@
    * connected peer is queried; later updates come from all peers.
    */
   #requestPromptCache(nodeId: string): void {
-    this.#mesh.sendTo(nodeId, {
+    this.#mesh.sendTo(nodeId, { ...this.#query(), wantsWarmth: true });
+  }
+
+  #query(): MessageOf<"fleet_query"> {
+    const { epoch, revision } = this.#endpoints.position;
+    return {
       type: "fleet_query",
       configVersion: this.#configVersion(),
-      directoryRevision: this.#endpoints.revision,
-      wantsWarmth: true,
-    });
+      directoryRevision: revision,
+      directoryEpoch: epoch,
+    };
   }
 
   #sendPromptCache(nodeId: string): void {
@@ -242,6 +261,7 @@
         value: 1,
         labels: { kind: collection.label, result },
       });
+    watcher.onEpoch((epoch) => this.#observeEpoch(epoch));
     watcher.onUpdate((update) => {
       for (const { detail, name } of update.ignored) {
         logger.log("record_ignored", {
@@ -282,6 +302,28 @@
     }
   }
 
+  /**
+   * Reads the collections again if the directory was restored from an older
+   * copy. Watch calls that are pending may otherwise never return.
+   */
+  #observeEpoch(epoch: number): void {
+    const previousEpoch = this.#epoch;
+    if (previousEpoch !== undefined && epoch <= previousEpoch) {
+      return;
+    }
+    this.#epoch = epoch;
+    if (previousEpoch === undefined) {
+      return;
+    }
+    this.#options.push({
+      type: "directory_restored",
+      nowMs: this.#options.clock.nowMs(),
+      epoch,
+    });
+    this.#configs.advanceToEpoch(epoch);
+    this.#endpointWatcher.advanceToEpoch(epoch);
+  }
+
   #reportDirectoryState(available: boolean): void {
     this.#options.push({
       type: "directory_state_changed",
@@ -316,7 +358,7 @@
           peerId: nodeId,
           inFlight: message.inFlight,
         });
-        this.#queryIfBehind(nodeId, message);
+        this.#handlePeerPosition(nodeId, message);
         break;
       case "fleet_warmth":
         this.#options.push({
@@ -335,7 +377,7 @@
         break;
       case "fleet_watching":
         this.#endpoints.recordWatcher(nodeId);
-        this.#queryIfBehind(nodeId, { ...message, configVersion: 0 });
+        this.#handlePeerPosition(nodeId, { ...message, configVersion: 0 });
         break;
       case "fleet_change":
         this.#endpoints.applyChange(nodeId, message);
@@ -343,6 +385,13 @@
     }
   }
 
+  #handlePeerPosition(nodeId: string, peer: PeerPosition): void {
+    if (peer.directoryRevision > 0) {
+      this.#observeEpoch(peer.directoryEpoch);
+    }
+    this.#queryIfBehind(nodeId, peer);
+  }
+
   /**
    * Queries the peer if it is ahead of this router and this router has been
    * behind for at least {@link QUERY_AFTER_BEHIND_MS}, counted from the first
@@ -350,45 +399,31 @@
    * configuration version or a later directory change. A router that has no
    * configuration or no endpoints queries at once.
    */
-  #queryIfBehind(
-    nodeId: string,
-    { configVersion, directoryRevision: peerLastChange }: {
-      readonly configVersion: number;
-      readonly directoryRevision: number;
-    },
-  ): void {
-    const isPeerAhead = configVersion > this.#configVersion() ||
-      peerLastChange > this.#endpoints.revision;
+  #queryIfBehind(nodeId: string, peer: PeerPosition): void {
+    const isPeerAhead = peer.configVersion > this.#configVersion() ||
+      isLaterPosition(directoryPositionOf(peer), this.#endpoints.position);
     if (!isPeerAhead) {
       return;
     }
     const nowMs = this.#options.clock.nowMs();
     this.#behindSinceMs ??= nowMs;
     const isUninitialized = this.#configVersion() === 0 ||
-      this.#endpoints.revision === 0;
+      this.#endpoints.isUninitialized;
     if (
       isUninitialized || nowMs - this.#behindSinceMs >= QUERY_AFTER_BEHIND_MS
     ) {
       this.#behindSinceMs = undefined;
-      this.#mesh.sendTo(nodeId, {
-        type: "fleet_query",
-        configVersion: this.#configVersion(),
-        directoryRevision: this.#endpoints.revision,
-      });
+      this.#mesh.sendTo(nodeId, this.#query());
     }
   }
 
-  #answerQuery(
-    nodeId: string,
-    query: {
-      readonly configVersion: number;
-      readonly directoryRevision: number;
-    },
-  ): void {
+  #answerQuery(nodeId: string, query: PeerPosition): void {
     const config = this.#options.configInForce();
     const hasNewerConfig = config && config.version > query.configVersion;
-    const hasNewerDirectory =
-      this.#endpoints.lastChange > query.directoryRevision;
+    const hasNewerDirectory = isLaterPosition(
+      this.#endpoints.lastChange,
+      directoryPositionOf(query),
+    );
     if (!hasNewerConfig && !hasNewerDirectory) {
       return;
     }
@@ -407,7 +442,14 @@
       this.#applyConfig(config, `peer ${nodeId}`);
     }
     if (directory) {
+      this.#observeEpoch(directory.directoryEpoch);
       this.#endpoints.applySnapshot(nodeId, directory);
     }
   }
 }
+
+function directoryPositionOf(
+  { directoryEpoch, directoryRevision }: PeerPosition,
+): DirectoryPosition {
+  return { epoch: directoryEpoch, revision: directoryRevision };
+}
--- a/packages/daemon/src/direct/endpoint_sync.ts
+++ b/packages/daemon/src/direct/endpoint_sync.ts
@@ -1,11 +1,15 @@
 import {
   type Clock,
   type DirectEvent,
+  type DirectoryPosition,
   DirectoryWatcherElection,
   type EndpointRecord,
+  isLaterPosition,
+  laterPosition,
   type Message,
   type MessageOf,
   type Millis,
+  UNKNOWN_POSITION,
 } from "@anvildeal/core";
 import type { Logger } from "../logging/index.js";
 import type { Disposable } from "../net/index.js";
@@ -47,9 +51,10 @@
   #watching = true;
   /** Whether only some routers of the fleet watch the directory. */
   #isWatchShared = false;
-  /** Revision up to which the records are known; 0 before the first update. */
-  #revision = 0;
-  #lastChange = 0;
+  /** Position up to which the records are known. */
+  #position = UNKNOWN_POSITION;
+  /** Position of the last known change of a record. */
+  #lastChange = UNKNOWN_POSITION;
 
   constructor(options: EndpointSyncOptions) {
     this.#options = options;
@@ -57,16 +62,22 @@
     options.watcher.onUpdate((update) => this.#handleUpdate(update));
   }
 
-  /** Revision of the last known change; 0 if there is none. */
-  get lastChange(): number {
+  /** Position of the last known change. */
+  get lastChange(): DirectoryPosition {
     return this.#lastChange;
   }
 
-  /** Revision up to which the endpoints are known; 0 before the first update. */
-  get revision(): number {
-    return this.#revision === 0
-      ? 0
-      : Math.max(this.#revision, this.#options.watcher.revision ?? 0);
+  /** Whether no list of endpoints is known yet. */
+  get isUninitialized(): boolean {
+    return this.#position === UNKNOWN_POSITION;
+  }
+
+  /** Position up to which the endpoints are known. */
+  get position(): DirectoryPosition {
+    return this.isUninitialized ? UNKNOWN_POSITION : laterPosition(
+      this.#position,
+      this.#options.watcher.position ?? UNKNOWN_POSITION,
+    );
   }
 
   start(): void {
@@ -100,7 +111,8 @@
     if (shared && watcher.isFollowing) {
       broadcast({
         type: "fleet_watching",
-        directoryRevision: this.#lastChange,
+        directoryRevision: this.#lastChange.revision,
+        directoryEpoch: this.#lastChange.epoch,
       });
     }
   }
@@ -117,9 +129,11 @@
 
   /** Returns all known endpoints, for a router that is behind. */
   snapshot(): DirectorySnapshot {
+    const { epoch, revision } = this.position;
     return {
-      revision: this.revision,
-      lastChange: this.#lastChange,
+      directoryEpoch: epoch,
+      revision,
+      lastChange: this.#lastChange.revision,
       settled: this.#options.isDirectoryReliable(),
       endpoints: [...this.#records.values()],
     };
@@ -127,36 +141,40 @@
 
   /** Applies a change that a watching router sent. */
   applyChange(nodeId: string, change: MessageOf<"fleet_change">): void {
-    const knownRevision = this.revision;
+    const known = this.position;
     // A watching router reads changes from the directory itself, and queries a
     // peer if it stays behind.
     if (
-      this.#watching || change.afterRevision > knownRevision ||
-      change.revision <= knownRevision || knownRevision === 0
+      this.#watching || this.isUninitialized ||
+      change.directoryEpoch !== known.epoch ||
+      change.afterRevision > known.revision ||
+      change.revision <= known.revision
     ) {
       return;
     }
-    this.#apply(
-      { ...change, upserts: change.endpoints, removed: change.removedIds },
-      `peer ${nodeId}`,
-      false,
-      change.settled,
-    );
-    this.#options.watcher.advanceTo(change.revision);
+    const update = {
+      ...change,
+      epoch: change.directoryEpoch,
+      upserts: change.endpoints,
+      removed: change.removedIds,
+    };
+    this.#apply(update, `peer ${nodeId}`, false, change.settled);
+    this.#options.watcher.advanceTo(update);
   }
 
   /** Applies a peer's list of endpoints if it is newer than the local one. */
   applySnapshot(nodeId: string, directory: DirectorySnapshot): void {
-    if (directory.revision <= this.revision) {
+    const update = {
+      ...directory,
+      epoch: directory.directoryEpoch,
+      upserts: directory.endpoints,
+      removed: [],
+    };
+    if (!isLaterPosition(update, this.position)) {
       return;
     }
-    this.#apply(
-      { ...directory, upserts: directory.endpoints, removed: [] },
-      `peer ${nodeId}`,
-      true,
-      directory.settled,
-    );
-    this.#options.watcher.advanceTo(directory.revision);
+    this.#apply(update, `peer ${nodeId}`, true, directory.settled);
+    this.#options.watcher.advanceTo(update);
   }
 
   dispose(): void {
@@ -164,17 +182,18 @@
   }
 
   #handleUpdate(update: WatchedUpdate<EndpointRecord>): void {
-    const afterRevision = this.#revision;
-    if (update.revision < afterRevision) {
+    const { revision: afterRevision } = this.#position;
+    if (isLaterPosition(this.#position, update)) {
       return;
     }
     this.#apply(update, "directory", update.isSnapshot);
     if (this.#isWatchShared && !update.isSnapshot) {
       this.#options.broadcast({
         type: "fleet_change",
+        directoryEpoch: update.epoch,
         afterRevision,
         revision: update.revision,
-        lastChange: this.#lastChange,
+        lastChange: this.#lastChange.revision,
         settled: this.#options.isDirectoryReliable(),
         endpoints: [...update.upserts],
         removedIds: [...update.removed],
@@ -185,14 +204,18 @@
   #apply(
     update: Pick<
       WatchedUpdate<EndpointRecord>,
-      "lastChange" | "removed" | "revision" | "upserts"
+      "epoch" | "lastChange" | "removed" | "revision" | "upserts"
     >,
     source: string,
     isSnapshot: boolean,
     directoryReliable?: boolean,
   ): void {
-    this.#revision = update.revision;
-    this.#lastChange = Math.max(this.#lastChange, update.lastChange);
+    const { epoch, revision } = update;
+    this.#position = { epoch, revision };
+    this.#lastChange = laterPosition(this.#lastChange, {
+      epoch,
+      revision: update.lastChange,
+    });
     if (isSnapshot) {
       this.#records.clear();
     }
--- a/packages/daemon/src/direct/endpoint_sync_test.ts
+++ b/packages/daemon/src/direct/endpoint_sync_test.ts
@@ -14,6 +14,7 @@
 class PendingCollection extends Collection<EndpointRecord> {
   readonly label = "held";
   calls = 0;
+  epoch = 1;
   #waiting = false;
   #answer: (update: CollectionUpdate<EndpointRecord>) => void = () => {};
 
@@ -32,6 +33,7 @@
   async answer(revision: number, ...ids: string[]): Promise<void> {
     this.#waiting = false;
     this.#answer({
+      epoch: this.epoch,
       revision,
       lastChange: ids.length > 0 ? revision : 0,
       upserts: ids.map(record),
@@ -123,6 +125,7 @@
   ): MessageOf<"fleet_change"> {
     return {
       type: "fleet_change",
+      directoryEpoch: 1,
       afterRevision,
       revision,
       lastChange: revision,
@@ -159,21 +162,60 @@
     sync.applyChange("x", changeOf(10, 12, "b"));
     sync.applyChange("w", changeOf(12, 15, "c"));
     expect(added(events)).toEqual(["a", "b", "c"]);
-    expect(sync.lastChange).toBe(15);
+    expect(sync.lastChange).toEqual({ epoch: 1, revision: 15 });
   });
 
   it("ignores a change if it missed an earlier one, until it gets a snapshot", async () => {
     const { events, sync } = await startNonWatching();
     sync.applyChange("w", changeOf(12, 15, "c"));
     expect(added(events)).toEqual(["a"]);
-    expect(sync.revision).toBe(10);
+    expect(sync.position.revision).toBe(10);
     sync.applySnapshot("w", {
+      directoryEpoch: 1,
       revision: 16,
       lastChange: 15,
       settled: true,
       endpoints: [record("a"), record("c")],
     });
-    expect(sync.revision).toBe(16);
+    expect(sync.position.revision).toBe(16);
+  });
+
+  describe("when the directory was restored from an older copy", () => {
+    const snapshot = (directoryEpoch: number, revision: number) => ({
+      directoryEpoch,
+      revision,
+      lastChange: revision,
+      settled: false,
+      endpoints: [record("copy")],
+    });
+
+    it("applies the list of the copy although its revision is lower", async () => {
+      const { collection, events, sync } = await start("a");
+      await collection.nextCall();
+      collection.epoch = 2;
+      await collection.answer(7);
+      await collection.nextCall();
+      await collection.answer(7, "copy");
+      expect(added(events)).toEqual(["a", "copy"]);
+      expect(sync.position).toEqual({ epoch: 2, revision: 7 });
+      expect(sync.lastChange).toEqual({ epoch: 2, revision: 7 });
+    });
+
+    it("takes the list of a peer that read the copy", async () => {
+      const { events, sync } = await startNonWatching();
+      sync.applySnapshot("w", snapshot(2, 7));
+      expect(added(events)).toEqual(["a", "copy"]);
+      expect(sync.position).toEqual({ epoch: 2, revision: 7 });
+    });
+
+    it("ignores lists and changes of peers that have not noticed it", async () => {
+      const { events, sync } = await startNonWatching();
+      sync.applySnapshot("w", snapshot(2, 7));
+      sync.applyChange("x", changeOf(7, 12, "lost"));
+      sync.applySnapshot("x", { ...snapshot(1, 30) });
+      expect(added(events)).toEqual(["a", "copy"]);
+      expect(sync.snapshot()).toMatchObject({ directoryEpoch: 2, revision: 7 });
+    });
   });
 
   it("watches again when the watching routers disconnect", async () => {
@@ -194,6 +236,6 @@
     const { sent, sync } = await start("a");
     sync.tick(FLEET_SIZE);
     expect(sent.filter(({ type }) => type === "fleet_change")).toEqual([]);
-    expect(sync.lastChange).toBe(10);
+    expect(sync.lastChange).toEqual({ epoch: 1, revision: 10 });
   });
 });
--- a/packages/daemon/src/direct/peer_mesh.ts
+++ b/packages/daemon/src/direct/peer_mesh.ts
@@ -290,6 +290,7 @@
       type: "fleet_query",
       configVersion: 0,
       directoryRevision: 0,
+      directoryEpoch: 0,
     });
   }
 
--- a/packages/daemon/src/direct/peer_mesh_test.ts
+++ b/packages/daemon/src/direct/peer_mesh_test.ts
@@ -68,6 +68,7 @@
         type: "fleet_state",
         configVersion: 1,
         directoryRevision: 1,
+        directoryEpoch: 1,
         inFlight: {},
         routers: mesh.knownRouters(),
       });
--- a/packages/daemon/src/store/http_exchange.ts
+++ b/packages/daemon/src/store/http_exchange.ts
@@ -11,6 +11,8 @@
 
 export interface HttpResponse {
   readonly status: number;
+  /** Names are in lower case. */
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
   readonly body: Buffer;
 }
 
@@ -55,6 +57,7 @@
   readonly #bodyChunks: Buffer[] = [];
   #controller: Dispatcher.DispatchController | undefined;
   #status = 0;
+  #headers: HttpResponse["headers"] = {};
   #bodyBytes = 0;
   #headBytes = 0;
   #framingBytes = 0;
@@ -108,6 +111,7 @@
         finish();
         resolve({
           status: this.#status,
+          headers: this.#headers,
           body: Buffer.concat(this.#bodyChunks),
         });
       };
@@ -151,6 +155,7 @@
       },
       onResponseStart: (controller, status, headers, statusMessage = "") => {
         this.#status = status;
+        this.#headers = headers;
         this.#isChunked = headers["transfer-encoding"] === "chunked";
         this.#headBytes += responseHeadBytes(
           statusMessage,
