Query one peer at a time, and only when the directory takes too long

Cause: each router that opened a connection to a peer asked it for everything it had, so a fleet of 25 sent up to 300 whole configurations when connections were opened, and again each time a slow link let a connection stall. Besides, the grace of 0.3 s before a router that is behind queries a peer worked only once: the time of the first message that showed a peer ahead was kept after the router had caught up, so from then on every change was read from the directory and from a peer, and from further peers while the answer was on its way.

Change: a connection opens with the router's own state; PeerCatchUp lets one query be pending, starts the grace anew for each change, and gives the directory the time that its last transfer took. A change in quick succession is read after a pause as long as the last transfer, so that reading takes at most about half of a slow link.

--- a/packages/daemon/src/direct/collection_watcher.ts
+++ b/packages/daemon/src/direct/collection_watcher.ts
@@ -32,10 +32,13 @@
 const BATCH_DELAY_MS: Millis = 200;
 
 /**
- * Delay between a change and the list call that reads the newest state; changes
- * within this time are read with one call.
+ * Minimum delay between a change and the list call that reads the newest state;
+ * changes within this time are read with one call.
  */
-const RELIST_DELAY_MS: Millis = 300;
+const MIN_RELIST_DELAY_MS: Millis = 300;
+
+/** Maximum delay between a change and the list call that reads the newest state. */
+const MAX_RELIST_DELAY_MS: Millis = 800;
 
 /**
  * A call that fails later than this was not refused: the directory had accepted
@@ -86,6 +89,8 @@
   #pause:
     | { readonly ended: Promise<void>; readonly end: () => void }
     | undefined;
+  /** Duration of the last list call. */
+  #lastListMs: Millis = 0;
   /** With `latestOnly`: the last call returned a change, so the next call is a list. */
   #relistNext = false;
 
@@ -117,6 +122,14 @@
     return this.#position;
   }
 
+  /**
+   * Time within which a change usually arrives: the last list call and the delay
+   * before the next one.
+   */
+  get usualChangeMs(): Millis {
+    return this.#lastListMs + this.#relistDelayMs;
+  }
+
   /** Whether the watcher is not paused and its last call succeeded. */
   get isFollowing(): boolean {
     return this.#lastCallSucceeded && this.#pause === undefined;
@@ -257,9 +270,11 @@
     signal: AbortSignal,
   ): Promise<void> {
     if (this.#relistNext) {
-      await sleep(RELIST_DELAY_MS);
+      await sleep(this.#relistDelayMs);
     }
+    const startedMs = performance.now();
     const update = await this.#collection.list(signal);
+    this.#lastListMs = performance.now() - startedMs;
     this.#checkEpoch(update);
     // The revision of the directory is no measure here, because it also rises
     // with changes of other collections.
@@ -270,6 +285,17 @@
     this.#onUpdate.fire({ ...update, isSnapshot: true });
   }
 
+  /**
+   * Reading a large collection takes at most about half of the time, so that a
+   * slow link has capacity left while the collection changes often.
+   */
+  get #relistDelayMs(): Millis {
+    return Math.min(
+      MAX_RELIST_DELAY_MS,
+      Math.max(MIN_RELIST_DELAY_MS, this.#lastListMs),
+    );
+  }
+
   /** Throws if an answer was given before the directory was last restored. */
   #checkEpoch({ epoch }: DirectoryPosition): void {
     if (epoch < this.#epoch) {
--- a/packages/daemon/src/direct/directory_sync.ts
+++ b/packages/daemon/src/direct/directory_sync.ts
@@ -1,13 +1,12 @@
 import {
   type Clock,
   type DirectEvent,
-  type DirectoryPosition,
   type EndpointRecord,
   isLaterPosition,
+  type KnownRouter,
   type Measurement,
   type Message,
   type MessageOf,
-  type Millis,
   type PromptCacheEntry,
   type RoutingConfig,
 } from "@anvildeal/core";
@@ -17,12 +16,10 @@
 import { CollectionWatcher, type WatchedUpdate } from "./collection_watcher.js";
 import type { DirectSettings } from "./direct_settings.js";
 import { EndpointSync } from "./endpoint_sync.js";
+import { type KnownContent, PeerCatchUp } from "./peer_catch_up.js";
 import { PeerMesh } from "./peer_mesh.js";
 import { PromptCacheBroadcaster } from "./prompt_cache_broadcaster.js";
 
-/** A router that has been behind its peers for this long queries one of them. */
-const QUERY_AFTER_BEHIND_MS: Millis = 300;
-
 /**
  * Maximum number of `fleet_state` messages that a router sends in each call of
  * {@link DirectorySync.tick}, averaged over the calls.
@@ -57,8 +54,8 @@
   readonly onAnswer: () => void;
 }
 
-/** How much of the configuration and of the endpoints another router knows. */
-type PeerPosition = Pick<
+/** Fields of messages that name what the sender knows. */
+type ContentFields = Pick<
   MessageOf<"fleet_state">,
   "configVersion" | "directoryEpoch" | "directoryRevision"
 >;
@@ -75,6 +72,7 @@
   readonly #endpointWatcher: CollectionWatcher<EndpointRecord>;
   readonly #endpoints: EndpointSync;
   readonly #promptCacheBroadcaster: PromptCacheBroadcaster;
+  readonly #catchUp: PeerCatchUp;
   /** Consecutive failed calls by label of the collection. */
   readonly #failures = new Map<string, number>();
   #inFlightByEndpoint: Readonly<Record<string, number>> = {};
@@ -82,15 +80,11 @@
   #epoch: number | undefined;
   #ticksSinceStateBroadcast = 0;
   #stateBroadcastCount = 0;
-  /**
-   * Time at which a message first showed, since the last query, that a peer is
-   * ahead. Undefined if no message did.
-   */
-  #behindSinceMs: Millis | undefined;
 
   constructor(options: DirectorySyncOptions) {
     this.#options = options;
     const { clock, settings } = options;
+    this.#catchUp = new PeerCatchUp(clock);
     this.#mesh = new PeerMesh({
       identity: {
         role: "router",
@@ -101,6 +95,9 @@
       },
       address: settings.peerAddress,
       clock,
+      // A small message: the peer answers with its own state, which shows
+      // whether this router is behind.
+      openingMessage: () => this.#stateMessage([this.#mesh.localEntry()]),
       onRejected: (peer, detail) =>
         options.logger.log("peer_rejected", { peer, detail }),
     });
@@ -118,11 +115,16 @@
         peer: nodeId,
       });
       if (!connected) {
+        this.#catchUp.endQuery(nodeId);
         this.#endpoints.removeWatcher(nodeId);
         this.#promptCacheBroadcaster.handleDisconnect(nodeId);
         return;
       }
       this.#promptCacheBroadcaster.handleReconnect(nodeId);
+      this.#mesh.sendTo(
+        nodeId,
+        this.#stateMessage([this.#mesh.localEntry()]),
+      );
       if (this.#mesh.connectedCount === 1) {
         this.#requestPromptCache(nodeId);
       }
@@ -207,16 +209,23 @@
 
   #broadcastState(): void {
     this.#stateBroadcastCount++;
-    this.#mesh.broadcast({
+    this.#mesh.broadcast(this.#stateMessage(
+      this.#stateBroadcastCount % STATES_PER_ROUTER_LIST === 1
+        ? this.#mesh.knownRouters()
+        : [this.#mesh.localEntry()],
+    ));
+  }
+
+  #stateMessage(routers: KnownRouter[]): MessageOf<"fleet_state"> {
+    const { epoch, revision } = this.#endpoints.lastChange;
+    return {
       type: "fleet_state",
       configVersion: this.#configVersion(),
-      directoryRevision: this.#endpoints.lastChange.revision,
-      directoryEpoch: this.#endpoints.lastChange.epoch,
+      directoryRevision: revision,
+      directoryEpoch: epoch,
       inFlight: { ...this.#inFlightByEndpoint },
-      routers: this.#stateBroadcastCount % STATES_PER_ROUTER_LIST === 1
-        ? this.#mesh.knownRouters()
-        : [this.#mesh.localEntry()],
-    });
+      routers,
+    };
   }
 
   /**
@@ -224,6 +233,7 @@
    * connected peer is queried; later updates come from all peers.
    */
   #requestPromptCache(nodeId: string): void {
+    this.#catchUp.recordQuery(nodeId);
     this.#mesh.sendTo(nodeId, { ...this.#query(), wantsWarmth: true });
   }
 
@@ -358,7 +368,7 @@
           peerId: nodeId,
           inFlight: message.inFlight,
         });
-        this.#handlePeerPosition(nodeId, message);
+        this.#handlePeerContent(nodeId, message);
         break;
       case "fleet_warmth":
         this.#options.push({
@@ -377,7 +387,7 @@
         break;
       case "fleet_watching":
         this.#endpoints.recordWatcher(nodeId);
-        this.#handlePeerPosition(nodeId, { ...message, configVersion: 0 });
+        this.#handlePeerContent(nodeId, { ...message, configVersion: 0 });
         break;
       case "fleet_change":
         this.#endpoints.applyChange(nodeId, message);
@@ -385,48 +395,37 @@
     }
   }
 
-  #handlePeerPosition(nodeId: string, peer: PeerPosition): void {
+  /** Queries the peer if this router has been behind it for too long. */
+  #handlePeerContent(nodeId: string, peer: ContentFields): void {
     if (peer.directoryRevision > 0) {
       this.#observeEpoch(peer.directoryEpoch);
     }
-    this.#queryIfBehind(nodeId, peer);
-  }
-
-  /**
-   * Queries the peer if it is ahead of this router and this router has been
-   * behind for at least {@link QUERY_AFTER_BEHIND_MS}, counted from the first
-   * message that showed any peer ahead. A peer is ahead if it knows a higher
-   * configuration version or a later directory change. A router that has no
-   * configuration or no endpoints queries at once.
-   */
-  #queryIfBehind(nodeId: string, peer: PeerPosition): void {
-    const isPeerAhead = peer.configVersion > this.#configVersion() ||
-      isLaterPosition(directoryPositionOf(peer), this.#endpoints.position);
-    if (!isPeerAhead) {
-      return;
-    }
-    const nowMs = this.#options.clock.nowMs();
-    this.#behindSinceMs ??= nowMs;
-    const isUninitialized = this.#configVersion() === 0 ||
-      this.#endpoints.isUninitialized;
+    const own = {
+      configVersion: this.#configVersion(),
+      directory: this.#endpoints.position,
+    };
+    const canServe = own.configVersion > 0 && !this.#endpoints.isUninitialized;
+    const usualTransferMs = canServe ? this.#configs.usualChangeMs : undefined;
     if (
-      isUninitialized || nowMs - this.#behindSinceMs >= QUERY_AFTER_BEHIND_MS
+      this.#catchUp.shouldQuery(
+        nodeId,
+        knownContentOf(peer),
+        own,
+        usualTransferMs,
+      )
     ) {
-      this.#behindSinceMs = undefined;
       this.#mesh.sendTo(nodeId, this.#query());
     }
   }
 
-  #answerQuery(nodeId: string, query: PeerPosition): void {
+  /** Answers also if there is nothing newer, so that the peer does not wait. */
+  #answerQuery(nodeId: string, query: ContentFields): void {
     const config = this.#options.configInForce();
     const hasNewerConfig = config && config.version > query.configVersion;
     const hasNewerDirectory = isLaterPosition(
       this.#endpoints.lastChange,
-      directoryPositionOf(query),
+      knownContentOf(query).directory,
     );
-    if (!hasNewerConfig && !hasNewerDirectory) {
-      return;
-    }
     this.#mesh.sendTo(nodeId, {
       type: "fleet_content",
       ...(hasNewerConfig ? { config } : {}),
@@ -438,6 +437,7 @@
     nodeId: string,
     { config, directory }: Extract<Message, { type: "fleet_content" }>,
   ): void {
+    this.#catchUp.endQuery(nodeId);
     if (config && config.version > this.#configVersion()) {
       this.#applyConfig(config, `peer ${nodeId}`);
     }
@@ -448,8 +448,11 @@
   }
 }
 
-function directoryPositionOf(
-  { directoryEpoch, directoryRevision }: PeerPosition,
-): DirectoryPosition {
-  return { epoch: directoryEpoch, revision: directoryRevision };
+function knownContentOf(
+  { configVersion, directoryEpoch, directoryRevision }: ContentFields,
+): KnownContent {
+  return {
+    configVersion,
+    directory: { epoch: directoryEpoch, revision: directoryRevision },
+  };
 }
--- a/packages/daemon/src/direct/peer_mesh.ts
+++ b/packages/daemon/src/direct/peer_mesh.ts
@@ -66,6 +66,8 @@
   /** Address at which other routers reach this one. */
   readonly address: string;
   readonly clock: Clock;
+  /** Returns the first message that is sent on a connection to another router. */
+  readonly openingMessage: () => Message;
   /** Called before a connection closes because of what the peer sent. */
   readonly onRejected?: PeerConnectionOptions["onRejected"];
 }
@@ -286,12 +288,7 @@
     }
     this.#lastDialMs.set(dialId, nowMs);
     this.#dialer.close(dialId);
-    this.#dialer.send(dialId, address, {
-      type: "fleet_query",
-      configVersion: 0,
-      directoryRevision: 0,
-      directoryEpoch: 0,
-    });
+    this.#dialer.send(dialId, address, this.#options.openingMessage());
   }
 
   #accept(connection: PeerConnection): void {
--- a/packages/daemon/src/direct/peer_mesh_test.ts
+++ b/packages/daemon/src/direct/peer_mesh_test.ts
@@ -1,4 +1,5 @@
 import { setTimeout as sleep } from "node:timers/promises";
+import type { MessageOf } from "@anvildeal/core";
 import { reservePorts } from "@anvildeal/stand-ins";
 import { afterEach, describe, expect, it } from "vitest";
 import { SystemClock } from "../system_clock.js";
@@ -6,6 +7,15 @@
 
 const HOST = "127.0.0.1";
 
+const STATE: MessageOf<"fleet_state"> = {
+  type: "fleet_state",
+  configVersion: 1,
+  directoryRevision: 1,
+  directoryEpoch: 1,
+  inFlight: {},
+  routers: [],
+};
+
 /** A router of the fleet under test. */
 interface TestRouter {
   readonly mesh: PeerMesh;
@@ -28,6 +38,7 @@
     const [port] = await reservePorts(HOST, 1);
     const address = `${HOST}:${port}`;
     const mesh = new PeerMesh({
+      openingMessage: () => STATE,
       identity: {
         role: "router",
         nodeId,
@@ -64,14 +75,7 @@
   function maintainAndBroadcast(): void {
     for (const { mesh } of routers) {
       mesh.maintain();
-      mesh.broadcast({
-        type: "fleet_state",
-        configVersion: 1,
-        directoryRevision: 1,
-        directoryEpoch: 1,
-        inFlight: {},
-        routers: mesh.knownRouters(),
-      });
+      mesh.broadcast({ ...STATE, routers: mesh.knownRouters() });
     }
   }
 
