Place prompts by the tokens that wait at an endpoint

Change: a router estimates the tokens that wait at each endpoint, from its own placements and those that peers report anyway, and from the prefill rate that it observes. They count against the endpoint; a cached token counts twice. Both are rounded so that routers agree.

--- a/packages/core/src/direct/choose_endpoint.ts
+++ b/packages/core/src/direct/choose_endpoint.ts
@@ -26,10 +26,21 @@
  */
 const CROSS_DOMAIN_COST = 2;
 
+/** Number of prompt tokens that weigh as much as one request in flight. */
+const TOKENS_PER_REQUEST = 100;
+
+/**
+ * Weight of a cached token against a token that waits to be processed. Above 1,
+ * because a part that is processed a second time also takes time and memory
+ * from the requests that run there.
+ */
+const CACHED_TOKEN_WEIGHT = 2;
+
 /**
- * Number of cached prompt tokens that weigh as much as one request in flight.
+ * Waiting tokens are rounded down to a multiple of this number. Routers whose
+ * estimates differ slightly then make the same choice.
  */
-const CACHED_TOKENS_PER_REQUEST = 100;
+const BACKLOG_ROUNDING_STEP = 2000;
 
 /**
  * Loads are rounded down to a multiple of this number of requests. Routers
@@ -47,6 +58,11 @@
    * Returns how many tokens of the request's prompt the endpoint has cached.
    */
   readonly cachedTokens: (endpoint: DirectEndpoint) => number;
+  /**
+   * Returns how many prompt tokens of earlier requests the endpoint has yet to
+   * process.
+   */
+  readonly backlogTokens: (endpoint: DirectEndpoint) => number;
   /** Failure domain of this router. */
   readonly failureDomain: string;
   /** Ids of the endpoints that this request has tried. */
@@ -170,8 +186,9 @@
 }
 
 /**
- * Returns the endpoint with the highest score of cached tokens minus weighted
- * load. Ties are broken by rendezvous order, which is the same on all routers.
+ * Returns the endpoint with the highest score of cached tokens minus waiting
+ * tokens and weighted load. The waiting tokens keep prompts that have only a
+ * short first part in common from all going to the endpoint that has it. Ties are broken by rendezvous order, which is the same on all routers.
  */
 function bestByCacheAndLoad(
   endpoints: readonly DirectEndpoint[],
@@ -180,9 +197,9 @@
   loads: ReadonlyMap<DirectEndpoint, number>,
 ): DirectEndpoint {
   const scoreOf = (endpoint: DirectEndpoint) =>
-    request.cachedTokens(endpoint) -
-    Math.floor(loads.get(endpoint)! / LOAD_ROUNDING_STEP) * LOAD_ROUNDING_STEP *
-      CACHED_TOKENS_PER_REQUEST;
+    CACHED_TOKEN_WEIGHT * request.cachedTokens(endpoint) -
+    roundDown(request.backlogTokens(endpoint), BACKLOG_ROUNDING_STEP) -
+    roundDown(loads.get(endpoint)!, LOAD_ROUNDING_STEP) * TOKENS_PER_REQUEST;
   const scores = new Map(
     endpoints.map((endpoint) => [endpoint, scoreOf(endpoint)]),
   );
@@ -221,6 +238,10 @@
   return healthy.length > 0 ? healthy : unsuspected;
 }
 
+function roundDown(value: number, step: number): number {
+  return Math.floor(value / step) * step;
+}
+
 function sumOf<T>(items: readonly T[], value: (item: T) => number): number {
   return items.reduce((sum, item) => sum + value(item), 0);
 }
--- a/packages/core/src/direct/choose_endpoint_test.ts
+++ b/packages/core/src/direct/choose_endpoint_test.ts
@@ -21,6 +21,7 @@
   return {
     affinityKey: "page",
     cachedTokens: () => 0,
+    backlogTokens: () => 0,
     failureDomain: "a",
     triedEndpointIds: new Set(),
     loadBoundMultiple: 1.5,
@@ -53,6 +54,40 @@
       }
     });
 
+    // At the start of a day, all prompts share a short first part, and the first
+    // endpoint that has it would get all of them.
+    it("spreads cold prompts that have only a short first part in common", () => {
+      const pool = ["e1", "e2", "e3", "e4"].map((id) => endpoint(id));
+      const waiting = new Map<DirectEndpoint, number>();
+      for (let i = 0; i < 8; i++) {
+        const { endpoint: chosen } = chooseEndpoint(
+          pool,
+          request({
+            affinityKey: `page-${i}`,
+            cachedTokens: (candidate) => waiting.has(candidate) ? 512 : 0,
+            backlogTokens: (candidate) => waiting.get(candidate) ?? 0,
+          }),
+          NOW_MS,
+        )!;
+        waiting.set(chosen, (waiting.get(chosen) ?? 0) + 10_000);
+      }
+      expect([...waiting.values()]).toEqual([20_000, 20_000, 20_000, 20_000]);
+    });
+
+    it("waits for one other prompt rather than process a long one again", () => {
+      const pool = ["e1", "e2"].map((id) => endpoint(id));
+      const [cached] = pool;
+      const choice = chooseEndpoint(
+        pool,
+        request({
+          cachedTokens: (candidate) => candidate === cached ? 10_000 : 0,
+          backlogTokens: (candidate) => candidate === cached ? 12_000 : 0,
+        }),
+        NOW_MS,
+      );
+      expect(choice?.endpoint).toBe(cached);
+    });
+
     it("does not move a cached prompt to an endpoint that just joined", () => {
       const pool = Array.from({ length: 8 }, (_, i) => endpoint(`e${i}`, 2));
       const cached = pool[3]!;
--- a/packages/core/src/direct/direct_attempt.ts
+++ b/packages/core/src/direct/direct_attempt.ts
@@ -18,6 +18,7 @@
   type ActiveAttempt,
   type ActiveRequest,
   type DirectState,
+  prefillRateOf,
   retryWindowOf,
 } from "./direct_state.js";
 
@@ -27,6 +28,12 @@
  */
 const TIME_TO_HEAD_WEIGHT = 0.1;
 
+/**
+ * The prefill rate is estimated from attempts with at least this many tokens to
+ * process; for shorter ones, other delays dominate.
+ */
+const MIN_MEASURED_PREFILL_TOKENS = 2000;
+
 /**
  * Maximum number of retries of a request that no endpoint can have executed.
  */
@@ -77,6 +84,24 @@
   }
 }
 
+/**
+ * Handles the first body bytes of a relayed answer. On streams they follow the
+ * prefill of the prompt, so they show how fast the engine is.
+ */
+export function handleFirstBodyBytes(
+  state: DirectState,
+  { key, route, service }: ActiveRequest,
+  { prefillTokens, startedMs }: ActiveAttempt,
+  nowMs: Millis,
+): DirectEffect[] {
+  if (
+    route.callKind === "stream" && prefillTokens >= MIN_MEASURED_PREFILL_TOKENS
+  ) {
+    prefillRateOf(state, service).record(prefillTokens, nowMs - startedMs);
+  }
+  return [{ type: "clear_timer", key, timer: "attempt" }];
+}
+
 /**
  * Handles an attempt that ended without a complete answer: retries the request
  * or ends it with an error.
--- a/packages/core/src/direct/direct_endpoint.ts
+++ b/packages/core/src/direct/direct_endpoint.ts
@@ -1,5 +1,6 @@
 import type { Millis } from "../clock.js";
 import { FailureRate } from "./failure_rate.js";
+import { PrefillBacklog } from "./prefill_backlog.js";
 import type { EndpointRecord } from "./routing_config.js";
 
 /** How long an endpoint is avoided after it is first suspected. */
@@ -35,6 +36,8 @@
    */
   lapsedUntilMs: Millis | undefined;
   readonly failureRate = new FailureRate();
+  /** Shared prompt parts that all routers sent there and it has not cached yet. */
+  readonly prefillBacklog = new PrefillBacklog();
   #suspicionCount = 0;
   #suspectedUntilMs: Millis = 0;
   /**
--- a/packages/core/src/direct/direct_event.ts
+++ b/packages/core/src/direct/direct_event.ts
@@ -197,6 +197,11 @@
    */
   | {
     readonly type: "prompt_cache_entries_received";
+    /**
+     * Time at which a peer sent requests with these parts, as far as known.
+     * Undefined for entries that were saved.
+     */
+    readonly sentAtMs?: Millis;
     readonly entries: readonly PromptCacheEntry[];
   }
   /**
--- a/packages/core/src/direct/direct_place.ts
+++ b/packages/core/src/direct/direct_place.ts
@@ -3,9 +3,14 @@
 import { type Choice, chooseEndpoint } from "./choose_endpoint.js";
 import type { DirectEndpoint } from "./direct_endpoint.js";
 import type { DirectCall, DirectEffect, PromptPart } from "./direct_event.js";
-import type { ActiveRequest, DirectState } from "./direct_state.js";
+import {
+  type ActiveRequest,
+  type DirectState,
+  prefillRateOf,
+} from "./direct_state.js";
 import { finishRequest, refuse } from "./direct_finish.js";
 import { isRetryable } from "./direct_rules.js";
+import { sumTokens } from "./prompt_cache_index.js";
 
 /** No attempt is started if less than this is left until the deadline. */
 const MIN_ATTEMPT_MS: Millis = 5;
@@ -62,11 +67,14 @@
   nowMs: Millis,
 ): DirectEffect[] {
   const leftMs = request.deadlineAtMs - nowMs;
+  const { tokensPerMs } = prefillRateOf(state, request.service);
   const choice = leftMs < MIN_ATTEMPT_MS ? undefined : chooseEndpoint(
     state.directory.ofService(request.service),
     {
       affinityKey: affinityKeyOf(request),
       cachedTokens: (endpoint) => cachedTokens(state, request, endpoint),
+      backlogTokens: ({ prefillBacklog }) =>
+        prefillBacklog.remaining(nowMs, tokensPerMs),
       failureDomain: state.options.failureDomain,
       triedEndpointIds: request.triedEndpointIds,
       loadBoundMultiple: effectiveLoadBoundMultiple(state),
@@ -113,7 +121,15 @@
   const number = ++request.attemptCount;
   endpoint.localInFlight++;
   request.triedEndpointIds.add(endpoint.id);
-  request.attempt = { number, endpoint, startedMs: nowMs, hasHead: false };
+  const { tokensPerMs } = prefillRateOf(state, request.service);
+  request.attempt = {
+    number,
+    endpoint,
+    startedMs: nowMs,
+    prefillTokens: endpoint.prefillBacklog.remaining(nowMs, tokensPerMs) +
+      Math.max(0, request.call.promptTokens - choice.cachedTokens),
+    hasHead: false,
+  };
   const cacheSource = cacheSourceOf(state, request, choice, nowMs);
   const effects: DirectEffect[] = [{
     type: "start_attempt",
@@ -131,7 +147,7 @@
     retryable: isRetryable(request.route),
     resumable: request.route.resumable,
     fetchCacheFrom: cacheSource?.record.address,
-  }, ...recordPromptCache(state, request, endpoint)];
+  }, ...recordPromptCache(state, request, endpoint, nowMs)];
   const timeoutMs = attemptTimeoutOf(state, request, leftMs);
   if (timeoutMs !== undefined) {
     effects.push({
@@ -228,7 +244,8 @@
 function recordPromptCache(
   state: DirectState,
   request: ActiveRequest,
-  { id, record }: DirectEndpoint,
+  { id, prefillBacklog, record }: DirectEndpoint,
+  nowMs: Millis,
 ): DirectEffect[] {
   const added = state.promptCacheIndex.record(
     id,
@@ -236,16 +253,20 @@
     sharedPartsOf(request),
     state.configIndex?.service(record.service)?.engine?.cacheTokens,
   );
-  return added.length === 0 ? [] : [{
+  if (added.length === 0) {
+    return [];
+  }
+  prefillBacklog.add(
+    nowMs,
+    sumTokens(added),
+    prefillRateOf(state, record.service).tokensPerMs,
+  );
+  return [{
     type: "broadcast_prompt_cache_entry",
     entry: { endpointId: id, incarnation: record.incarnation, parts: added },
   }];
 }
 
-function sumTokens(parts: readonly PromptPart[]): number {
-  return parts.reduce((total, { tokens }) => total + tokens, 0);
-}
-
 /** Affinity key of a request on a sticky route; undefined on other routes. */
 function affinityKeyOf(request: ActiveRequest): string | undefined {
   return request.route.sticky ? affinityPartIdOf(request.call) : undefined;
--- a/packages/core/src/direct/direct_state.ts
+++ b/packages/core/src/direct/direct_state.ts
@@ -8,6 +8,7 @@
 import { EndpointDirectory } from "./endpoint_directory.js";
 import type { DirectEndpoint } from "./direct_endpoint.js";
 import { RetryWindow } from "./retry_window.js";
+import { PrefillRate } from "./prefill_rate.js";
 import type { RoutingConfigIndex } from "./routing_config_index.js";
 import { PromptCacheIndex } from "./prompt_cache_index.js";
 import type { DirectAccount, DirectRoute } from "./routing_config.js";
@@ -36,6 +37,11 @@
   readonly number: number;
   readonly endpoint: DirectEndpoint;
   readonly startedMs: Millis;
+  /**
+   * Prompt tokens that the endpoint had to process before the answer when the
+   * attempt started, those of earlier requests included.
+   */
+  readonly prefillTokens: number;
   /** Whether status and headers of the answer have arrived. */
   hasHead: boolean;
 }
@@ -83,6 +89,7 @@
   readonly promptCacheIndex: PromptCacheIndex;
   readonly requests: Map<number, ActiveRequest>;
   readonly retryWindows: Map<string, RetryWindow>;
+  readonly prefillRates: Map<string, PrefillRate>;
   /**
    * Moving average of the time from the start of an attempt to the head of its
    * answer, by name of the route.
@@ -121,6 +128,7 @@
     promptCacheIndex: new PromptCacheIndex(),
     requests: new Map(),
     retryWindows: new Map(),
+    prefillRates: new Map(),
     typicalTimeToHeadMs: new Map(),
     deferredCalls: new Map(),
     configIndex: undefined,
@@ -180,6 +188,20 @@
   return window;
 }
 
+/** Returns the prefill rate of a service; creates it on first use. */
+export function prefillRateOf(
+  state: DirectState,
+  service: string,
+): PrefillRate {
+  const known = state.prefillRates.get(service);
+  if (known) {
+    return known;
+  }
+  const rate = new PrefillRate();
+  state.prefillRates.set(service, rate);
+  return rate;
+}
+
 /** Calls `handle` if the request with this key has not ended. */
 export function ifActiveRequest(
   state: DirectState,
--- a/packages/core/src/direct/direct_updates.ts
+++ b/packages/core/src/direct/direct_updates.ts
@@ -3,10 +3,14 @@
 
 import type { Millis } from "../clock.js";
 import type { DirectEffect, DirectEvent } from "./direct_event.js";
-import { type DirectState, isDirectoryUnreliable } from "./direct_state.js";
+import {
+  type DirectState,
+  isDirectoryUnreliable,
+  prefillRateOf,
+} from "./direct_state.js";
 import type { EndpointTransition } from "./endpoint_directory.js";
 import { RoutingConfigIndex } from "./routing_config_index.js";
-import type { PromptCacheEntry } from "./prompt_cache_index.js";
+import { sumTokens } from "./prompt_cache_index.js";
 
 /**
  * If an outage of the directory may be the reason why an endpoint is no longer
@@ -125,18 +129,29 @@
  */
 export function applyPromptCacheEntries(
   state: DirectState,
-  entries: readonly PromptCacheEntry[],
+  { entries, sentAtMs }: Extract<
+    DirectEvent,
+    { type: "prompt_cache_entries_received" }
+  >,
 ): void {
   for (const { endpointId, incarnation, parts } of entries) {
-    const service = state.directory.get(endpointId)?.record.service;
+    const endpoint = state.directory.get(endpointId);
+    const service = endpoint?.record.service;
     const engineSettings = service &&
       state.configIndex?.service(service)?.engine;
-    state.promptCacheIndex.record(
+    const added = state.promptCacheIndex.record(
       endpointId,
       incarnation,
       parts,
       engineSettings ? engineSettings.cacheTokens : undefined,
     );
+    if (sentAtMs !== undefined && endpoint) {
+      endpoint.prefillBacklog.add(
+        sentAtMs,
+        sumTokens(added),
+        prefillRateOf(state, endpoint.record.service).tokensPerMs,
+      );
+    }
   }
 }
 
--- a/packages/core/src/direct/prompt_cache_index.ts
+++ b/packages/core/src/direct/prompt_cache_index.ts
@@ -16,6 +16,11 @@
   readonly tokens: number;
 }
 
+/** Number of tokens of all parts together. */
+export function sumTokens(parts: readonly SizedPart[]): number {
+  return parts.reduce((total, { tokens }) => total + tokens, 0);
+}
+
 /**
  * Maximum number of parts recorded for all endpoints together; bounds memory.
  */
--- a/packages/core/src/direct/reduce_direct.ts
+++ b/packages/core/src/direct/reduce_direct.ts
@@ -5,7 +5,11 @@
   admitDeferredCall,
   admitDeferredCalls,
 } from "./direct_admission.js";
-import { failAttempt, handleAnswerHead } from "./direct_attempt.js";
+import {
+  failAttempt,
+  handleAnswerHead,
+  handleFirstBodyBytes,
+} from "./direct_attempt.js";
 import type { DirectEffect, DirectEvent } from "./direct_event.js";
 import { finishRequest, refuse } from "./direct_finish.js";
 import {
@@ -47,9 +51,12 @@
           handleAnswerHead(state, request, attempt, event.head, event.nowMs),
       );
     case "attempt_progress":
-      return ifCurrentAttempt(state, event, ({ key }) => [
-        { type: "clear_timer", key, timer: "attempt" },
-      ]);
+      return ifCurrentAttempt(
+        state,
+        event,
+        (request, attempt) =>
+          handleFirstBodyBytes(state, request, attempt, event.nowMs),
+      );
     case "attempt_ended":
       return ifCurrentAttempt(
         state,
@@ -99,7 +106,7 @@
       }
       return [];
     case "prompt_cache_entries_received":
-      applyPromptCacheEntries(state, event.entries);
+      applyPromptCacheEntries(state, event);
       return [];
     case "stalls_observed":
       return handleStalls(state, event);
--- a/packages/daemon/src/direct/directory_sync.ts
+++ b/packages/daemon/src/direct/directory_sync.ts
@@ -373,6 +373,7 @@
       case "fleet_warmth":
         this.#options.push({
           type: "prompt_cache_entries_received",
+          sentAtMs: this.#options.clock.nowMs(),
           entries: message.entries,
         });
         break;
