Let cold prompts weigh how full the caches are

Change: a request counts the tokens that it would add to a cache, times the fill of that cache, against the endpoint.

--- a/packages/core/src/direct/choose_endpoint.ts
+++ b/packages/core/src/direct/choose_endpoint.ts
@@ -48,6 +48,9 @@
  */
 const LOAD_ROUNDING_STEP = 2;
 
+/** The fill of caches is rounded down to a multiple of this fraction. */
+const FILL_ROUNDING_STEP = 0.125;
+
 export interface ChoiceRequest {
   /**
    * Requests with the same key share a prompt prefix. Undefined if the prompt
@@ -63,6 +66,10 @@
    * process.
    */
   readonly backlogTokens: (endpoint: DirectEndpoint) => number;
+  /** Returns how full the endpoint's cache is, from 0 to 1. */
+  readonly cacheFill: (endpoint: DirectEndpoint) => number;
+  /** Number of tokens of the request's prompt that other requests may share. */
+  readonly sharedTokens: number;
   /** Failure domain of this router. */
   readonly failureDomain: string;
   /** Ids of the endpoints that this request has tried. */
@@ -187,7 +194,8 @@
 
 /**
  * Returns the endpoint with the highest score of cached tokens minus waiting
- * tokens and weighted load. The waiting tokens keep prompts that have only a
+ * tokens, tokens that the request may displace from the cache, and weighted
+ * load. The waiting tokens keep prompts that have only a
  * short first part in common from all going to the endpoint that has it. Ties are broken by rendezvous order, which is the same on all routers.
  */
 function bestByCacheAndLoad(
@@ -199,6 +207,8 @@
   const scoreOf = (endpoint: DirectEndpoint) =>
     CACHED_TOKEN_WEIGHT * request.cachedTokens(endpoint) -
     roundDown(request.backlogTokens(endpoint), BACKLOG_ROUNDING_STEP) -
+    roundDown(request.cacheFill(endpoint), FILL_ROUNDING_STEP) *
+      (request.sharedTokens - request.cachedTokens(endpoint)) -
     roundDown(loads.get(endpoint)!, LOAD_ROUNDING_STEP) * TOKENS_PER_REQUEST;
   const scores = new Map(
     endpoints.map((endpoint) => [endpoint, scoreOf(endpoint)]),
--- a/packages/core/src/direct/choose_endpoint_test.ts
+++ b/packages/core/src/direct/choose_endpoint_test.ts
@@ -22,6 +22,8 @@
     affinityKey: "page",
     cachedTokens: () => 0,
     backlogTokens: () => 0,
+    cacheFill: () => 0,
+    sharedTokens: 10_000,
     failureDomain: "a",
     triedEndpointIds: new Set(),
     loadBoundMultiple: 1.5,
@@ -74,6 +76,21 @@
       expect([...waiting.values()]).toEqual([20_000, 20_000, 20_000, 20_000]);
     });
 
+    // After a release, the new endpoints lack even the short first part that all
+    // prompts share, while the caches of the others overflow.
+    it("sends cold prompts to an empty cache rather than to a full one", () => {
+      const pool = ["full", "e1", "empty"].map((id) => endpoint(id));
+      const choice = chooseEndpoint(
+        pool,
+        request({
+          cachedTokens: ({ id }) => id === "empty" ? 0 : 512,
+          cacheFill: ({ id }) => id === "empty" ? 0 : id === "full" ? 1 : 0.5,
+        }),
+        NOW_MS,
+      );
+      expect(choice?.endpoint.id).toBe("empty");
+    });
+
     it("waits for one other prompt rather than process a long one again", () => {
       const pool = ["e1", "e2"].map((id) => endpoint(id));
       const [cached] = pool;
--- a/packages/core/src/direct/direct_place.ts
+++ b/packages/core/src/direct/direct_place.ts
@@ -75,6 +75,13 @@
       cachedTokens: (endpoint) => cachedTokens(state, request, endpoint),
       backlogTokens: ({ prefillBacklog }) =>
         prefillBacklog.remaining(nowMs, tokensPerMs),
+      cacheFill: ({ id, record }) =>
+        state.promptCacheIndex.fill(
+          id,
+          record.incarnation,
+          cacheCapacityOf(state, record.service),
+        ),
+      sharedTokens: sumTokens(sharedPartsOf(request)),
       failureDomain: state.options.failureDomain,
       triedEndpointIds: request.triedEndpointIds,
       loadBoundMultiple: effectiveLoadBoundMultiple(state),
@@ -201,6 +208,14 @@
   return route.sticky ? call.promptParts.slice(0, -1) : [];
 }
 
+/** Size of the cache of a service's engines in tokens, if configured. */
+function cacheCapacityOf(
+  { configIndex }: DirectState,
+  service: string,
+): number | undefined {
+  return configIndex?.service(service)?.engine?.cacheTokens;
+}
+
 function cachedTokens(
   state: DirectState,
   request: ActiveRequest,
@@ -251,7 +266,7 @@
     id,
     record.incarnation,
     sharedPartsOf(request),
-    state.configIndex?.service(record.service)?.engine?.cacheTokens,
+    cacheCapacityOf(state, record.service),
   );
   if (added.length === 0) {
     return [];
--- a/packages/core/src/direct/prompt_cache_index.ts
+++ b/packages/core/src/direct/prompt_cache_index.ts
@@ -105,6 +105,25 @@
     return tokens;
   }
 
+  /**
+   * Recorded tokens of an endpoint as a fraction of those that it can keep; 0 to
+   * 1. 0 if the size of its cache is not known.
+   */
+  fill(
+    endpointId: string,
+    incarnation: number,
+    capacityTokens: number | undefined,
+  ): number {
+    const cached = this.#endpoints.get(endpointId);
+    if (!cached || cached.incarnation !== incarnation || !capacityTokens) {
+      return 0;
+    }
+    return Math.min(
+      1,
+      cached.totalTokens / (capacityTokens * SHARED_PARTS_FRACTION),
+    );
+  }
+
   /** Removes all parts recorded for an endpoint. */
   removeEndpoint(endpointId: string): void {
     this.#endpoints.delete(endpointId);
