--- a/packages/core/src/direct/direct_place.ts
+++ b/packages/core/src/direct/direct_place.ts
@@ -321,6 +321,8 @@
       prompt_part: affinityKeyOf(request),
       cached_tokens: cachedTokens,
       shared_tokens: sumTokens(sharedPartsOf(request)),
+      prefill_tokens: request.attempt &&
+        Math.round(request.attempt.prefillTokens),
       fetch_from: cacheSource?.id,
       load,
       mean_load: Math.round(meanLoad * 100) / 100,
