Let shared watchers read changes in larger groups

Change: 0.5 s between a change and the next watch while the watch is shared; a small fleet, where each router watches for itself, keeps 0.2 s.

--- a/packages/daemon/src/direct/collection_watcher.ts
+++ b/packages/daemon/src/direct/collection_watcher.ts
@@ -13,7 +13,7 @@
 } from "./collection.js";
 
 /** Longest wait of one watch call. Long waits save calls; each call is charged. */
-export const MAX_WATCH_WAIT_MS: Millis = 25_000;
+const MAX_WATCH_WAIT_MS: Millis = 25_000;
 
 const FIRST_RETRY_MS: Millis = 150;
 const MAX_RETRY_MS: Millis = 1200;
@@ -25,12 +25,6 @@
  */
 const WAIT_AFTER_FAILURE_MS: Millis = 1000;
 
-/**
- * Delay between a change and the next watch call. Changes often come in groups,
- * and each watch call is charged for; the delay lets one call read a group.
- */
-const BATCH_DELAY_MS: Millis = 200;
-
 /**
  * Minimum delay between a change and the list call that reads the newest state;
  * changes within this time are read with one call.
@@ -47,6 +41,23 @@
  */
 const RETRY_RESET_AFTER_MS: Millis = 1000;
 
+/** How long the calls of a watcher last and how often they are made. */
+export interface WatchPace {
+  /** How long a watch call waits for changes. */
+  readonly waitMs: Millis;
+  /**
+   * Delay between a change and the next watch call. Changes often come in
+   * groups, and each call is charged for; the delay lets one call read a group.
+   */
+  readonly batchDelayMs: Millis;
+}
+
+/** Pace of a watcher that serves one router. */
+export const LOCAL_WATCH_PACE: WatchPace = {
+  waitMs: MAX_WATCH_WAIT_MS,
+  batchDelayMs: 200,
+};
+
 export interface WatchedUpdate<T> extends CollectionUpdate<T> {
   /** The update contains all items; items that it lacks were removed. */
   readonly isSnapshot: boolean;
@@ -81,7 +92,7 @@
   #lastChange = 0;
   #retryMs: Millis = FIRST_RETRY_MS;
   readonly #latestOnly: boolean;
-  #watchWaitMs: Millis = MAX_WATCH_WAIT_MS;
+  #pace = LOCAL_WATCH_PACE;
   #lastCallSucceeded = false;
   /** The last call that was not aborted failed. */
   #lastCallFailed = false;
@@ -135,9 +146,9 @@
     return this.#lastCallSucceeded && this.#pause === undefined;
   }
 
-  /** Sets how long each further watch call waits for changes. */
-  setWatchWait(waitMs: Millis): void {
-    this.#watchWaitMs = waitMs;
+  /** Sets the pace of all further calls. */
+  setPace(pace: WatchPace): void {
+    this.#pace = pace;
   }
 
   start(): void {
@@ -239,8 +250,8 @@
     const update = await this.#collection.watch(
       position.revision,
       this.#lastCallFailed
-        ? Math.min(WAIT_AFTER_FAILURE_MS, this.#watchWaitMs)
-        : this.#watchWaitMs,
+        ? Math.min(WAIT_AFTER_FAILURE_MS, this.#pace.waitMs)
+        : this.#pace.waitMs,
       signal,
     );
     if (this.#position !== position) {
@@ -260,7 +271,7 @@
       this.#relistNext = this.#latestOnly;
       this.#onUpdate.fire({ ...update, isSnapshot: false });
       if (!this.#latestOnly) {
-        await sleep(BATCH_DELAY_MS);
+        await sleep(this.#pace.batchDelayMs);
       }
     }
   }
--- a/packages/daemon/src/direct/endpoint_sync.ts
+++ b/packages/daemon/src/direct/endpoint_sync.ts
@@ -8,22 +8,23 @@
   laterPosition,
   type Message,
   type MessageOf,
-  type Millis,
   UNKNOWN_POSITION,
 } from "@anvildeal/core";
 import type { Logger } from "../logging/index.js";
 import type { Disposable } from "../net/index.js";
 import {
   type CollectionWatcher,
-  MAX_WATCH_WAIT_MS,
+  LOCAL_WATCH_PACE,
   type WatchedUpdate,
+  type WatchPace,
 } from "./collection_watcher.js";
 
 /**
- * Wait of a watch call while other routers rely on this one. It is short because
- * a stalled connection to the directory is detected only after the wait.
+ * Pace while other routers rely on this one. The wait is short because a stalled
+ * connection to the directory is detected only after it. The delay is longer
+ * than for a single router, since several watchers read each group of changes.
  */
-const SHARED_WATCH_WAIT_MS: Millis = 2000;
+const SHARED_WATCH_PACE: WatchPace = { waitMs: 2000, batchDelayMs: 500 };
 
 type DirectorySnapshot = NonNullable<MessageOf<"fleet_content">["directory"]>;
 
@@ -95,7 +96,7 @@
     const shared = this.#election.isShared(routerCount);
     if (shared !== this.#isWatchShared) {
       this.#isWatchShared = shared;
-      watcher.setWatchWait(shared ? SHARED_WATCH_WAIT_MS : MAX_WATCH_WAIT_MS);
+      watcher.setPace(shared ? SHARED_WATCH_PACE : LOCAL_WATCH_PACE);
     }
     const watching = this.#election.decide(routerCount, clock.nowMs());
     if (watching !== this.#watching) {
