--- a/packages/core/src/direct/direct_attempt.ts
+++ b/packages/core/src/direct/direct_attempt.ts
@@ -7,6 +7,7 @@
   DirectRefusalReason,
 } from "./direct_event.js";
 import { closeAttempt, finishRequest, refuse } from "./direct_finish.js";
+import { suspectEndpoint } from "./endpoint_suspicion.js";
 import { placeRequest } from "./direct_place.js";
 import type { RetryWindowBudget } from "./retry_window.js";
 import {
@@ -62,10 +63,12 @@
       endpoint.recordSuccess(nowMs);
       return relayAnswer(request, attempt, head.status, nowMs);
     case "not_run":
-      if (head.misdirected) {
-        endpoint.markSuspected(nowMs);
-      }
-      return retryAfterNotRun(state, request, attempt, head, nowMs);
+      return [
+        ...(head.misdirected
+          ? suspectEndpoint(endpoint, "misdirected", nowMs)
+          : []),
+        ...retryAfterNotRun(state, request, attempt, head, nowMs),
+      ];
     case "error_answer":
       return handleErrorAnswer(state, request, attempt, head, nowMs);
     case "invalid":
@@ -119,14 +122,15 @@
 ): DirectEffect[] {
   const { endpoint } = attempt;
   endpoint.failureRate.record(nowMs, true);
-  if (failure.kind === "connect") {
-    endpoint.markSuspected(nowMs);
-  }
+  const suspicion = failure.kind === "connect"
+    ? suspectEndpoint(endpoint, "connect", nowMs)
+    : [];
   closeAttempt(request);
   if (failure.sent) {
     request.possibleExecutions++;
   }
   const effects: DirectEffect[] = [
+    ...suspicion,
     {
       type: "discard_attempt",
       key: request.key,
--- a/packages/core/src/direct/direct_endpoint.ts
+++ b/packages/core/src/direct/direct_endpoint.ts
@@ -58,10 +58,12 @@
    * Marks the endpoint as suspected for a period that doubles each time up to a
    * limit. Has no effect if the endpoint is already suspected. A success ends
    * the suspicion and resets the period.
+   *
+   * @returns The length of the period; undefined if there was no effect.
    */
-  markSuspected(nowMs: Millis): void {
+  markSuspected(nowMs: Millis): Millis | undefined {
     if (nowMs < this.#suspectedUntilMs) {
-      return;
+      return undefined;
     }
     const delayMs = Math.min(
       MAX_SUSPICION_MS,
@@ -69,6 +71,7 @@
     );
     this.#suspicionCount++;
     this.#suspectedUntilMs = nowMs + delayMs;
+    return delayMs;
   }
 
   isSuspected(nowMs: Millis): boolean {
--- a/packages/core/src/direct/direct_stalls.ts
+++ b/packages/core/src/direct/direct_stalls.ts
@@ -1,6 +1,7 @@
 import type { Millis } from "../clock.js";
 import { canRetryElsewhere, failAttempt } from "./direct_attempt.js";
 import type { DirectEffect, DirectEvent } from "./direct_event.js";
+import { suspectEndpoint } from "./endpoint_suspicion.js";
 import {
   type ActiveAttempt,
   type ActiveRequest,
@@ -78,12 +79,13 @@
     // is the likely cause. A retry would use the same connection.
     return [];
   }
-  for (const { endpointId, silentMs } of endpoints) {
-    if (silentMs >= ENDPOINT_STALL_MS) {
-      state.directory.get(endpointId)?.markSuspected(nowMs);
-    }
-  }
-  return attempts.flatMap((stall) =>
+  const suspicions = endpoints.flatMap(({ endpointId, silentMs }) => {
+    const endpoint = state.directory.get(endpointId);
+    return endpoint && silentMs >= ENDPOINT_STALL_MS
+      ? suspectEndpoint(endpoint, "stalled", nowMs, silentMs)
+      : [];
+  });
+  const continued = attempts.flatMap((stall) =>
     ifCurrentAttempt(state, stall, (request, attempt) => {
       const maxSilentMs =
         (request.route.gapObjectiveMs ?? DEFAULT_GAP_OBJECTIVE_MS) *
@@ -94,6 +96,7 @@
         : [];
     })
   );
+  return [...suspicions, ...continued];
 }
 
 function abandonAttempt(
--- a/packages/core/src/log_events.ts
+++ b/packages/core/src/log_events.ts
@@ -172,6 +172,11 @@
       "directory was restored from an older copy; collections are listed" +
       " again",
   },
+  endpoint_suspected: {
+    code: 4041,
+    level: "info",
+    message: "endpoint is avoided for a time because it seems to be down",
+  },
   record_ignored: {
     code: 4034,
     level: "warn",
