--- a/packages/core/src/direct/direct_event.ts
+++ b/packages/core/src/direct/direct_event.ts
@@ -82,6 +82,8 @@
    * count.
    */
   readonly silentMs: Millis;
+  /** Number of attempts in progress there. */
+  readonly attempts: number;
 }
 
 /** An attempt whose answer has begun and then stopped arriving. */
--- a/packages/core/src/direct/direct_stalls.ts
+++ b/packages/core/src/direct/direct_stalls.ts
@@ -15,6 +15,13 @@
  */
 const ENDPOINT_STALL_MS: Millis = 700;
 
+/**
+ * The same for an endpoint with a single request in flight. Its silence may be
+ * that of one lost answer, and to avoid the endpoint makes others process again
+ * what it has cached.
+ */
+const SINGLE_REQUEST_STALL_MS: Millis = 1400;
+
 /**
  * After this time, a stalled attempt that could not be retried is checked
  * again.
@@ -79,9 +86,13 @@
     // is the likely cause. A retry would use the same connection.
     return [];
   }
-  const suspicions = endpoints.flatMap(({ endpointId, silentMs }) => {
+  const suspicions = endpoints.flatMap((stall) => {
+    const { attempts, endpointId, silentMs } = stall;
     const endpoint = state.directory.get(endpointId);
-    return endpoint && silentMs >= ENDPOINT_STALL_MS
+    const maxSilentMs = attempts === 1
+      ? SINGLE_REQUEST_STALL_MS
+      : ENDPOINT_STALL_MS;
+    return endpoint && silentMs >= maxSilentMs
       ? suspectEndpoint(endpoint, "stalled", nowMs, silentMs)
       : [];
   });
