--- a/packages/core/src/direct/direct_event.ts
+++ b/packages/core/src/direct/direct_event.ts
@@ -82,8 +82,6 @@
    * count.
    */
   readonly silentMs: Millis;
-  /** Number of attempts in progress there. */
-  readonly attempts: number;
 }
 
 /** An attempt whose answer has begun and then stopped arriving. */
--- a/packages/core/src/direct/direct_stalls.ts
+++ b/packages/core/src/direct/direct_stalls.ts
@@ -15,13 +15,6 @@
  */
 const ENDPOINT_STALL_MS: Millis = 700;
 
-/**
- * The same for an endpoint with a single request in flight. Its silence may be
- * that of one lost answer, and to avoid the endpoint makes others process again
- * what it has cached.
- */
-const SINGLE_REQUEST_STALL_MS: Millis = 1400;
-
 /**
  * After this time, a stalled attempt that could not be retried is checked
  * again.
@@ -86,13 +79,9 @@
     // is the likely cause. A retry would use the same connection.
     return [];
   }
-  const suspicions = endpoints.flatMap((stall) => {
-    const { attempts, endpointId, silentMs } = stall;
+  const suspicions = endpoints.flatMap(({ endpointId, silentMs }) => {
     const endpoint = state.directory.get(endpointId);
-    const maxSilentMs = attempts === 1
-      ? SINGLE_REQUEST_STALL_MS
-      : ENDPOINT_STALL_MS;
-    return endpoint && silentMs >= maxSilentMs
+    return endpoint && silentMs >= ENDPOINT_STALL_MS
       ? suspectEndpoint(endpoint, "stalled", nowMs, silentMs)
       : [];
   });
--- a/packages/core/src/direct/reduce_direct_test.ts
+++ b/packages/core/src/direct/reduce_direct_test.ts
@@ -218,11 +218,7 @@
         type: "stalls_observed",
         nowMs: 800,
         busyEndpoints: 2,
-        endpoints: [{
-          endpointId: first!.endpointId,
-          silentMs: 800,
-          attempts: 2,
-        }],
+        endpoints: [{ endpointId: first!.endpointId, silentMs: 800 }],
         attempts: [],
       });
       const usedEndpointIds = [2, 3, 4, 5].flatMap((key) =>
@@ -278,7 +274,6 @@
         endpoints: ["e1", "e2", "e3"].map((endpointId) => ({
           endpointId,
           silentMs: 800,
-          attempts: 2,
         })),
         attempts: [{ key: 1, attemptNumber: 1, silentMs: 800 }],
       });
--- a/packages/daemon/src/direct/direct_router_host.ts
+++ b/packages/daemon/src/direct/direct_router_host.ts
@@ -250,7 +250,6 @@
       return;
     }
     const lastReceivedByEndpoint = new Map<string, Millis>();
-    const attemptsByEndpoint = new Map<string, number>();
     const attempts: AttemptStall[] = [];
     for (const running of this.#attempts.values()) {
       const { attemptNumber, endpointId, key } = running.effect;
@@ -260,21 +259,13 @@
         endpointId,
         Math.max(lastMs, running.lastReceivedMs),
       );
-      attemptsByEndpoint.set(
-        endpointId,
-        (attemptsByEndpoint.get(endpointId) ?? 0) + 1,
-      );
       const silentMs = nowMs - running.lastReceivedMs;
       if (running.awaitsBodyBytes && silentMs >= MIN_REPORTED_SILENT_MS) {
         attempts.push({ key, attemptNumber, silentMs });
       }
     }
     const endpoints = [...lastReceivedByEndpoint]
-      .map(([endpointId, lastMs]) => ({
-        endpointId,
-        silentMs: nowMs - lastMs,
-        attempts: attemptsByEndpoint.get(endpointId)!,
-      }))
+      .map(([endpointId, lastMs]) => ({ endpointId, silentMs: nowMs - lastMs }))
       .filter(({ silentMs }) => silentMs >= MIN_REPORTED_SILENT_MS);
     if (attempts.length + endpoints.length > 0) {
       this.#queue.push({
