--- a/packages/core/src/router/harness/reducer_harness.ts
+++ b/packages/core/src/router/harness/reducer_harness.ts
@@ -14,14 +14,15 @@
   createRouterNode,
   createSidecarNode,
   instanceRows,
-  type Link,
   restartSidecarNode,
   type RouterNode,
   type SidecarNode,
 } from "./harness_nodes.js";
+import { elementAt } from "./element_at.js";
 import { HarnessEngines } from "./harness_engines.js";
 import { HarnessExecutionRecords } from "./harness_execution_records.js";
-import type { Direction, Step, WithoutTime } from "./harness_step.js";
+import { HarnessNetwork } from "./harness_network.js";
+import type { Step, WithoutTime } from "./harness_step.js";
 
 /** Interval of ticks; hosts tick every 25 to 50 ms. */
 const TICK_MS = 50;
@@ -39,22 +40,22 @@
 export class ReducerHarness {
   readonly #invariants = new HarnessInvariants();
   readonly #executionRecords = new HarnessExecutionRecords();
-  /** Submit frames that sidecars have received. */
-  readonly #receivedSubmits: {
-    readonly router: RouterNode;
-    readonly sidecar: SidecarNode;
-    readonly incarnation: number;
-    readonly message: Message;
-  }[] = [];
   readonly #engines = new HarnessEngines({
     invariants: this.#invariants,
     dispatchToSidecar: (sidecar, event) =>
       this.#dispatchToSidecar(sidecar, event),
     defer: (run) => this.#deferredActions.push(run),
   });
+  readonly #network = new HarnessNetwork({
+    invariants: this.#invariants,
+    nowMs: () => this.#nowMs,
+    dispatchToRouter: (router, event) => this.#dispatchToRouter(router, event),
+    dispatchToSidecar: (sidecar, event) =>
+      this.#dispatchToSidecar(sidecar, event),
+    runDeferred: () => this.#runDeferredActions(),
+  });
   readonly #routers: RouterNode[];
   readonly #sidecars: SidecarNode[];
-  #links: Link[] = [];
   /**
    * Functions to run after the current event, so that reducers are not called
    * recursively.
@@ -62,7 +63,6 @@
   #deferredActions: (() => void)[] = [];
   #nowMs = 1_000_000;
   #highestConfigVersion = 1;
-  #nextConnectionNumber = 0;
 
   /** Results of the calls by request id. */
   get results(): ReadonlyMap<string, CallResult> {
@@ -122,7 +122,7 @@
     }
     for (let i = 0; i < SETTLE_TICKS && !this.#isSettled(); i++) {
       this.#tick();
-      this.#deliverAll();
+      this.#network.deliverAll();
       this.#advanceEndpointsAndStore();
     }
     this.#invariants.checkSettledState(this.#routers, this.#sidecars);
@@ -135,7 +135,7 @@
         break;
       case "work":
         for (let i = 0; i < step.rounds; i++) {
-          this.#deliverAll();
+          this.#network.deliverAll();
           this.#advanceEndpointsAndStore();
         }
         break;
@@ -145,23 +145,29 @@
         }
         break;
       case "deliver":
-        this.#withLink(step.link, (link) => {
+        this.#network.withLink(step.link, (link) => {
           for (let i = 0; i < step.frames; i++) {
-            this.#deliverNext(link, step.direction);
+            this.#network.deliverNext(link, step.direction);
           }
         });
         break;
       case "duplicate":
-        this.#withLink(step.link, (link) => this.#duplicateFrame(link, step));
+        this.#network.withLink(
+          step.link,
+          (link) => this.#network.duplicateFrame(link, step),
+        );
         break;
       case "reset":
-        this.#withLink(step.link, (link) => this.#resetLink(link));
+        this.#network.withLink(
+          step.link,
+          (link) => this.#network.reset(link),
+        );
         break;
       case "stall":
-        this.#withLink(step.link, ({ established, stalled }) => {
-          stalled.to_router ||= established && step.direction !== "to_sidecar";
-          stalled.to_sidecar ||= established && step.direction !== "to_router";
-        });
+        this.#network.withLink(
+          step.link,
+          (link) => this.#network.stall(link, step.direction),
+        );
         break;
       case "wait":
         this.#wait(step.ticks);
@@ -265,208 +271,10 @@
     this.#runDeferredActions();
   }
 
-  /** Delivers all frames in transit, and the frames that are sent in reply. */
-  #deliverAll(): void {
-    const MAX_ROUNDS = 20;
-    let anyDelivered = true;
-    for (let i = 0; i < MAX_ROUNDS && anyDelivered; i++) {
-      anyDelivered = false;
-      for (const link of [...this.#links]) {
-        anyDelivered = this.#deliverNext(link, "to_sidecar") || anyDelivered;
-        anyDelivered = this.#deliverNext(link, "to_router") || anyDelivered;
-      }
-    }
-  }
-
-  /** Queues a received submit frame or a frame in transit a second time. */
-  #duplicateFrame(
-    { frames, incarnation, router, sidecar }: Link,
-    { direction, frame }: Extract<Step, { type: "duplicate" }>,
-  ): void {
-    const candidateFrames = direction === "to_router"
-      ? frames.to_router
-      : this.#receivedSubmits.filter((submit) =>
-        submit.router === router && submit.sidecar === sidecar &&
-        submit.incarnation === incarnation
-      ).map(({ message }) => message);
-    if (candidateFrames.length > 0) {
-      frames[direction].push(elementAt(candidateFrames, frame));
-    }
-  }
-
-  /**
-   * Delivers the next frame, or the close of the connection after the last one.
-   * Returns false if there was nothing to deliver.
-   */
-  #deliverNext(link: Link, direction: Direction): boolean {
-    if (!link.established) {
-      this.#connect(link);
-      return true;
-    }
-    const receiverOpen = direction === "to_router"
-      ? link.routerEndOpen
-      : link.sidecarEndOpen;
-    const senderOpen = direction === "to_router"
-      ? link.sidecarEndOpen
-      : link.routerEndOpen;
-    const message = receiverOpen && !link.stalled[direction]
-      ? link.frames[direction].shift()
-      : undefined;
-    if (!receiverOpen || link.stalled[direction] || (!message && senderOpen)) {
-      return false;
-    }
-    if (!message) {
-      // The sender has closed the connection and all frames are delivered.
-      this.#closeEnd(link, direction);
-    } else if (direction === "to_router") {
-      this.#receiveAtRouter(link, message);
-    } else {
-      this.#receiveAtSidecar(link, message);
-    }
-    this.#runDeferredActions();
-    return true;
-  }
-
-  #connect(link: Link): void {
-    const { connectionId, router, sidecar } = link;
-    link.established = true;
-    const hello = {
-      type: "hello",
-      protocolVersion: 1,
-      failureDomain: "a",
-      nonce: new Uint8Array(),
-    } as const;
-    link.sidecarEndOpen = true;
-    link.frames.to_sidecar.push(...link.unsent.splice(0));
-    this.#dispatchToSidecar(sidecar, {
-      type: "connected",
-      connectionId,
-      hello: {
-        ...hello,
-        role: "router",
-        nodeId: router.id,
-        incarnation: 1,
-        configVersion: router.configVersion,
-      },
-    });
-    this.#dispatchToRouter(router, {
-      type: "connected",
-      endpointId: sidecar.id,
-      hello: {
-        ...hello,
-        role: "sidecar",
-        nodeId: sidecar.id,
-        incarnation: sidecar.incarnation,
-        configVersion: sidecar.configVersion,
-      },
-    });
-    this.#runDeferredActions();
-  }
-
-  #receiveAtRouter({ router, sidecar }: Link, message: Message): void {
-    if ("facts" in message && message.facts.state === "draining") {
-      router.drainingIncarnations.add(
-        `${sidecar.id}/${message.facts.incarnation}`,
-      );
-    }
-    this.#dispatchToRouter(router, {
-      type: "message",
-      endpointId: sidecar.id,
-      message,
-    });
-  }
-
-  #receiveAtSidecar(link: Link, message: Message): void {
-    const { connectionId, router, sidecar } = link;
-    const { state } = sidecar;
-    const { endpointState } = state;
-    const wasAdmitted = message.type === "submit" &&
-      state.attempts.has(message.attemptId);
-    if (message.type === "submit") {
-      const { incarnation } = sidecar;
-      this.#receivedSubmits.push({ router, sidecar, incarnation, message });
-    }
-    this.#dispatchToSidecar(sidecar, {
-      type: "message",
-      connectionId,
-      message,
-    });
-    if (
-      message.type === "submit" && !wasAdmitted &&
-      state.attempts.has(message.attemptId)
-    ) {
-      this.#invariants.checkAdmitted(
-        sidecar,
-        message,
-        endpointState,
-        this.#nowMs,
-      );
-    }
-  }
-
-  #closeEnd(link: Link, direction: Direction): void {
-    if (direction === "to_router") {
-      link.routerEndOpen = false;
-      this.#removeLinkIfClosed(link);
-      this.#dispatchToRouter(link.router, {
-        type: "connection_closed",
-        endpointId: link.sidecar.id,
-        wasReady: true,
-        unsent: [],
-      });
-    } else {
-      link.sidecarEndOpen = false;
-      this.#removeLinkIfClosed(link);
-      this.#dispatchToSidecar(link.sidecar, {
-        type: "connection_closed",
-        connectionId: link.connectionId,
-      });
-    }
-  }
-
-  /** Closes the connection at both ends and drops the frames in transit. */
-  #resetLink(link: Link): void {
-    const {
-      connectionId,
-      router,
-      sidecar,
-      established,
-      routerEndOpen,
-      sidecarEndOpen,
-    } = link;
-    this.#links = this.#links.filter((other) => other !== link);
-    const unsent = link.unsent.splice(0);
-    link.routerEndOpen = false;
-    link.sidecarEndOpen = false;
-    if (sidecarEndOpen && sidecar.incarnation === link.incarnation) {
-      this.#dispatchToSidecar(sidecar, {
-        type: "connection_closed",
-        connectionId,
-      });
-    }
-    if (routerEndOpen) {
-      this.#dispatchToRouter(router, {
-        type: "connection_closed",
-        endpointId: sidecar.id,
-        wasReady: established,
-        unsent,
-      });
-    }
-    this.#runDeferredActions();
-  }
-
-  /** Removes a connection that both ends have closed. */
-  #removeLinkIfClosed(link: Link): void {
-    if (!link.routerEndOpen && !link.sidecarEndOpen) {
-      this.#links = this.#links.filter((other) => other !== link);
-    }
-  }
-
   #restartSidecar(sidecar: SidecarNode): void {
-    const links = this.#links.filter((link) => link.sidecar === sidecar);
     restartSidecarNode(sidecar, this.#nowMs);
     this.#startSidecar(sidecar);
-    links.forEach((link) => this.#resetLink(link));
+    this.#network.resetLinksOf(sidecar);
   }
 
   #startSidecar(sidecar: SidecarNode): void {
@@ -589,16 +397,15 @@
   #runRouterEffect(router: RouterNode, effect: RouterEffect): void {
     switch (effect.type) {
       case "send":
-        this.#sendToSidecar(router, effect.endpointId, effect.message);
+        this.#network.sendToSidecar(
+          router,
+          this.#sidecars.find(({ id }) => id === effect.endpointId)!,
+          effect.message,
+        );
         break;
-      case "close_connection": {
-        const link = this.#findOpenLink(router, effect.endpointId);
-        if (link) {
-          link.routerEndOpen = false;
-          this.#removeLinkIfClosed(link);
-        }
+      case "close_connection":
+        this.#network.closeRouterEnd(router, effect.endpointId);
         break;
-      }
       case "respond_head":
         this.#invariants.resultOf(effect.requestId).replayed =
           effect.headers["idempotent-replayed"] === "true";
@@ -633,35 +440,6 @@
     }
   }
 
-  #sendToSidecar(router: RouterNode, id: string, message: Message): void {
-    const sidecar = this.#sidecars.find((node) => node.id === id)!;
-    if (
-      message.type === "submit" &&
-      router.drainingIncarnations.has(`${id}/${sidecar.incarnation}`)
-    ) {
-      this.#invariants.recordViolation(
-        `${router.id} submitted to ${id}, which had reported that it drains`,
-      );
-    }
-    let link = this.#findOpenLink(router, id);
-    if (!link) {
-      link = {
-        connectionId: `c${this.#nextConnectionNumber++}`,
-        router,
-        sidecar,
-        incarnation: sidecar.incarnation,
-        established: false,
-        routerEndOpen: true,
-        sidecarEndOpen: false,
-        unsent: [],
-        frames: { to_sidecar: [], to_router: [] },
-        stalled: { to_sidecar: false, to_router: false },
-      };
-      this.#links.push(link);
-    }
-    (link.established ? link.frames.to_sidecar : link.unsent).push(message);
-  }
-
   #dispatchToSidecar(
     sidecar: SidecarNode,
     event: WithoutTime<SidecarEvent>,
@@ -680,14 +458,9 @@
       case "send_peer":
         this.#sendToPeer(sidecar, effect.peer.endpointId, effect.message);
         break;
-      case "close_connection": {
-        const link = this.#findLink(effect.connectionId);
-        if (link) {
-          link.sidecarEndOpen = false;
-          this.#removeLinkIfClosed(link);
-        }
+      case "close_connection":
+        this.#network.closeSidecarEnd(effect.connectionId);
         break;
-      }
       case "create_record":
         sidecar.pendingDecisions.set(effect.attemptId, effect.submit);
         break;
@@ -729,10 +502,7 @@
       this.#sendToPeer(sidecar, connectionId, message);
       return;
     }
-    const link = this.#findLink(connectionId);
-    if (link?.sidecarEndOpen) {
-      link.frames.to_router.push(message);
-    }
+    this.#network.sendToRouter(connectionId, message);
   }
 
   #sendToPeer(from: SidecarNode, id: string, message: Message): void {
@@ -762,29 +532,6 @@
   #isSettled(): boolean {
     return this.#routers.every(({ state }) => state.requests.size === 0) &&
       this.#sidecars.every(({ state }) => state.attempts.size === 0) &&
-      this.#links.every(({ frames, established, stalled }) =>
-        established && (stalled.to_sidecar || frames.to_sidecar.length === 0)
-      );
-  }
-
-  #findOpenLink(router: RouterNode, endpointId: string): Link | undefined {
-    return this.#links.find((link) =>
-      link.routerEndOpen && link.router === router &&
-      link.sidecar.id === endpointId
-    );
-  }
-
-  #findLink(connectionId: string): Link | undefined {
-    return this.#links.find((link) => link.connectionId === connectionId);
+      this.#network.isSettled;
   }
-
-  #withLink(index: number, run: (link: Link) => void): void {
-    if (this.#links.length > 0) {
-      run(elementAt(this.#links, index));
-    }
-  }
-}
-
-function elementAt<T>(items: readonly T[], index: number): T {
-  return items[index % items.length];
 }
