--- a/packages/core/src/direct/choose_endpoint.ts
+++ b/packages/core/src/direct/choose_endpoint.ts
@@ -193,10 +193,11 @@
 }
 
 /**
- * Returns the endpoint with the highest score of cached tokens minus waiting
- * tokens, tokens that the request may displace from the cache, and weighted
- * load. The waiting tokens keep prompts that have only a
- * short first part in common from all going to the endpoint that has it. Ties are broken by rendezvous order, which is the same on all routers.
+ * Returns the endpoint with the highest score: cached tokens, less waiting
+ * tokens, less the tokens that the request may displace from the cache, less
+ * the weighted load. Waiting tokens keep prompts that have only a short first
+ * part in common from all going to the endpoint that has it. Ties are broken by
+ * rendezvous order, which is the same on all routers.
  */
 function bestByCacheAndLoad(
   endpoints: readonly DirectEndpoint[],
