--- a/packages/daemon/src/caller_faults_test.ts
+++ b/packages/daemon/src/caller_faults_test.ts
@@ -7,11 +7,10 @@
   chat,
   CLIENT_KEY,
   expectedText,
-  FaultFleet,
   MODEL,
   startChat,
-  waitUntil,
-} from "./fault_fixture.js";
+} from "./fault_caller_fixture.js";
+import { FaultFleet, waitUntil } from "./fault_fixture.js";
 
 const KIB = 1024;
 const MIB = 1024 * KIB;
--- a/packages/daemon/src/engine_faults_test.ts
+++ b/packages/daemon/src/engine_faults_test.ts
@@ -1,6 +1,7 @@
 import { randomUUID } from "node:crypto";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
-import { callService, FaultFleet } from "./fault_fixture.js";
+import { callService } from "./fault_caller_fixture.js";
+import { FaultFleet } from "./fault_fixture.js";
 
 describe("faults between sidecar and engine", () => {
   let fleet: FaultFleet;
--- a/packages/daemon/src/platform_faults_test.ts
+++ b/packages/daemon/src/platform_faults_test.ts
@@ -7,11 +7,8 @@
   callService,
   chat,
   expectedText,
-  FaultFleet,
-  FLEET_KEY,
-  sleep,
-  waitUntil,
-} from "./fault_fixture.js";
+} from "./fault_caller_fixture.js";
+import { FaultFleet, FLEET_KEY, sleep, waitUntil } from "./fault_fixture.js";
 import { PeerConnection, TrafficMeter } from "./net/index.js";
 
 interface Peer {
--- a/packages/daemon/src/sidecar_faults_test.ts
+++ b/packages/daemon/src/sidecar_faults_test.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from "node:crypto";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { callService } from "./fault_caller_fixture.js";
 import {
-  callService,
   FaultFleet,
   type FaultNode,
   STREAM_TOKENS,
