Judge connections between routers one by one, and send on a live one

What was seen: after all connections had fallen silent, routers logged peer_lost and peer_regained for the same peer every 2.8 s, and changes that one router knew did not reach the others.

Cause: silence was judged for a router, over all connections to it. Of two routers one notices the silence first and dials again. At the other one the new connection delivers messages, so the silent one counted as live and, being the older one, went on to be used for sending. The first router then heard nothing and closed the new connection after 2.5 s.

Change: the time of the last message is kept for each connection, a silent one is closed whatever others deliver, and a message is sent on the connection that heard from the router last, with a preference for the one that the lower id opened.

Evidence: the new case 'both routers use the new connection (both)' fails on the code before with three further disconnections of the same peer; the other two directions passed there already.

--- a/packages/daemon/src/direct/peer_mesh.ts
+++ b/packages/daemon/src/direct/peer_mesh.ts
@@ -17,6 +17,7 @@
   seedPeerId,
   TrafficMeter,
 } from "../net/index.js";
+import { type PeerLink, PeerLinks } from "./peer_links.js";
 
 /**
  * Maximum number of routers that this one dials. In larger fleets, updates reach
@@ -33,10 +34,7 @@
 /** A router is removed if no router has received a message from it for this long. */
 const ROUTER_EXPIRY_MS: Millis = 12_000;
 
-/**
- * If no message from a connected router has arrived on any of its connections
- * for this long, all of them are closed.
- */
+/** A connection on which no message has arrived for this long is closed. */
 const STALL_TIMEOUT_MS: Millis = 2500;
 
 /** Minimum time between two attempts to dial the same router. */
@@ -61,6 +59,14 @@
   readonly message: Message;
 }
 
+/** The first connection to a router opened, or the last one closed. */
+export interface PeerChange {
+  readonly nodeId: string;
+  readonly connected: boolean;
+  /** Why the last connection closed; undefined if one opened. */
+  readonly reason?: string;
+}
+
 export interface PeerMeshOptions {
   readonly identity: PeerIdentity;
   /** Address at which other routers reach this one. */
@@ -82,21 +88,19 @@
   readonly #server: PeerServer;
   readonly #dialer: PeerDialer;
   readonly #routers = new Map<string, MeshRouter>();
-  /** Node ids of the routers that opened connections to this one. */
-  readonly #accepted = new Map<PeerConnection, string>();
+  readonly #links = new PeerLinks();
+  /** Connections that other routers opened. */
+  readonly #accepted = new Map<PeerConnection, PeerLink>();
   /**
-   * Connections that this router opened: from dial id to the node id of the
-   * router that answered. The dial id is the node id if it was known when
-   * dialling; for a seed, whose node id is not known yet, it is derived from the
-   * address.
+   * Connections that this router opened, by dial id. The dial id is the node id
+   * if it was known when dialling; for a seed, whose node id is not known yet,
+   * it is derived from the address.
    */
-  readonly #dialed = new Map<string, string>();
+  readonly #dialed = new Map<string, PeerLink>();
   /** Time at which this router last dialled, by dial id (see `#dialed`). */
   readonly #lastDialMs = new Map<string, Millis>();
-  /** When the last message from a connected router arrived, on any connection. */
-  readonly #lastMessageMs = new Map<string, Millis>();
   readonly #onMessage = new Emitter<MeshMessage>();
-  readonly #onPeer = new Emitter<{ nodeId: string; connected: boolean }>();
+  readonly #onPeer = new Emitter<PeerChange>();
   readonly #connected = new Set<string>();
   #seeds: readonly string[] = [];
 
@@ -116,19 +120,23 @@
     this.#dialer = new PeerDialer(connectionOptions);
     this.#server.onConnection((connection) => this.#accept(connection));
     this.#dialer.onReady(({ peerId: dialId, hello }) => {
-      this.#dialed.set(dialId, hello.nodeId);
-      this.#recordConnection(hello.nodeId);
-    });
-    this.#dialer.onMessage(({ peerId: dialId, message }) => {
-      const nodeId = this.#dialed.get(dialId);
-      if (nodeId !== undefined) {
-        this.#handleMessage(nodeId, message);
-      }
-    });
-    this.#dialer.onClose(({ peerId: dialId }) => {
-      this.#dialed.delete(dialId);
-      this.#updateConnected();
+      const link = this.#addLink(
+        hello.nodeId,
+        this.#isDialer(hello.nodeId),
+        (message) => this.#dialer.send(dialId, "", message),
+        (reason) => {
+          this.#dialer.close(dialId);
+          this.#removeDialed(dialId, reason);
+        },
+      );
+      this.#dialed.set(dialId, link);
     });
+    this.#dialer.onMessage(({ peerId: dialId, message }) =>
+      this.#handleMessage(this.#dialed.get(dialId), message)
+    );
+    this.#dialer.onClose(({ peerId: dialId, reason }) =>
+      this.#removeDialed(dialId, reason)
+    );
   }
 
   get meter(): TrafficMeter {
@@ -171,13 +179,7 @@
 
   /** Sends a message to a router; does nothing if it is not connected. */
   sendTo(nodeId: string, message: Message): void {
-    const dialId = findKey(this.#dialed, nodeId);
-    const connection = findKey(this.#accepted, nodeId);
-    if (dialId !== undefined && (this.#isDialer(nodeId) || !connection)) {
-      this.#dialer.send(dialId, "", message);
-    } else {
-      connection?.send(message);
-    }
+    this.#links.select(nodeId)?.send(message);
   }
 
   /** Routers to announce to peers: this one, then the most recently seen ones. */
@@ -232,14 +234,9 @@
         this.#routers.delete(nodeId);
       }
     }
-    for (const nodeId of [...this.#connected]) {
-      if (
-        nowMs - (this.#lastMessageMs.get(nodeId) ?? nowMs) > STALL_TIMEOUT_MS
-      ) {
-        this.#closeConnections(nodeId);
-      }
+    for (const link of this.#links.silentSince(nowMs - STALL_TIMEOUT_MS)) {
+      link.close(`no message for ${Math.round(nowMs - link.lastMessageMs)} ms`);
     }
-    this.#updateConnected();
     this.#dialMissing(nowMs);
   }
 
@@ -287,24 +284,28 @@
       return;
     }
     this.#lastDialMs.set(dialId, nowMs);
+    // An earlier attempt may still be waiting for its handshake.
     this.#dialer.close(dialId);
     this.#dialer.send(dialId, address, this.#options.openingMessage());
   }
 
   #accept(connection: PeerConnection): void {
-    connection.onReady((hello) => {
-      this.#accepted.set(connection, hello.nodeId);
-      this.#recordConnection(hello.nodeId);
+    connection.onReady(({ nodeId }) => {
+      const link = this.#addLink(
+        nodeId,
+        !this.#isDialer(nodeId),
+        (message) => connection.send(message),
+        (reason) => connection.close(reason),
+      );
+      this.#accepted.set(connection, link);
     });
-    connection.onMessage((message) => {
-      const nodeId = this.#accepted.get(connection);
-      if (nodeId !== undefined) {
-        this.#handleMessage(nodeId, message);
-      }
-    });
-    connection.onClose(() => {
+    connection.onMessage((message) =>
+      this.#handleMessage(this.#accepted.get(connection), message)
+    );
+    connection.onClose(({ reason }) => {
+      const link = this.#accepted.get(connection);
       this.#accepted.delete(connection);
-      this.#updateConnected();
+      this.#removeLink(link, reason);
     });
   }
 
@@ -317,30 +318,49 @@
     return this.#options.identity.nodeId < nodeId;
   }
 
-  #recordConnection(nodeId: string): void {
-    this.#lastMessageMs.set(nodeId, this.#nowMs());
-    this.#updateConnected();
+  #addLink(
+    nodeId: string,
+    openedByLowerId: boolean,
+    send: PeerLink["send"],
+    close: PeerLink["close"],
+  ): PeerLink {
+    const lastMessageMs = this.#nowMs();
+    const link = { nodeId, openedByLowerId, lastMessageMs, send, close };
+    if (nodeId === this.#options.identity.nodeId) {
+      return link;
+    }
+    this.#links.add(link);
+    if (!this.#connected.has(nodeId)) {
+      this.#connected.add(nodeId);
+      this.#onPeer.fire({ nodeId, connected: true });
+    }
+    return link;
+  }
+
+  #removeDialed(dialId: string, reason: string): void {
+    const link = this.#dialed.get(dialId);
+    this.#dialed.delete(dialId);
+    this.#removeLink(link, reason);
   }
 
-  #closeConnections(nodeId: string): void {
-    for (const [dialId, id] of [...this.#dialed]) {
-      if (id === nodeId) {
-        this.#dialer.close(dialId);
-        this.#dialed.delete(dialId);
-      }
+  #removeLink(link: PeerLink | undefined, reason: string): void {
+    if (!link) {
+      return;
     }
-    for (const [connection, id] of [...this.#accepted]) {
-      if (id === nodeId) {
-        connection.close("no message within the stall timeout");
-      }
+    const { nodeId } = link;
+    this.#links.remove(link);
+    if (this.#connected.has(nodeId) && !this.#links.select(nodeId)) {
+      this.#connected.delete(nodeId);
+      this.#onPeer.fire({ nodeId, connected: false, reason });
     }
   }
 
-  #handleMessage(nodeId: string, message: Message): void {
-    if (nodeId === this.#options.identity.nodeId) {
+  #handleMessage(link: PeerLink | undefined, message: Message): void {
+    if (!link || link.nodeId === this.#options.identity.nodeId) {
       return;
     }
-    this.#lastMessageMs.set(nodeId, this.#nowMs());
+    const { nodeId } = link;
+    link.lastMessageMs = this.#nowMs();
     const known = this.#routers.get(nodeId);
     if (known) {
       known.lastSeenMs = this.#nowMs();
@@ -348,37 +368,7 @@
     this.#onMessage.fire({ nodeId, message });
   }
 
-  #updateConnected(): void {
-    const connectedNow = new Set([
-      ...this.#dialed.values(),
-      ...this.#accepted.values(),
-    ]);
-    connectedNow.delete(this.#options.identity.nodeId);
-    for (const nodeId of connectedNow) {
-      if (!this.#connected.has(nodeId)) {
-        this.#connected.add(nodeId);
-        this.#onPeer.fire({ nodeId, connected: true });
-      }
-    }
-    for (const nodeId of [...this.#connected]) {
-      if (!connectedNow.has(nodeId)) {
-        this.#connected.delete(nodeId);
-        this.#lastMessageMs.delete(nodeId);
-        this.#onPeer.fire({ nodeId, connected: false });
-      }
-    }
-  }
-
   #nowMs(): Millis {
     return this.#options.clock.nowMs();
   }
 }
-
-function findKey<K>(map: ReadonlyMap<K, string>, value: string): K | undefined {
-  for (const [key, item] of map) {
-    if (item === value) {
-      return key;
-    }
-  }
-  return undefined;
-}
--- a/packages/daemon/src/direct/peer_mesh_test.ts
+++ b/packages/daemon/src/direct/peer_mesh_test.ts
@@ -1,7 +1,8 @@
 import { setTimeout as sleep } from "node:timers/promises";
-import type { MessageOf } from "@anvildeal/core";
-import { reservePorts } from "@anvildeal/stand-ins";
+import type { Clock, MessageOf } from "@anvildeal/core";
+import { reservePorts, TcpProxy } from "@anvildeal/stand-ins";
 import { afterEach, describe, expect, it } from "vitest";
+import { ManualClock } from "../manual_clock_fixture.js";
 import { SystemClock } from "../system_clock.js";
 import { PeerMesh } from "./peer_mesh.js";
 
@@ -34,9 +35,15 @@
     }
   });
 
-  async function start(nodeId: string): Promise<TestRouter> {
-    const [port] = await reservePorts(HOST, 1);
-    const address = `${HOST}:${port}`;
+  /** @param address Where the others reach the router; its port if left out. */
+  async function start(
+    nodeId: string,
+    clock: Clock = new SystemClock(),
+    port?: number,
+    address?: string,
+  ): Promise<TestRouter> {
+    port ??= (await reservePorts(HOST, 1))[0]!;
+    address ??= `${HOST}:${port}`;
     const mesh = new PeerMesh({
       openingMessage: () => STATE,
       identity: {
@@ -47,9 +54,9 @@
         fleetKey: "key",
       },
       address,
-      clock: new SystemClock(),
+      clock,
     });
-    await mesh.listen(HOST, port!);
+    await mesh.listen(HOST, port);
     const member = {
       mesh,
       nodeId,
@@ -108,6 +115,59 @@
     expect(a.received.length).toBeGreaterThan(10);
     expect(b.received.length).toBeGreaterThan(10);
   });
+
+  describe("when connections fall silent without a reset", () => {
+    const STEP_MS = 400;
+    const clock = new ManualClock();
+    const proxies: TcpProxy[] = [];
+
+    afterEach(async () => {
+      await Promise.all(proxies.splice(0).map((proxy) => proxy.dispose()));
+    });
+
+    async function startBehindProxy(nodeId: string): Promise<TestRouter> {
+      const [port] = await reservePorts(HOST, 1);
+      const proxy = new TcpProxy({ targetPort: port! });
+      await proxy.start();
+      proxies.push(proxy);
+      return start(nodeId, clock, port!, `${HOST}:${proxy.port}`);
+    }
+
+    /** Lets the routers act in turn, so that one notices the silence first. */
+    async function run(steps: number): Promise<void> {
+      for (let i = 0; i < steps; i++) {
+        for (const { mesh } of routers) {
+          clock.timeMs += STEP_MS / routers.length;
+          mesh.maintain();
+          mesh.broadcast({ ...STATE, routers: mesh.knownRouters() });
+          await sleep(15);
+        }
+      }
+    }
+
+    // Guards against a router that goes on sending on the silent connection
+    // after the other one has opened a new one.
+    it.each(["both", "to_client", "to_target"] as const)(
+      "both routers use the new connection (%s)",
+      async (direction) => {
+        const a = await startBehindProxy("a");
+        const b = await startBehindProxy("b");
+        a.mesh.setSeeds([b.address]);
+        await run(10);
+        proxies.forEach((proxy) => proxy.stallConnections(direction));
+        await run(12);
+        for (const router of routers) {
+          router.disconnected.length = 0;
+          router.received.length = 0;
+        }
+        await run(20);
+        expect([a, b].map(({ disconnected }) => disconnected))
+          .toEqual([[], []]);
+        expect([a, b].map(({ received }) => received.length > 10))
+          .toEqual([true, true]);
+      },
+    );
+  });
 });
 
 function isNotFullyConnected({ mesh }: TestRouter): boolean {
