Log why a peer was lost, how long a directory call waited, and the age of the view

The lines of the incident could not tell a connection that fell silent from one that was reset, nor whether a refused call or a request to a draining endpoint was decided on an old view.

peer_lost names the reason ('no message for N ms' for silence), directory_call_failed how long the call had been pending, and direct_attempt_started and direct_call_rejected the time since both configuration and endpoints were last confirmed. No decision changes.

--- a/packages/core/src/direct/direct_admission.ts
+++ b/packages/core/src/direct/direct_admission.ts
@@ -10,6 +10,7 @@
 import {
   type ActiveRequest,
   canServe,
+  directoryAgeMs,
   type DirectState,
   retryWindowOf,
 } from "./direct_state.js";
@@ -53,7 +54,7 @@
   if (
     state.stopping && nowMs - state.stoppingSinceMs > ADMIT_WHILE_STOPPING_MS
   ) {
-    return rejectCall(key, call, "stopping", state.configIndex?.version);
+    return rejectCall(state, key, call, nowMs, "stopping");
   }
   return canServe(state) || state.stopping
     ? startRequest(state, key, call, nowMs, nowMs)
@@ -122,22 +123,22 @@
 ): DirectEffect[] {
   const { configIndex } = state;
   if (!configIndex) {
-    return rejectCall(key, call, "no_config", undefined);
+    return rejectCall(state, key, call, nowMs, "no_config");
   }
   const { limits } = configIndex.config;
   if (call.headerBytes > limits.maxHeaderBytes) {
-    return rejectCall(key, call, "header_too_large", configIndex.version);
+    return rejectCall(state, key, call, nowMs, "header_too_large");
   }
   if (call.bodyBytes > limits.maxBodyBytes) {
-    return rejectCall(key, call, "body_too_large", configIndex.version);
+    return rejectCall(state, key, call, nowMs, "body_too_large");
   }
   const route = configIndex.match(call.host, call.path);
   if (!route) {
-    return rejectCall(key, call, "no_route", configIndex.version);
+    return rejectCall(state, key, call, nowMs, "no_route");
   }
   const account = accountOf(configIndex, route, call);
   if (account === "unknown") {
-    return rejectCall(key, call, "unknown_key", configIndex.version);
+    return rejectCall(state, key, call, nowMs, "unknown_key");
   }
   const request = createRequest(key, call, route, account, receivedMs);
   state.requests.set(key, request);
@@ -207,10 +208,11 @@
 
 /** Refuses a call for which no request was created. */
 function rejectCall(
+  state: DirectState,
   key: number,
   call: DirectCall,
+  nowMs: Millis,
   reason: DirectRefusalReason,
-  configVersion: number | undefined,
 ): DirectEffect[] {
   const refusal = refusalOf(reason, false);
   return [
@@ -224,7 +226,8 @@
         host: call.host,
         reason,
         status: refusal.status,
-        config_version: configVersion,
+        config_version: state.configIndex?.version,
+        directory_age_ms: directoryAgeMs(state, nowMs),
       },
     },
     {
--- a/packages/core/src/direct/direct_event.ts
+++ b/packages/core/src/direct/direct_event.ts
@@ -109,6 +109,11 @@
     readonly key: number;
     readonly call: DirectCall;
   }
+  /** An answer confirmed what this router knows of the directory. */
+  | {
+    readonly type: "directory_confirmed";
+    readonly nowMs: Millis;
+  }
   | {
     readonly type: "caller_gone";
     readonly nowMs: Millis;
--- a/packages/core/src/direct/direct_place.ts
+++ b/packages/core/src/direct/direct_place.ts
@@ -5,6 +5,7 @@
 import type { DirectCall, DirectEffect, PromptPart } from "./direct_event.js";
 import {
   type ActiveRequest,
+  directoryAgeMs,
   type DirectState,
   prefillRateOf,
 } from "./direct_state.js";
@@ -330,6 +331,7 @@
       candidates,
       left_ms: Math.round(request.deadlineAtMs - nowMs),
       config_version: state.configIndex?.version,
+      directory_age_ms: directoryAgeMs(state, nowMs),
     },
   };
 }
--- a/packages/core/src/direct/direct_state.ts
+++ b/packages/core/src/direct/direct_state.ts
@@ -105,6 +105,11 @@
    * budgets.
    */
   routerCount: number;
+  /**
+   * When configuration and endpoints were last known to be up to date;
+   * undefined if they never were.
+   */
+  directoryConfirmedMs: Millis | undefined;
   directoryAvailable: boolean;
   /**
    * Until this time, an endpoint may be missing in the directory because of a
@@ -133,6 +138,7 @@
     deferredCalls: new Map(),
     configIndex: undefined,
     routerCount: 1,
+    directoryConfirmedMs: undefined,
     directoryAvailable: false,
     directoryUnreliableUntilMs: 0,
     directoryOutdatedUntilMs: 0,
@@ -174,6 +180,19 @@
   return counts;
 }
 
+/**
+ * Time since configuration and endpoints were last known to be up to date;
+ * undefined if they never were.
+ */
+export function directoryAgeMs(
+  { directoryConfirmedMs }: DirectState,
+  nowMs: Millis,
+): Millis | undefined {
+  return directoryConfirmedMs === undefined
+    ? undefined
+    : Math.round(nowMs - directoryConfirmedMs);
+}
+
 /** Returns the retry window of a service; creates it on first use. */
 export function retryWindowOf(
   state: DirectState,
--- a/packages/core/src/direct/reduce_direct.ts
+++ b/packages/core/src/direct/reduce_direct.ts
@@ -36,6 +36,9 @@
   switch (event.type) {
     case "call_received":
       return admitCall(state, event.key, event.call, event.nowMs);
+    case "directory_confirmed":
+      state.directoryConfirmedMs = event.nowMs;
+      return [];
     case "caller_gone":
       state.deferredCalls.delete(event.key);
       return ifActiveRequest(
--- a/packages/daemon/src/direct/collection_watcher.ts
+++ b/packages/daemon/src/direct/collection_watcher.ts
@@ -67,6 +67,7 @@
   readonly label: string;
   readonly call: "list" | "watch";
   readonly detail: string;
+  readonly waitedMs: Millis;
   /** The directory answered, but no longer has the requested changes. */
   readonly historyGone: boolean;
 }
@@ -326,6 +327,7 @@
       label: this.#collection.label,
       call,
       detail,
+      waitedMs: Math.round(waitedMs),
       historyGone,
     });
     if (historyGone) {
--- a/packages/daemon/src/direct/directory_sync.ts
+++ b/packages/daemon/src/direct/directory_sync.ts
@@ -7,6 +7,7 @@
   type Measurement,
   type Message,
   type MessageOf,
+  type Millis,
   type PromptCacheEntry,
   type RoutingConfig,
 } from "@anvildeal/core";
@@ -38,6 +39,9 @@
  */
 const UNAVAILABLE_AFTER_FAILURES = 2;
 
+/** Configuration and endpoints. */
+const WATCHED_COLLECTIONS = 2;
+
 export interface DirectorySyncOptions {
   readonly settings: DirectSettings;
   readonly configs: Collection<RoutingConfig>;
@@ -75,6 +79,8 @@
   readonly #catchUp: PeerCatchUp;
   /** Consecutive failed calls by label of the collection. */
   readonly #failures = new Map<string, number>();
+  /** When the last answer of the directory arrived, by label of the collection. */
+  readonly #confirmedMs = new Map<string, Millis>();
   #inFlightByEndpoint: Readonly<Record<string, number>> = {};
   /** Highest known epoch of the directory; undefined before the first answer. */
   #epoch: number | undefined;
@@ -110,9 +116,10 @@
     this.#mesh.onMessage(({ message, nodeId }) =>
       this.#handleMessage(nodeId, message)
     );
-    this.#mesh.onPeer(({ connected, nodeId }) => {
+    this.#mesh.onPeer(({ connected, nodeId, reason }) => {
       options.logger.log(connected ? "peer_regained" : "peer_lost", {
         peer: nodeId,
+        reason,
       });
       if (!connected) {
         this.#catchUp.endQuery(nodeId);
@@ -284,12 +291,13 @@
     });
     watcher.onAnswer(() => {
       countCall("ok");
+      this.#recordConfirmation(collection.label);
       this.#options.onAnswer();
       this.#recordFailures(collection.label, 0);
     });
-    watcher.onFailure(({ historyGone, ...failure }) => {
+    watcher.onFailure(({ historyGone, waitedMs, ...failure }) => {
       countCall("failed");
-      logger.log("directory_call_failed", { ...failure });
+      logger.log("directory_call_failed", { ...failure, waited_ms: waitedMs });
       if (historyGone) {
         return;
       }
@@ -312,6 +320,19 @@
     }
   }
 
+  /**
+   * Records that a collection is up to date, and reports when both last were.
+   */
+  #recordConfirmation(label: string): void {
+    this.#confirmedMs.set(label, this.#options.clock.nowMs());
+    if (this.#confirmedMs.size === WATCHED_COLLECTIONS) {
+      this.#options.push({
+        type: "directory_confirmed",
+        nowMs: Math.min(...this.#confirmedMs.values()),
+      });
+    }
+  }
+
   /**
    * Reads the collections again if the directory was restored from an older
    * copy. Watch calls that are pending may otherwise never return.
