Confirm the view of the directory within the platform's bound

What callers saw: after the connections to the store had fallen silent without a reset, a new route was answered 404 at all routers, and a draining endpoint got requests, for up to 23 s.

Cause: a pending watch was taken as a sign that nothing had changed. It says nothing about its connection. Watches waited 25 s, and nothing bounded the age of what a router believed; the peers, which could have helped a single router, were blind in the same way.

Change: one elected router of a fleet (two to four of a large one) asks with short waits, a third of the platform's contact bound, and reports that its view is confirmed. Its answer must begin within 0.7 s after the wait, more after failed calls. If it does not, all connections to the store are replaced. A router that gets no report for 1.1 s asks itself on new connections, so a fleet whose routers cannot reach each other either recovers as well. Changes of endpoints are sent to the others in small fleets too. A change that a watching router sends no longer ends the pending watch, since that would cost a call for each change.

Tests that changed: a small fleet now has one confirming router instead of none that shares, so 'lets every router of a small fleet watch' and 'broadcasts changes only in a large fleet' are replaced by cases that name the new rule for small and large fleets. advanceTo no longer aborts the pending call; restart does, and its test calls both.

--- a/packages/core/src/log_events.ts
+++ b/packages/core/src/log_events.ts
@@ -205,7 +205,7 @@
   watch_duty_changed: {
     code: 4039,
     level: "info",
-    message: "router started or stopped watching the directory for the fleet",
+    message: "part of the router in watching the directory changed",
   },
   store_failed: {
     code: 4020,
--- a/packages/daemon/src/direct/collection.ts
+++ b/packages/daemon/src/direct/collection.ts
@@ -42,6 +42,14 @@
   override readonly name = "DirectoryCallError";
 }
 
+/** How long a watch call lasts. */
+export interface WatchTimes {
+  /** How long the directory waits for changes before it answers without one. */
+  readonly waitMs: Millis;
+  /** Time after the wait within which the answer must begin. */
+  readonly answerMarginMs: Millis;
+}
+
 /** Items of one kind in the platform's directory. */
 export abstract class Collection<T> {
   /** Short name for logs and metrics. */
@@ -55,15 +63,15 @@
   abstract list(signal: AbortSignal): Promise<CollectionUpdate<T>>;
 
   /**
-   * Waits up to `waitMs` for changes after a revision; returns an update
-   * without items if there were none. If the directory was restored since the
+   * Waits for changes after a revision; returns an update without items if
+   * there were none. If the directory was restored since the
    * revision was read, the update has another epoch and may lack changes.
    *
    * Rejects with {@link HistoryGoneError} or {@link DirectoryCallError}.
    */
   abstract watch(
     afterRevision: number,
-    waitMs: Millis,
+    times: WatchTimes,
     signal: AbortSignal,
   ): Promise<CollectionUpdate<T>>;
 }
--- a/packages/daemon/src/direct/collection_watcher.ts
+++ b/packages/daemon/src/direct/collection_watcher.ts
@@ -12,9 +12,6 @@
   HistoryGoneError,
 } from "./collection.js";
 
-/** Longest wait of one watch call. Long waits save calls; each call is charged. */
-const MAX_WATCH_WAIT_MS: Millis = 25_000;
-
 const FIRST_RETRY_MS: Millis = 150;
 const MAX_RETRY_MS: Millis = 1200;
 const RETRY_FACTOR = 1.7;
@@ -25,6 +22,14 @@
  */
 const WAIT_AFTER_FAILURE_MS: Millis = 1000;
 
+/**
+ * Time after its wait within which a watch call must be answered. A directory
+ * that is slower gets more time after each failed call.
+ */
+const MIN_ANSWER_MARGIN_MS: Millis = 700;
+const MAX_ANSWER_MARGIN_MS: Millis = 2800;
+const ANSWER_MARGIN_FACTOR = 2;
+
 /**
  * Minimum delay between a change and the list call that reads the newest state;
  * changes within this time are read with one call.
@@ -52,11 +57,7 @@
   readonly batchDelayMs: Millis;
 }
 
-/** Pace of a watcher that serves one router. */
-export const LOCAL_WATCH_PACE: WatchPace = {
-  waitMs: MAX_WATCH_WAIT_MS,
-  batchDelayMs: 200,
-};
+const INITIAL_PACE: WatchPace = { waitMs: 1000, batchDelayMs: 200 };
 
 export interface WatchedUpdate<T> extends CollectionUpdate<T> {
   /** The update contains all items; items that it lacks were removed. */
@@ -93,7 +94,8 @@
   #lastChange = 0;
   #retryMs: Millis = FIRST_RETRY_MS;
   readonly #latestOnly: boolean;
-  #pace = LOCAL_WATCH_PACE;
+  #pace = INITIAL_PACE;
+  #answerMarginMs = MIN_ANSWER_MARGIN_MS;
   #lastCallSucceeded = false;
   /** The last call that was not aborted failed. */
   #lastCallFailed = false;
@@ -156,17 +158,22 @@
     void this.#run();
   }
 
-  /** Aborts the pending call; no call is made until {@link resume}. */
-  pause(): void {
-    if (this.#pause === undefined) {
-      let end = () => {};
-      const ended = new Promise<void>((resolve) => {
-        end = resolve;
-      });
-      this.#pause = { ended, end };
-      this.#lastCallSucceeded = false;
-      this.#callController.abort();
+  /**
+   * Aborts the pending call; no call is made until {@link resume}. Returns false
+   * if the watcher was paused already.
+   */
+  pause(): boolean {
+    if (this.#pause !== undefined) {
+      return false;
     }
+    let end = () => {};
+    const ended = new Promise<void>((resolve) => {
+      end = resolve;
+    });
+    this.#pause = { ended, end };
+    this.#lastCallSucceeded = false;
+    this.#callController.abort();
+    return true;
   }
 
   /** Continues to watch from the latest known revision. */
@@ -175,11 +182,14 @@
     this.#pause = undefined;
   }
 
-  /**
-   * Continues from a later position, whose items another router sent. Restarts
-   * the pending call, since it may have missed the change because its
-   * connection stalled.
-   */
+  /** Aborts the pending watch and makes the next one; a list is completed. */
+  restart(): void {
+    if (this.#position !== undefined && !this.#relistNext) {
+      this.#callController.abort();
+    }
+  }
+
+  /** Continues from a later position, whose items another router sent. */
   advanceTo(position: DirectoryPosition): void {
     if (
       this.#position === undefined || !isLaterPosition(position, this.#position)
@@ -188,7 +198,6 @@
     }
     this.#position = position;
     this.#epoch = Math.max(this.#epoch, position.epoch);
-    this.#callController.abort();
   }
 
   /**
@@ -224,6 +233,7 @@
       try {
         await this.#callOnce();
         this.#retryMs = FIRST_RETRY_MS;
+        this.#answerMarginMs = MIN_ANSWER_MARGIN_MS;
         this.#lastCallFailed = false;
         this.#lastCallSucceeded = this.#pause === undefined;
         this.#onAnswer.fire();
@@ -250,9 +260,12 @@
     }
     const update = await this.#collection.watch(
       position.revision,
-      this.#lastCallFailed
-        ? Math.min(WAIT_AFTER_FAILURE_MS, this.#pace.waitMs)
-        : this.#pace.waitMs,
+      {
+        waitMs: this.#lastCallFailed
+          ? Math.min(WAIT_AFTER_FAILURE_MS, this.#pace.waitMs)
+          : this.#pace.waitMs,
+        answerMarginMs: this.#answerMarginMs,
+      },
       signal,
     );
     if (this.#position !== position) {
@@ -334,6 +347,10 @@
       this.#position = undefined;
       return;
     }
+    this.#answerMarginMs = Math.min(
+      MAX_ANSWER_MARGIN_MS,
+      this.#answerMarginMs * ANSWER_MARGIN_FACTOR,
+    );
     if (waitedMs > RETRY_RESET_AFTER_MS) {
       this.#retryMs = FIRST_RETRY_MS;
     }
--- a/packages/daemon/src/direct/direct_router_host.ts
+++ b/packages/daemon/src/direct/direct_router_host.ts
@@ -67,6 +67,8 @@
   readonly dialect: CallDialect;
   readonly configs: Collection<RoutingConfig>;
   readonly endpoints: Collection<EndpointRecord>;
+  /** Makes further calls to the directory use new connections. */
+  readonly renewDirectoryConnections: (reason: string) => void;
   /** Holds the prompt cache contents of the endpoints. */
   readonly promptCacheDocument: SharedDocument;
   readonly logger: Logger;
@@ -124,6 +126,7 @@
         !isDirectoryUnreliable(this.#state, clock.nowMs()),
       promptCacheEntries: () => this.#state.promptCacheIndex.entries(),
       observe: (measurement) => this.#metrics.observe(measurement),
+      renewConnections: options.renewDirectoryConnections,
       onAnswer: () => this.#promptCachePersistence.handleDirectoryAnswer(),
     });
     this.#promptCachePersistence = new PromptCachePersistence({
--- a/packages/daemon/src/direct/direct_settings.ts
+++ b/packages/daemon/src/direct/direct_settings.ts
@@ -17,6 +17,11 @@
   /** Peer addresses of some routers of the fleet; they may be outdated. */
   seeds: z.array(address).max(16),
   directoryAddress: address,
+  /**
+   * Longest time for which routers may act on an outdated view of the directory
+   * because a connection fell silent.
+   */
+  maxDirectoryAgeMs: positive,
   /** Secret that the routers of a fleet share. */
   fleetKey: z.string().min(1),
   /**
--- a/packages/daemon/src/direct/directory_sync.ts
+++ b/packages/daemon/src/direct/directory_sync.ts
@@ -20,6 +20,7 @@
 import { type KnownContent, PeerCatchUp } from "./peer_catch_up.js";
 import { PeerMesh } from "./peer_mesh.js";
 import { PromptCacheBroadcaster } from "./prompt_cache_broadcaster.js";
+import { WatchDuty } from "./watch_duty.js";
 
 /**
  * Maximum number of `fleet_state` messages that a router sends in each call of
@@ -54,6 +55,8 @@
   readonly isDirectoryReliable: () => boolean;
   readonly promptCacheEntries: () => readonly PromptCacheEntry[];
   readonly observe: (measurement: Measurement) => void;
+  /** Makes further calls to the directory use new connections. */
+  readonly renewConnections: (reason: string) => void;
   /** Called after each successful call to the directory. */
   readonly onAnswer: () => void;
 }
@@ -75,6 +78,7 @@
   readonly #configs: CollectionWatcher<RoutingConfig>;
   readonly #endpointWatcher: CollectionWatcher<EndpointRecord>;
   readonly #endpoints: EndpointSync;
+  readonly #watchDuty: WatchDuty;
   readonly #promptCacheBroadcaster: PromptCacheBroadcaster;
   readonly #catchUp: PeerCatchUp;
   /** Consecutive failed calls by label of the collection. */
@@ -123,7 +127,7 @@
       });
       if (!connected) {
         this.#catchUp.endQuery(nodeId);
-        this.#endpoints.removeWatcher(nodeId);
+        this.#watchDuty.removeWatcher(nodeId);
         this.#promptCacheBroadcaster.handleDisconnect(nodeId);
         return;
       }
@@ -142,12 +146,19 @@
       }
     }, true);
     this.#endpointWatcher = this.#createWatcher(options.endpoints, () => {});
-    this.#endpoints = new EndpointSync({
+    this.#watchDuty = new WatchDuty({
       ...options,
       nodeId: settings.nodeId,
+      maxDirectoryAgeMs: settings.maxDirectoryAgeMs,
+      configs: this.#configs,
+      endpoints: this.#endpointWatcher,
+      onWatchPaused: () => this.#recordFailures(options.endpoints.label, 0),
+    });
+    this.#endpoints = new EndpointSync({
+      ...options,
       watcher: this.#endpointWatcher,
+      isWatcher: () => this.#watchDuty.isWatcher,
       broadcast: (message) => this.#mesh.broadcast(message),
-      onWatchPaused: () => this.#recordFailures(options.endpoints.label, 0),
     });
   }
 
@@ -187,7 +198,8 @@
       type: "router_count_observed",
       routerCount: this.#mesh.routerCount,
     });
-    this.#endpoints.tick(this.#mesh.routerCount);
+    this.#watchDuty.tick(this.#mesh.routerCount);
+    this.#reportWatching();
     this.#inFlightByEndpoint = inFlight;
     // Each broadcast sends one message per peer, so a router with many peers
     // broadcasts its state less often.
@@ -408,8 +420,7 @@
         this.#applyContent(nodeId, message);
         break;
       case "fleet_watching":
-        this.#endpoints.recordWatcher(nodeId);
-        this.#handlePeerContent(nodeId, { ...message, configVersion: 0 });
+        this.#handleWatcherReport(nodeId, message);
         break;
       case "fleet_change":
         this.#endpoints.applyChange(nodeId, message);
@@ -417,6 +428,36 @@
     }
   }
 
+  /** Tells the other routers that this one confirmed its view. */
+  #reportWatching(): void {
+    if (!this.#watchDuty.isConfirmed) {
+      return;
+    }
+    const { epoch, revision } = this.#endpoints.lastChange;
+    this.#mesh.broadcast({
+      type: "fleet_watching",
+      directoryRevision: revision,
+      directoryEpoch: epoch,
+    });
+  }
+
+  #handleWatcherReport(
+    nodeId: string,
+    report: MessageOf<"fleet_watching">,
+  ): void {
+    this.#watchDuty.recordWatcher(nodeId);
+    const reported = {
+      epoch: report.directoryEpoch,
+      revision: report.directoryRevision,
+    };
+    if (isLaterPosition(reported, this.#endpoints.position)) {
+      this.#handlePeerContent(nodeId, { ...report, configVersion: 0 });
+      return;
+    }
+    this.#recordConfirmation(this.#options.configs.label);
+    this.#recordConfirmation(this.#options.endpoints.label);
+  }
+
   /** Queries the peer if this router has been behind it for too long. */
   #handlePeerContent(nodeId: string, peer: ContentFields): void {
     if (peer.directoryRevision > 0) {
--- a/packages/daemon/src/direct/endpoint_sync.ts
+++ b/packages/daemon/src/direct/endpoint_sync.ts
@@ -2,7 +2,6 @@
   type Clock,
   type DirectEvent,
   type DirectoryPosition,
-  DirectoryWatcherElection,
   type EndpointRecord,
   isLaterPosition,
   laterPosition,
@@ -10,48 +9,29 @@
   type MessageOf,
   UNKNOWN_POSITION,
 } from "@anvildeal/core";
-import type { Logger } from "../logging/index.js";
 import type { Disposable } from "../net/index.js";
-import {
-  type CollectionWatcher,
-  LOCAL_WATCH_PACE,
-  type WatchedUpdate,
-  type WatchPace,
-} from "./collection_watcher.js";
-
-/**
- * Pace while other routers rely on this one. The wait is short because a stalled
- * connection to the directory is detected only after it. The delay is longer
- * than for a single router, since several watchers read each group of changes.
- */
-const SHARED_WATCH_PACE: WatchPace = { waitMs: 2000, batchDelayMs: 500 };
+import type { CollectionWatcher, WatchedUpdate } from "./collection_watcher.js";
 
 type DirectorySnapshot = NonNullable<MessageOf<"fleet_content">["directory"]>;
 
 export interface EndpointSyncOptions {
-  readonly nodeId: string;
   readonly watcher: CollectionWatcher<EndpointRecord>;
-  readonly logger: Logger;
+  /** Whether this router sends the changes that it reads to the others. */
+  readonly isWatcher: () => boolean;
   readonly clock: Clock;
   readonly push: (event: DirectEvent) => void;
   /** Whether the directory is available and was not unavailable recently. */
   readonly isDirectoryReliable: () => boolean;
   readonly broadcast: (message: Message) => void;
-  /** Called when this router stops watching because enough others watch. */
-  readonly onWatchPaused: () => void;
 }
 
 /**
- * Keeps the list of endpoints up to date. In a large fleet a few routers watch
- * the directory and send each change to the others.
+ * Keeps the list of endpoints up to date. A few routers send each change that
+ * they read from the directory to the others.
  */
 export class EndpointSync implements Disposable {
   readonly #options: EndpointSyncOptions;
-  readonly #election: DirectoryWatcherElection;
   readonly #records = new Map<string, EndpointRecord>();
-  #watching = true;
-  /** Whether only some routers of the fleet watch the directory. */
-  #isWatchShared = false;
   /** Position up to which the records are known. */
   #position = UNKNOWN_POSITION;
   /** Position of the last known change of a record. */
@@ -59,7 +39,6 @@
 
   constructor(options: EndpointSyncOptions) {
     this.#options = options;
-    this.#election = new DirectoryWatcherElection(options.nodeId);
     options.watcher.onUpdate((update) => this.#handleUpdate(update));
   }
 
@@ -85,49 +64,6 @@
     this.#options.watcher.start();
   }
 
-  /**
-   * Decides whether this router watches the directory, and announces it to the
-   * others. Must be called periodically.
-   *
-   * @param routerCount Routers of the fleet, this one included.
-   */
-  tick(routerCount: number): void {
-    const { broadcast, clock, logger, onWatchPaused, watcher } = this.#options;
-    const shared = this.#election.isShared(routerCount);
-    if (shared !== this.#isWatchShared) {
-      this.#isWatchShared = shared;
-      watcher.setPace(shared ? SHARED_WATCH_PACE : LOCAL_WATCH_PACE);
-    }
-    const watching = this.#election.decide(routerCount, clock.nowMs());
-    if (watching !== this.#watching) {
-      this.#watching = watching;
-      logger.log("watch_duty_changed", { watching, routers: routerCount });
-      if (watching) {
-        watcher.resume();
-      } else {
-        watcher.pause();
-        onWatchPaused();
-      }
-    }
-    if (shared && watcher.isFollowing) {
-      broadcast({
-        type: "fleet_watching",
-        directoryRevision: this.#lastChange.revision,
-        directoryEpoch: this.#lastChange.epoch,
-      });
-    }
-  }
-
-  /** Records that another router watches the directory and gets answers. */
-  recordWatcher(nodeId: string): void {
-    this.#election.recordWatcher(nodeId, this.#options.clock.nowMs());
-  }
-
-  /** Records that a router is disconnected. */
-  removeWatcher(nodeId: string): void {
-    this.#election.removeWatcher(nodeId);
-  }
-
   /** Returns all known endpoints, for a router that is behind. */
   snapshot(): DirectorySnapshot {
     const { epoch, revision } = this.position;
@@ -146,7 +82,7 @@
     // A watching router reads changes from the directory itself, and queries a
     // peer if it stays behind.
     if (
-      this.#watching || this.isUninitialized ||
+      this.#options.isWatcher() || this.isUninitialized ||
       change.directoryEpoch !== known.epoch ||
       change.afterRevision > known.revision ||
       change.revision <= known.revision
@@ -176,6 +112,8 @@
     }
     this.#apply(update, `peer ${nodeId}`, true, directory.settled);
     this.#options.watcher.advanceTo(update);
+    // The pending watch did not return these changes, so it may have stalled.
+    this.#options.watcher.restart();
   }
 
   dispose(): void {
@@ -188,7 +126,7 @@
       return;
     }
     this.#apply(update, "directory", update.isSnapshot);
-    if (this.#isWatchShared && !update.isSnapshot) {
+    if (this.#options.isWatcher() && !update.isSnapshot) {
       this.#options.broadcast({
         type: "fleet_change",
         directoryEpoch: update.epoch,
--- a/packages/daemon/src/store/http_exchange.ts
+++ b/packages/daemon/src/store/http_exchange.ts
@@ -23,7 +23,7 @@
    * Whether the request may have been written to a socket, in whole or part.
    */
   readonly sent: boolean;
-  /** Whether the exchange was ended by its own `timeoutMs`. */
+  /** Whether the exchange was ended by one of its own time limits. */
   readonly timedOut: boolean;
 
   constructor(
@@ -39,6 +39,8 @@
 export interface HttpExchangeOptions {
   /** Time limit of the whole exchange. */
   readonly timeoutMs: Millis;
+  /** Time limit until the head of the response arrives; none if left out. */
+  readonly headTimeoutMs?: Millis;
   /** The exchange fails when the response body is larger than this. */
   readonly maxResponseBytes: number;
   readonly signal?: AbortSignal;
@@ -63,6 +65,7 @@
   #framingBytes = 0;
   #isChunked = false;
   #settled = false;
+  #headTimer: NodeJS.Timeout | undefined;
 
   constructor(request: HttpRequest, options: HttpExchangeOptions) {
     this.#request = request;
@@ -88,10 +91,11 @@
    */
   run(dispatcher: Dispatcher): Promise<HttpResponse> {
     return new Promise((resolve, reject) => {
-      const { signal, timeoutMs } = this.#options;
+      const { headTimeoutMs, signal, timeoutMs } = this.#options;
       const finish = () => {
         this.#settled = true;
         clearTimeout(timer);
+        clearTimeout(this.#headTimer);
         signal?.removeEventListener("abort", onAbort);
       };
       const fail = (message: string, cause?: unknown, timedOut = false) => {
@@ -121,6 +125,12 @@
           fail(`No complete response within ${timeoutMs} ms`, undefined, true),
         timeoutMs,
       );
+      if (headTimeoutMs !== undefined) {
+        this.#headTimer = setTimeout(
+          () => fail(`No response within ${headTimeoutMs} ms`, undefined, true),
+          headTimeoutMs,
+        );
+      }
       if (signal?.aborted) {
         onAbort();
         return;
@@ -154,6 +164,7 @@
         this.#controller = controller;
       },
       onResponseStart: (controller, status, headers, statusMessage = "") => {
+        clearTimeout(this.#headTimer);
         this.#status = status;
         this.#headers = headers;
         this.#isChunked = headers["transfer-encoding"] === "chunked";
