Close idle connections to an endpoint when reused ones are silent

What callers saw: after the connections to endpoints had fallen silent without a reset, each idle connection of the pool cost one request. A request that must not run twice was answered 504 at its deadline, also long after the first one had shown the silence.

An idle connection counted as good until its idle limit (6 s, 30 s for requests that may be retried), whatever happened on the connections beside it.

Change: when all requests in flight at an endpoint are on reused connections and have got no byte for 0.7 s, the idle connections to it that have been unused as long are closed. This holds too when most endpoints stall at once, where no endpoint is suspected.

--- a/packages/core/src/direct/direct_event.ts
+++ b/packages/core/src/direct/direct_event.ts
@@ -82,6 +82,8 @@
    * count.
    */
   readonly silentMs: Millis;
+  /** Whether all requests in flight there are on connections used before. */
+  readonly onReusedConnections: boolean;
 }
 
 /** An attempt whose answer has begun and then stopped arriving. */
@@ -346,6 +348,15 @@
     /** Stores the prompt cache index in the directory again. */
     readonly type: "store_prompt_cache";
   }
+  /**
+   * Close the idle connections to an endpoint that have been unused for at least
+   * this long, since they may have fallen silent.
+   */
+  | {
+    readonly type: "close_idle_connections";
+    readonly endpointId: string;
+    readonly unusedMs: Millis;
+  }
   | {
     readonly type: "broadcast_prompt_cache_entry";
     readonly entry: PromptCacheEntry;
--- a/packages/core/src/direct/direct_stalls.ts
+++ b/packages/core/src/direct/direct_stalls.ts
@@ -1,6 +1,10 @@
 import type { Millis } from "../clock.js";
 import { canRetryElsewhere, failAttempt } from "./direct_attempt.js";
-import type { DirectEffect, DirectEvent } from "./direct_event.js";
+import type {
+  DirectEffect,
+  DirectEvent,
+  EndpointStall,
+} from "./direct_event.js";
 import { suspectEndpoint } from "./endpoint_suspicion.js";
 import {
   type ActiveAttempt,
@@ -72,12 +76,13 @@
   event: Extract<DirectEvent, { type: "stalls_observed" }>,
 ): DirectEffect[] {
   const { attempts, busyEndpoints, endpoints, nowMs } = event;
+  const closed = closeSilentConnections(endpoints);
   if (
     endpoints.length > busyEndpoints * MAX_STALLED_FRACTION && busyEndpoints > 2
   ) {
     // So many endpoints have stalled that the network connection of this router
     // is the likely cause. A retry would use the same connection.
-    return [];
+    return closed;
   }
   const suspicions = endpoints.flatMap(({ endpointId, silentMs }) => {
     const endpoint = state.directory.get(endpointId);
@@ -96,7 +101,26 @@
         : [];
     })
   );
-  return [...suspicions, ...continued];
+  return [...closed, ...suspicions, ...continued];
+}
+
+/**
+ * Connections can fall silent without a reset while new ones work. If requests
+ * on reused connections get no byte, the idle ones beside them may be silent
+ * too, and each would cost a request.
+ */
+function closeSilentConnections(
+  endpoints: readonly EndpointStall[],
+): DirectEffect[] {
+  return endpoints
+    .filter(({ onReusedConnections, silentMs }) =>
+      onReusedConnections && silentMs >= ENDPOINT_STALL_MS
+    )
+    .map(({ endpointId, silentMs }) => ({
+      type: "close_idle_connections",
+      endpointId,
+      unusedMs: silentMs,
+    }));
 }
 
 function abandonAttempt(
--- a/packages/core/src/direct/reduce_direct_test.ts
+++ b/packages/core/src/direct/reduce_direct_test.ts
@@ -218,7 +218,11 @@
         type: "stalls_observed",
         nowMs: 800,
         busyEndpoints: 2,
-        endpoints: [{ endpointId: first!.endpointId, silentMs: 800 }],
+        endpoints: [{
+          endpointId: first!.endpointId,
+          silentMs: 800,
+          onReusedConnections: false,
+        }],
         attempts: [],
       });
       const usedEndpointIds = [2, 3, 4, 5].flatMap((key) =>
@@ -274,6 +278,7 @@
         endpoints: ["e1", "e2", "e3"].map((endpointId) => ({
           endpointId,
           silentMs: 800,
+          onReusedConnections: false,
         })),
         attempts: [{ key: 1, attemptNumber: 1, silentMs: 800 }],
       });
@@ -281,6 +286,32 @@
       expect(endpoint?.isSuspected(801)).toBe(false);
     });
 
+    // Guards against a pool that offers one silent connection after the other,
+    // also if all endpoints are silent because the router's path was.
+    it.each([1, 3])(
+      "closes idle connections beside silent ones (%i busy endpoints)",
+      (busyEndpoints) => {
+        const state = createServingState();
+        const stallFor = (silentMs: number, onReusedConnections: boolean) =>
+          reduceDirect(state, {
+            type: "stalls_observed",
+            nowMs: silentMs,
+            busyEndpoints,
+            endpoints: Array.from({ length: busyEndpoints }, (_, i) => ({
+              endpointId: `e${i + 1}`,
+              silentMs,
+              onReusedConnections,
+            })),
+            attempts: [],
+          }).filter(({ type }) => type === "close_idle_connections");
+        expect(stallFor(600, true)).toEqual([]);
+        expect(stallFor(800, false)).toEqual([]);
+        const closed = stallFor(800, true);
+        expect(closed).toHaveLength(busyEndpoints);
+        expect(closed[0]).toMatchObject({ endpointId: "e1", unusedMs: 800 });
+      },
+    );
+
     it("waits longer on routes whose answers typically take longer", () => {
       const state = createServingState();
       for (let key = 1; key <= 30; key++) {
--- a/packages/daemon/src/direct/direct_router_host.ts
+++ b/packages/daemon/src/direct/direct_router_host.ts
@@ -253,6 +253,7 @@
       return;
     }
     const lastReceivedByEndpoint = new Map<string, Millis>();
+    const onNewConnections = new Set<string>();
     const attempts: AttemptStall[] = [];
     for (const running of this.#attempts.values()) {
       const { attemptNumber, endpointId, key } = running.effect;
@@ -262,13 +263,20 @@
         endpointId,
         Math.max(lastMs, running.lastReceivedMs),
       );
+      if (!running.isOnReusedConnection) {
+        onNewConnections.add(endpointId);
+      }
       const silentMs = nowMs - running.lastReceivedMs;
       if (running.awaitsBodyBytes && silentMs >= MIN_REPORTED_SILENT_MS) {
         attempts.push({ key, attemptNumber, silentMs });
       }
     }
     const endpoints = [...lastReceivedByEndpoint]
-      .map(([endpointId, lastMs]) => ({ endpointId, silentMs: nowMs - lastMs }))
+      .map(([endpointId, lastMs]) => ({
+        endpointId,
+        silentMs: nowMs - lastMs,
+        onReusedConnections: !onNewConnections.has(endpointId),
+      }))
       .filter(({ silentMs }) => silentMs >= MIN_REPORTED_SILENT_MS);
     if (attempts.length + endpoints.length > 0) {
       this.#queue.push({
@@ -324,6 +332,9 @@
       case "clear_timer":
         this.#clearTimer(`${effect.key}/${effect.timer}`);
         break;
+      case "close_idle_connections":
+        this.#connections.closeUnused(effect.endpointId, effect.unusedMs);
+        break;
       case "broadcast_prompt_cache_entry":
         this.#directorySync.broadcastPromptCacheEntry(effect.entry);
         this.#promptCachePersistence.markChanged();
--- a/packages/daemon/src/direct/endpoint_attempt.ts
+++ b/packages/daemon/src/direct/endpoint_attempt.ts
@@ -80,6 +80,11 @@
     return this.#lastReceivedMs;
   }
 
+  /** Whether an earlier request used the connection of this attempt. */
+  get isOnReusedConnection(): boolean {
+    return this.#connection.idleBeforeUseMs !== undefined;
+  }
+
   /**
    * Whether the attempt expects more body bytes of an answer that it relays: some
    * have arrived, and reading is not paused by the caller's backpressure.
--- a/packages/daemon/src/direct/endpoint_connection_pool.ts
+++ b/packages/daemon/src/direct/endpoint_connection_pool.ts
@@ -126,6 +126,17 @@
     this.#idleLimitSetMs = nowMs;
   }
 
+  /** Closes idle connections to an endpoint that were unused for this long. */
+  closeUnused(endpointId: string, unusedMs: Millis): void {
+    const limitMs = this.#clock.nowMs() - unusedMs;
+    for (const [key, idle] of this.#idle) {
+      if (key.startsWith(poolKey(endpointId, ""))) {
+        idle.filter(({ idleSinceMs }) => idleSinceMs <= limitMs)
+          .forEach((connection) => connection.destroy());
+      }
+    }
+  }
+
   /** Closes connections that exceed their idle limit. Call periodically. */
   closeExpired(): void {
     const nowMs = this.#clock.nowMs();
