--- a/packages/stand-ins/src/listen.ts
+++ b/packages/stand-ins/src/listen.ts
@@ -4,11 +4,17 @@
 /**
  * Starts a server on the loopback port `port`, or on a free port if `port` is
  * 0. Returns the port; rejects if the server cannot listen.
+ *
+ * @param host An address of the loopback network.
  */
-export function listenOnLoopback(server: Server, port = 0): Promise<number> {
+export function listenOnLoopback(
+  server: Server,
+  port = 0,
+  host = "127.0.0.1",
+): Promise<number> {
   return new Promise((resolve, reject) => {
     server.once("error", reject);
-    server.listen(port, "127.0.0.1", () => {
+    server.listen(port, host, () => {
       server.off("error", reject);
       const address = server.address();
       resolve(typeof address === "object" && address ? address.port : port);
--- a/packages/stand-ins/src/reserve_ports.ts
+++ b/packages/stand-ins/src/reserve_ports.ts
@@ -8,20 +8,31 @@
  */
 const FIRST_PORT = 20_000;
 const PORTS_PER_WORKER = 1500;
-const WORKERS = 8;
 
-let nextPortOffset = 0;
+/** Ranges of the test runner's workers, and of programs that run beside it. */
+const TEST_WORKERS = 4;
+const OTHER_PROCESSES = 4;
+
+/** Programs with one range begin at different ports of it. */
+const PROCESS_PORT_STRIDE = 97;
+
+const testWorker = process.env["VITEST_POOL_ID"];
+let nextPortOffset = testWorker === undefined
+  ? process.pid * PROCESS_PORT_STRIDE
+  : 0;
 
 /**
- * Returns `count` ports that are free at the address `host`. Processes that run
- * at the same time get different ports if their numbers in `VITEST_POOL_ID`
- * differ.
+ * Returns `count` ports that are free at the address `host`. Workers of the test
+ * runner get different ports if their numbers in `VITEST_POOL_ID` differ, and
+ * others than programs that run at the same time.
  */
 export async function reservePorts(
   host: string,
   count: number,
 ): Promise<number[]> {
-  const worker = Number(process.env["VITEST_POOL_ID"] ?? process.pid) % WORKERS;
+  const worker = testWorker === undefined
+    ? TEST_WORKERS + process.pid % OTHER_PROCESSES
+    : Number(testWorker) % TEST_WORKERS;
   const ports: number[] = [];
   while (ports.length < count) {
     const port = FIRST_PORT + worker * PORTS_PER_WORKER +
--- a/packages/stand-ins/src/tcp_proxy.ts
+++ b/packages/stand-ins/src/tcp_proxy.ts
@@ -41,7 +41,11 @@
 export type TcpProxyFaults = z.input<typeof TcpProxyFaultsSchema>;
 
 export interface TcpProxyOptions {
+  /** Address on which the proxy listens; 127.0.0.1 if it is left out. */
+  readonly host?: string;
   readonly port?: number;
+  /** Address to which connections are forwarded; 127.0.0.1 if it is left out. */
+  readonly targetHost?: string;
   /** Port on loopback to which connections are forwarded. */
   readonly targetPort: number;
 }
@@ -50,6 +54,8 @@
 export class TcpProxy implements StandIn {
   readonly #server = createServer({ allowHalfOpen: true });
   readonly #control = createHttpServer();
+  readonly #host: string;
+  readonly #targetHost: string;
   readonly #targetPort: number;
   readonly #connections = new Set<ProxiedConnection>();
   readonly #bytes = { to_target: 0, to_client: 0 };
@@ -61,6 +67,8 @@
   #cutsLeft = 0;
 
   constructor(options: TcpProxyOptions) {
+    this.#host = options.host ?? "127.0.0.1";
+    this.#targetHost = options.targetHost ?? "127.0.0.1";
     this.#port = options.port ?? 0;
     this.#targetPort = options.targetPort;
     this.#server.on("connection", (client) => this.#onConnection(client));
@@ -97,7 +105,7 @@
   }
 
   async start(): Promise<void> {
-    this.#port = await listenOnLoopback(this.#server, this.#port);
+    this.#port = await listenOnLoopback(this.#server, this.#port, this.#host);
     this.#controlPort = await listenOnLoopback(this.#control);
   }
 
@@ -141,7 +149,7 @@
       return;
     }
     if (accepting) {
-      await listenOnLoopback(this.#server, this.#port);
+      await listenOnLoopback(this.#server, this.#port, this.#host);
     } else {
       // `close` is not awaited: its callback waits for established connections
       // to end.
@@ -173,7 +181,7 @@
   #onConnection(client: Socket): void {
     this.#acceptedConnections += 1;
     const target = connect({
-      host: "127.0.0.1",
+      host: this.#targetHost,
       port: this.#targetPort,
       allowHalfOpen: true,
     });
