Keep answers that have begun when connections to the store are replaced

When a call to the store timed out, or no router reported a confirmed view, all connections were destroyed with the calls on them. A large configuration that a slow link was still delivering was lost and read again from its start; the shorter margin of watches makes that more likely, since a watch that waits behind the listing times out.

--- a/packages/daemon/src/direct/index.ts
+++ b/packages/daemon/src/direct/index.ts
@@ -6,6 +6,10 @@
 export * from "./hop_headers.js";
 export * from "./shared_document.js";
 export * from "./stdout_log.js";
-export { HttpExchange, HttpExchangeError } from "../store/http_exchange.js";
+export {
+  HttpExchange,
+  HttpExchangeError,
+  type HttpResponse,
+} from "../store/http_exchange.js";
 export type { Logger } from "../logging/index.js";
 export { SystemClock } from "../system_clock.js";
--- a/packages/daemon/src/store/http_exchange.ts
+++ b/packages/daemon/src/store/http_exchange.ts
@@ -66,6 +66,7 @@
   #isChunked = false;
   #settled = false;
   #headTimer: NodeJS.Timeout | undefined;
+  #fail: (message: string, cause?: unknown) => void = () => {};
 
   constructor(request: HttpRequest, options: HttpExchangeOptions) {
     this.#request = request;
@@ -108,6 +109,7 @@
         this.#controller?.abort(error);
         reject(error);
       };
+      this.#fail = fail;
       const succeed = () => {
         if (this.#settled) {
           return;
@@ -144,6 +146,13 @@
     });
   }
 
+  /** Fails the exchange unless its response has begun to arrive. */
+  failIfUnanswered(reason: string): void {
+    if (this.#status === 0) {
+      this.#fail(reason);
+    }
+  }
+
   #handler(
     succeed: () => void,
     fail: (message: string, cause?: unknown) => void,
