Answer a router on its latest connection to a sidecar

Of the class of the silent connections, in the product's own deployment: after a router had replaced a connection that fell silent, the sidecar sent configuration answers on the oldest connection from that router, until its own check closed it.

Evidence: the new test times out on the code before and passes now.

--- a/packages/daemon/src/sidecar/sidecar_connections.ts
+++ b/packages/daemon/src/sidecar/sidecar_connections.ts
@@ -114,15 +114,16 @@
   }
 
   /**
-   * Sends a message to a peer over an inbound connection from that peer, or
-   * over an outbound connection if there is none.
+   * Sends a message to a peer over its latest inbound connection, since earlier
+   * ones may have fallen silent, or over an outbound one if there is none.
    */
   send(peerId: string, message: Message): void {
-    for (const connection of this.#inbound.values()) {
-      if (connection.peer?.nodeId === peerId && connection.ready) {
-        connection.send(message);
-        return;
-      }
+    const inbound = [...this.#inbound.values()].findLast((connection) =>
+      connection.peer?.nodeId === peerId && connection.ready
+    );
+    if (inbound) {
+      inbound.send(message);
+      return;
     }
     const address = this.#addressOf(peerId);
     if (address !== undefined) {
