--- a/packages/daemon/src/direct/collection_watcher.ts
+++ b/packages/daemon/src/direct/collection_watcher.ts
@@ -57,6 +57,7 @@
   readonly batchDelayMs: Millis;
 }
 
+/** Pace until {@link CollectionWatcher.setPace} is called. */
 const INITIAL_PACE: WatchPace = { waitMs: 1000, batchDelayMs: 200 };
 
 export interface WatchedUpdate<T> extends CollectionUpdate<T> {
--- /dev/null
+++ b/packages/daemon/src/direct/directory_health_test.ts
@@ -0,0 +1,52 @@
+import type { DirectEvent } from "@anvildeal/core";
+import { beforeEach, describe, expect, it } from "vitest";
+import { ManualClock } from "../manual_clock_fixture.js";
+import { DirectoryHealth } from "./directory_health.js";
+
+describe("DirectoryHealth", () => {
+  let clock: ManualClock;
+  let events: DirectEvent[];
+  let health: DirectoryHealth;
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    events = [];
+    health = new DirectoryHealth({
+      labels: ["config", "endpoints"],
+      clock,
+      push: (event) => events.push(event),
+    });
+  });
+
+  function last(type: DirectEvent["type"]): DirectEvent | undefined {
+    return events.findLast((event) => event.type === type);
+  }
+
+  // An interrupted watch is no outage; endpoints must not be kept for it.
+  it("reports an outage after two failed calls in succession", () => {
+    health.recordFailure("config");
+    health.recordAnswer("config");
+    health.recordFailure("config");
+    expect(last("directory_state_changed")).toMatchObject({ available: true });
+    health.recordFailure("config");
+    expect(last("directory_state_changed")).toMatchObject({ available: false });
+  });
+
+  // The age in a log line must be that of the older of the two inputs.
+  it("reports the time of the collection that was confirmed longest ago", () => {
+    const startMs = clock.timeMs;
+    health.recordAnswer("config");
+    expect(last("directory_confirmed")).toBeUndefined();
+    clock.timeMs += 500;
+    health.recordAnswer("endpoints");
+    expect(last("directory_confirmed")).toMatchObject({ nowMs: startMs });
+    clock.timeMs += 500;
+    health.recordConfirmation();
+    expect(last("directory_confirmed")).toMatchObject({ nowMs: clock.timeMs });
+  });
+
+  it("reports a restore for each higher epoch but the first", () => {
+    expect([3, 3, 4, 2, 4, 6].map((epoch) => health.observeEpoch(epoch)))
+      .toEqual([false, false, true, false, false, true]);
+  });
+});
--- a/packages/daemon/src/direct/directory_sync.ts
+++ b/packages/daemon/src/direct/directory_sync.ts
@@ -7,7 +7,6 @@
   type Measurement,
   type Message,
   type MessageOf,
-  type Millis,
   type PromptCacheEntry,
   type RoutingConfig,
 } from "@anvildeal/core";
@@ -16,6 +15,7 @@
 import type { Collection } from "./collection.js";
 import { CollectionWatcher, type WatchedUpdate } from "./collection_watcher.js";
 import type { DirectSettings } from "./direct_settings.js";
+import { DirectoryHealth } from "./directory_health.js";
 import { EndpointSync } from "./endpoint_sync.js";
 import { type KnownContent, PeerCatchUp } from "./peer_catch_up.js";
 import { PeerMesh } from "./peer_mesh.js";
@@ -34,15 +34,6 @@
  */
 const STATES_PER_ROUTER_LIST = 6;
 
-/**
- * The directory counts as unavailable after this many consecutive failed calls
- * for one collection.
- */
-const UNAVAILABLE_AFTER_FAILURES = 2;
-
-/** Configuration and endpoints. */
-const WATCHED_COLLECTIONS = 2;
-
 export interface DirectorySyncOptions {
   readonly settings: DirectSettings;
   readonly configs: Collection<RoutingConfig>;
@@ -81,13 +72,8 @@
   readonly #watchDuty: WatchDuty;
   readonly #promptCacheBroadcaster: PromptCacheBroadcaster;
   readonly #catchUp: PeerCatchUp;
-  /** Consecutive failed calls by label of the collection. */
-  readonly #failures = new Map<string, number>();
-  /** When the last answer of the directory arrived, by label of the collection. */
-  readonly #confirmedMs = new Map<string, Millis>();
+  readonly #health: DirectoryHealth;
   #inFlightByEndpoint: Readonly<Record<string, number>> = {};
-  /** Highest known epoch of the directory; undefined before the first answer. */
-  #epoch: number | undefined;
   #ticksSinceStateBroadcast = 0;
   #stateBroadcastCount = 0;
 
@@ -95,6 +81,10 @@
     this.#options = options;
     const { clock, settings } = options;
     this.#catchUp = new PeerCatchUp(clock);
+    this.#health = new DirectoryHealth({
+      ...options,
+      labels: [options.configs.label, options.endpoints.label],
+    });
     this.#mesh = new PeerMesh({
       identity: {
         role: "router",
@@ -152,7 +142,7 @@
       maxDirectoryAgeMs: settings.maxDirectoryAgeMs,
       configs: this.#configs,
       endpoints: this.#endpointWatcher,
-      onWatchPaused: () => this.#recordFailures(options.endpoints.label, 0),
+      onWatchPaused: () => this.#health.clearFailures(options.endpoints.label),
     });
     this.#endpoints = new EndpointSync({
       ...options,
@@ -303,9 +293,8 @@
     });
     watcher.onAnswer(() => {
       countCall("ok");
-      this.#recordConfirmation(collection.label);
       this.#options.onAnswer();
-      this.#recordFailures(collection.label, 0);
+      this.#health.recordAnswer(collection.label);
     });
     watcher.onFailure(({ historyGone, waitedMs, ...failure }) => {
       countCall("failed");
@@ -313,66 +302,20 @@
       if (historyGone) {
         return;
       }
-      const failures = this.#failures.get(collection.label) ?? 0;
-      this.#recordFailures(collection.label, failures + 1);
+      this.#health.recordFailure(collection.label);
     });
     return watcher;
   }
 
-  /**
-   * Records the number of consecutive failed calls for a collection and reports
-   * whether the directory is available. A single failure reports nothing, since
-   * it may be an interrupted watch call rather than an outage.
-   */
-  #recordFailures(label: string, failures: number): void {
-    this.#failures.set(label, failures);
-    const maxFailures = Math.max(...this.#failures.values());
-    if (maxFailures === 0 || maxFailures >= UNAVAILABLE_AFTER_FAILURES) {
-      this.#reportDirectoryState(maxFailures === 0);
-    }
-  }
-
-  /**
-   * Records that a collection is up to date, and reports when both last were.
-   */
-  #recordConfirmation(label: string): void {
-    this.#confirmedMs.set(label, this.#options.clock.nowMs());
-    if (this.#confirmedMs.size === WATCHED_COLLECTIONS) {
-      this.#options.push({
-        type: "directory_confirmed",
-        nowMs: Math.min(...this.#confirmedMs.values()),
-      });
-    }
-  }
-
   /**
    * Reads the collections again if the directory was restored from an older
    * copy. Watch calls that are pending may otherwise never return.
    */
   #observeEpoch(epoch: number): void {
-    const previousEpoch = this.#epoch;
-    if (previousEpoch !== undefined && epoch <= previousEpoch) {
-      return;
+    if (this.#health.observeEpoch(epoch)) {
+      this.#configs.advanceToEpoch(epoch);
+      this.#endpointWatcher.advanceToEpoch(epoch);
     }
-    this.#epoch = epoch;
-    if (previousEpoch === undefined) {
-      return;
-    }
-    this.#options.push({
-      type: "directory_restored",
-      nowMs: this.#options.clock.nowMs(),
-      epoch,
-    });
-    this.#configs.advanceToEpoch(epoch);
-    this.#endpointWatcher.advanceToEpoch(epoch);
-  }
-
-  #reportDirectoryState(available: boolean): void {
-    this.#options.push({
-      type: "directory_state_changed",
-      nowMs: this.#options.clock.nowMs(),
-      available,
-    });
   }
 
   #applyConfig(config: RoutingConfig, source: string): void {
@@ -454,8 +397,7 @@
       this.#handlePeerContent(nodeId, { ...report, configVersion: 0 });
       return;
     }
-    this.#recordConfirmation(this.#options.configs.label);
-    this.#recordConfirmation(this.#options.endpoints.label);
+    this.#health.recordConfirmation();
   }
 
   /** Queries the peer if this router has been behind it for too long. */
