--- a/packages/core/src/direct/direct_stalls.ts
+++ b/packages/core/src/direct/direct_stalls.ts
@@ -68,8 +68,9 @@
 }
 
 /**
- * Marks stalled endpoints as suspected, and continues stalled streams at other
- * endpoints if the route and the retry budget allow it.
+ * Marks stalled endpoints as suspected, closes idle connections that may be
+ * silent, and continues stalled streams at other endpoints if the route and the
+ * retry budget allow it.
  */
 export function handleStalls(
   state: DirectState,
