Refuse requests sooner after the signal to stop

What callers saw: a stream was cut after 4.7 s when its router stopped.

Cause: a stopping router admitted requests for 3.5 s, but the platform expects those that are sent later than 3 s after the signal to be completed, which a long stream is not within the grace time.

Change: they are admitted for 2.7 s; the rest is for a process that handles the signal late. Later ones are refused as not run.

--- a/packages/core/src/direct/direct_admission.ts
+++ b/packages/core/src/direct/direct_admission.ts
@@ -40,9 +40,11 @@
 /**
  * A stopping router accepts requests for this long, because callers may still
  * open connections to it. After that it refuses them, because the end of the
- * process could interrupt them.
+ * process could interrupt them. The platform expects every request to be
+ * completed that is sent later than 3 s after the signal, which may reach a busy
+ * process with a delay.
  */
-const ADMIT_WHILE_STOPPING_MS: Millis = 3500;
+const ADMIT_WHILE_STOPPING_MS: Millis = 2700;
 
 /** Starts a request for a call, defers the call, or refuses it. */
 export function admitCall(
--- a/packages/core/src/direct/reduce_direct_test.ts
+++ b/packages/core/src/direct/reduce_direct_test.ts
@@ -367,6 +367,17 @@
         { status: 503, reason: "stopping", outcome: "not-run" },
       ]);
     });
+
+    // Guards against a long stream that is admitted late and cut when the
+    // process ends.
+    it("refuses calls that it is expected to complete but may not", () => {
+      const state = createServingState();
+      reduceDirect(state, { type: "stopping", nowMs: 1000 });
+      const served = receiveCall(state, "/resume/x", 1, 3600);
+      expect(startedAttempts(served)).toHaveLength(1);
+      const late = receiveCall(state, "/resume/x", 2, 3800);
+      expect(refusals(late)).toMatchObject([{ reason: "stopping" }]);
+    });
   });
 
   describe("with too little time before the deadline", () => {
