Test that a follower watches again when watching routers disconnect

The case stood in endpoint_sync_test.ts and was dropped when the roles in watching moved to WatchDuty; its replacement covered only reports that end, not connections that are closed.

--- a/packages/daemon/src/direct/watch_duty_test.ts
+++ b/packages/daemon/src/direct/watch_duty_test.ts
@@ -173,6 +173,20 @@
     },
   );
 
+  it("watches again when the watching routers disconnect", async () => {
+    reportFrom(4);
+    duty.tick(LARGE_FLEET);
+    await settle();
+    const { length } = endpoints.waitsMs;
+    duty.tick(LARGE_FLEET);
+    await settle();
+    expect(endpoints.waitsMs).toHaveLength(length);
+    NODE_IDS.slice(0, 4).forEach((nodeId) => duty.removeWatcher(nodeId));
+    duty.tick(LARGE_FLEET);
+    await settle();
+    expect(endpoints.waitsMs.slice(length)).toEqual([OFTEN_MS]);
+  });
+
   it("asks for the configuration at once when it becomes the first watcher", async () => {
     stop();
     await start(NODE_IDS[1]!);
