--- a/packages/core/src/direct/direct_event.ts
+++ b/packages/core/src/direct/direct_event.ts
@@ -228,6 +228,7 @@
   /** Sent periodically, also if the number of routers has not changed. */
   | {
     readonly type: "router_count_observed";
+    readonly nowMs: Millis;
     readonly routerCount: number;
   }
   | { readonly type: "tick"; readonly nowMs: Millis }
--- a/packages/core/src/direct/reduce_direct_test.ts
+++ b/packages/core/src/direct/reduce_direct_test.ts
@@ -409,7 +409,11 @@
       "applies the updates and forwards none in a fleet of %i routers",
       (routerCount) => {
         const state = createServingState();
-        reduceDirect(state, { type: "router_count_observed", routerCount });
+        reduceDirect(state, {
+          type: "router_count_observed",
+          nowMs: 0,
+          routerCount,
+        });
         expect(
           reduceDirect(state, {
             type: "prompt_cache_entries_received",
@@ -445,6 +449,7 @@
         });
         reduceDirect(state, {
           type: "router_count_observed",
+          nowMs: 0,
           routerCount,
         });
         const effects = reduceDirect(state, {
--- a/packages/daemon/src/direct/directory_sync.ts
+++ b/packages/daemon/src/direct/directory_sync.ts
@@ -186,6 +186,7 @@
     this.#mesh.maintain();
     this.#options.push({
       type: "router_count_observed",
+      nowMs: this.#options.clock.nowMs(),
       routerCount: this.#mesh.routerCount,
     });
     this.#watchDuty.tick(this.#mesh.routerCount);
