Log the retries that a router has left, and the fleet size behind them

direct_attempt_failed said that an attempt failed, but not whether the router could afford a retry, or by how many routers it divided the budget: a router that takes itself for the whole fleet could not be told from one that had forgotten its retries.

--- a/packages/core/src/direct/direct_attempt.ts
+++ b/packages/core/src/direct/direct_attempt.ts
@@ -137,7 +137,7 @@
       attemptNumber: attempt.number,
       closeConnection: true,
     },
-    ...reportFailure(request, attempt, nowMs, failure),
+    ...reportFailure(state, request, attempt, nowMs, failure),
   ];
   const reason = failure.sent ? "endpoint_failed" : "endpoints_unreachable";
   return [
@@ -210,7 +210,7 @@
       attemptNumber: attempt.number,
       closeConnection: false,
     },
-    ...reportFailure(request, attempt, nowMs, {
+    ...reportFailure(state, request, attempt, nowMs, {
       kind: "refused",
       sent: true,
       detail: `status ${head.status}, not run`,
@@ -250,7 +250,7 @@
   }
   const effects: DirectEffect[] = [
     ...discardAttempt(request, attempt),
-    ...reportFailure(request, attempt, nowMs, {
+    ...reportFailure(state, request, attempt, nowMs, {
       kind: "error",
       sent: true,
       detail: `status ${head.status}`,
@@ -366,6 +366,10 @@
   };
 }
 
+function roundToTenth(value: number): number {
+  return Math.round(value * 10) / 10;
+}
+
 interface ReportedFailure {
   readonly kind: AttemptFailure["kind"] | "refused" | "error";
   readonly sent: boolean;
@@ -374,6 +378,7 @@
 
 /** Returns the effects that log and count a failed attempt. */
 function reportFailure(
+  state: DirectState,
   request: ActiveRequest,
   attempt: ActiveAttempt,
   nowMs: Millis,
@@ -391,6 +396,11 @@
         sent,
         detail,
         after_ms: Math.round(nowMs - attempt.startedMs),
+        retries_left: roundToTenth(
+          retryWindowOf(state, request.service)
+            .remainingRetries(nowMs, localRetryBudget(state)),
+        ),
+        routers: state.routerCount,
       },
     },
     {
--- a/packages/core/src/direct/retry_window.ts
+++ b/packages/core/src/direct/retry_window.ts
@@ -47,9 +47,18 @@
     nowMs: Millis,
     { retriesPerRequest, fixedRetries }: RetryWindowBudget,
   ): boolean {
+    return this.remainingRetries(nowMs, { retriesPerRequest, fixedRetries }) >=
+      1;
+  }
+
+  /** Number of retries that the budget allows now; may be a fraction. */
+  remainingRetries(
+    nowMs: Millis,
+    { retriesPerRequest, fixedRetries }: RetryWindowBudget,
+  ): number {
     this.#advance(nowMs);
-    return sum(this.#retries) + 1 <=
-      retriesPerRequest * sum(this.#requests) + fixedRetries;
+    return retriesPerRequest * sum(this.#requests) + fixedRetries -
+      sum(this.#retries);
   }
 
   /**
