Let requests earn the retries of the fleet's budget

What callers saw: arrivals beyond the retry budget of a service, when routers were killed while endpoints rejected requests.

Cause: the limit counted past retries and granted the rest. The count died with the process, and a process that knew no other router took the fleet's whole share. Class: a limit that a process grants from what it does not remember, or divides by what it happens to reach.

Now each router has a balance that only its requests fill, up to its share of the additional retries, divided by the largest fleet seen in the last hour; until it has seen another router it stores at most 3. A restart adds 1.5. The budget then holds in every window by construction, whatever is killed or cut off.

The load bound multiple uses the same fleet size: a router that was cut off from a large fleet applied the looser bound of a small one while it knew less of the loads.

The fractions of the budget are decisions and moved from the adapter to the core; the length of the window is not needed any more.

--- a/packages/core/src/direct/direct_admission.ts
+++ b/packages/core/src/direct/direct_admission.ts
@@ -12,7 +12,8 @@
   canServe,
   directoryAgeMs,
   type DirectState,
-  retryWindowOf,
+  retryBalanceOf,
+  retryLimitsOf,
 } from "./direct_state.js";
 import { pickTarget, type RoutingConfigIndex } from "./routing_config_index.js";
 import type { DirectAccount, DirectRoute } from "./routing_config.js";
@@ -144,7 +145,7 @@
   }
   const request = createRequest(key, call, route, account, receivedMs);
   state.requests.set(key, request);
-  retryWindowOf(state, request.service).recordRequest(nowMs);
+  retryBalanceOf(state, request.service).recordRequest(retryLimitsOf(state));
   return [
     {
       type: "set_timer",
--- a/packages/core/src/direct/direct_attempt.ts
+++ b/packages/core/src/direct/direct_attempt.ts
@@ -9,7 +9,6 @@
 import { closeAttempt, finishRequest, refuse } from "./direct_finish.js";
 import { suspectEndpoint } from "./endpoint_suspicion.js";
 import { placeRequest } from "./direct_place.js";
-import type { RetryWindowBudget } from "./retry_window.js";
 import {
   canRelayErrorAnswer,
   classifyHead,
@@ -20,7 +19,8 @@
   type ActiveRequest,
   type DirectState,
   prefillRateOf,
-  retryWindowOf,
+  retryBalanceOf,
+  retryLimitsOf,
 } from "./direct_state.js";
 
 /**
@@ -307,7 +307,7 @@
   const retryAllowed = mayHaveRun
     ? canRetry(state, request, nowMs) && (!request.answerStarted || canResume)
     : request.attemptCount <= MAX_NOT_RUN_RETRIES;
-  const willRetry = retryAllowed && tryConsumeRetry(state, request, nowMs);
+  const willRetry = retryAllowed && tryConsumeRetry(state, request);
   const event = mayHaveRun
     ? { type: "failed_unknown", mayRetry: willRetry } as const
     : { type: "refused_not_run", mayTryNext: willRetry } as const;
@@ -335,35 +335,18 @@
 export function canRetryElsewhere(
   state: DirectState,
   request: ActiveRequest,
-  nowMs: Millis,
 ): boolean {
   const { possibleExecutions, route, service, triedEndpointIds } = request;
   return isRetryable(route) && possibleExecutions + 1 < route.maxAttempts &&
     state.directory.ofService(service).some(({ id, record }) =>
       record.state === "ready" && !triedEndpointIds.has(id)
     ) &&
-    retryWindowOf(state, service).allowsRetry(nowMs, localRetryBudget(state));
+    retryBalanceOf(state, service).allowsRetry(retryLimitsOf(state));
 }
 
-function tryConsumeRetry(
-  state: DirectState,
-  request: ActiveRequest,
-  nowMs: Millis,
-): boolean {
-  return retryWindowOf(state, request.service)
-    .tryConsumeRetry(nowMs, localRetryBudget(state));
-}
-
-/**
- * The part of the fleet's retry budget for a service that this router may use.
- */
-function localRetryBudget(
-  { options, routerCount }: DirectState,
-): RetryWindowBudget {
-  return {
-    retriesPerRequest: options.retryRatio,
-    fixedRetries: options.retryExtra / routerCount,
-  };
+function tryConsumeRetry(state: DirectState, request: ActiveRequest): boolean {
+  return retryBalanceOf(state, request.service)
+    .tryConsumeRetry(retryLimitsOf(state));
 }
 
 function roundToTenth(value: number): number {
@@ -397,10 +380,10 @@
         detail,
         after_ms: Math.round(nowMs - attempt.startedMs),
         retries_left: roundToTenth(
-          retryWindowOf(state, request.service)
-            .remainingRetries(nowMs, localRetryBudget(state)),
+          retryBalanceOf(state, request.service)
+            .remaining(retryLimitsOf(state)),
         ),
-        routers: state.routerCount,
+        routers: state.fleetSize.routers,
       },
     },
     {
--- a/packages/core/src/direct/direct_place.ts
+++ b/packages/core/src/direct/direct_place.ts
@@ -105,15 +105,15 @@
 }
 
 /**
- * Load bound multiple for the current number of routers. It is reduced in a
+ * Load bound multiple for the size of the fleet. It is reduced in a
  * large fleet, where each router sends only a small part of the requests and
  * receives the load reports of its peers with a delay.
  */
 function effectiveLoadBoundMultiple(
-  { options, routerCount }: DirectState,
+  { fleetSize, options }: DirectState,
 ): number {
   const { loadMultiple } = options;
-  return routerCount <= SMALL_FLEET_ROUTERS
+  return fleetSize.routers <= SMALL_FLEET_ROUTERS
     ? loadMultiple
     : 1 + (loadMultiple - 1) * LARGE_FLEET_EXCESS_FRACTION;
 }
--- a/packages/core/src/direct/direct_state.ts
+++ b/packages/core/src/direct/direct_state.ts
@@ -7,27 +7,45 @@
 } from "./direct_event.js";
 import { EndpointDirectory } from "./endpoint_directory.js";
 import type { DirectEndpoint } from "./direct_endpoint.js";
-import { RetryWindow } from "./retry_window.js";
+import { FleetSize } from "./fleet_size.js";
+import { RetryBalance, type RetryBalanceLimits } from "./retry_balance.js";
 import { PrefillRate } from "./prefill_rate.js";
 import type { RoutingConfigIndex } from "./routing_config_index.js";
 import { PromptCacheIndex } from "./prompt_cache_index.js";
 import type { DirectAccount, DirectRoute } from "./routing_config.js";
 
+/**
+ * Fraction of the budget's retries per request that requests add to the
+ * balances. The rest is for retries that reach endpoints late.
+ */
+const EARNED_FRACTION = 0.9;
+
+/**
+ * Fraction of the budget's further retries that the routers may store. The rest
+ * is for the initial balances of processes that start.
+ */
+const STORED_FRACTION = 0.6;
+
+/** Initial balance of a process; lets its first rejected requests be retried. */
+const INITIAL_RETRIES = 1.5;
+
+/** Maximum balance of a router that does not know the size of its fleet. */
+const MAX_RETRIES_ALONE = 3;
+
 /** Settings of a router that sends requests directly to endpoints. */
 export interface DirectOptions {
   readonly nodeId: string;
   readonly failureDomain: string;
   /**
-   * Number of retries allowed per request to a service, for all routers
-   * together.
+   * Retry budget of the platform: number of retries allowed per request to a
+   * service, for all routers together.
    */
   readonly retryRatio: number;
   /**
-   * Number of further retries to a service that are allowed in each window, for
-   * all routers together. It does not depend on the number of requests.
+   * Retry budget of the platform: number of further retries to a service that
+   * are allowed in any window, for all routers together.
    */
   readonly retryExtra: number;
-  readonly retryWindowMs: Millis;
   /** Load bound of an endpoint, as a multiple of the mean load of its pool. */
   readonly loadMultiple: number;
 }
@@ -88,7 +106,8 @@
   readonly directory: EndpointDirectory;
   readonly promptCacheIndex: PromptCacheIndex;
   readonly requests: Map<number, ActiveRequest>;
-  readonly retryWindows: Map<string, RetryWindow>;
+  /** Balances of retries by service. */
+  readonly retryBalances: Map<string, RetryBalance>;
   readonly prefillRates: Map<string, PrefillRate>;
   /**
    * Moving average of the time from the start of an attempt to the head of its
@@ -100,11 +119,8 @@
    */
   readonly deferredCalls: Map<number, DeferredCall>;
   configIndex: RoutingConfigIndex | undefined;
-  /**
-   * Number of routers in the fleet, including this one; they share retry
-   * budgets.
-   */
-  routerCount: number;
+  /** The routers of the fleet share retry budgets and the load of endpoints. */
+  readonly fleetSize: FleetSize;
   /**
    * When configuration and endpoints were last known to be up to date;
    * undefined if they never were.
@@ -132,12 +148,12 @@
     directory: new EndpointDirectory(),
     promptCacheIndex: new PromptCacheIndex(),
     requests: new Map(),
-    retryWindows: new Map(),
+    retryBalances: new Map(),
     prefillRates: new Map(),
     typicalTimeToHeadMs: new Map(),
     deferredCalls: new Map(),
     configIndex: undefined,
-    routerCount: 1,
+    fleetSize: new FleetSize(),
     directoryConfirmedMs: undefined,
     directoryAvailable: false,
     directoryUnreliableUntilMs: 0,
@@ -193,18 +209,32 @@
     : Math.round(nowMs - directoryConfirmedMs);
 }
 
-/** Returns the retry window of a service; creates it on first use. */
-export function retryWindowOf(
+/** Returns the retry balance of a service; creates it on first use. */
+export function retryBalanceOf(
   state: DirectState,
   service: string,
-): RetryWindow {
-  const known = state.retryWindows.get(service);
+): RetryBalance {
+  const known = state.retryBalances.get(service);
   if (known) {
     return known;
   }
-  const window = new RetryWindow(state.options.retryWindowMs);
-  state.retryWindows.set(service, window);
-  return window;
+  const balance = new RetryBalance(
+    Math.min(INITIAL_RETRIES, state.options.retryExtra),
+  );
+  state.retryBalances.set(service, balance);
+  return balance;
+}
+
+/** This router's part of the fleet's retry budget for each service. */
+export function retryLimitsOf(
+  { fleetSize, options }: DirectState,
+): RetryBalanceLimits {
+  return {
+    retriesPerRequest: options.retryRatio * EARNED_FRACTION,
+    maxRetries: fleetSize.isKnown
+      ? Math.max(1, options.retryExtra * STORED_FRACTION / fleetSize.routers)
+      : MAX_RETRIES_ALONE,
+  };
 }
 
 /** Returns the prefill rate of a service; creates it on first use. */
--- a/packages/core/src/direct/index.ts
+++ b/packages/core/src/direct/index.ts
@@ -11,7 +11,8 @@
 export * from "./endpoint_directory.js";
 export * from "./direct_endpoint.js";
 export * from "./reduce_direct.js";
-export * from "./retry_window.js";
+export * from "./fleet_size.js";
+export * from "./retry_balance.js";
 export * from "./routing_config_index.js";
 export * from "./routing_config.js";
 export * from "./prompt_cache_index.js";
--- a/packages/core/src/direct/reduce_direct.ts
+++ b/packages/core/src/direct/reduce_direct.ts
@@ -114,7 +114,7 @@
     case "stalls_observed":
       return handleStalls(state, event);
     case "router_count_observed":
-      state.routerCount = Math.max(1, event.routerCount);
+      state.fleetSize.observe(event.nowMs, event.routerCount);
       return [];
     case "tick":
       return removeLapsedEndpoints(state, event.nowMs);
--- a/packages/core/src/direct/reduce_direct_property_test.ts
+++ b/packages/core/src/direct/reduce_direct_property_test.ts
@@ -163,7 +163,6 @@
       failureDomain: "a",
       retryRatio: 0.2,
       retryExtra: 20,
-      retryWindowMs: 10_000,
       loadMultiple: 1.5,
     });
     this.apply(reduceDirect(this.state, {
--- a/packages/core/src/direct/reduce_direct_test.ts
+++ b/packages/core/src/direct/reduce_direct_test.ts
@@ -14,7 +14,6 @@
   failureDomain: "a",
   retryRatio: 0.2,
   retryExtra: 10,
-  retryWindowMs: 10_000,
   loadMultiple: 1.5,
 };
 
--- a/packages/core/src/direct/retry_fleet_test.ts
+++ b/packages/core/src/direct/retry_fleet_test.ts
@@ -5,9 +5,8 @@
 import { reduceDirect } from "./reduce_direct.js";
 import type { EndpointRecord, RoutingConfig } from "./routing_config.js";
 
-/** The platform's budget; settings give the routers 0.7 of both numbers. */
+/** Retries per request of the platform's budget. */
 const RETRIES_PER_REQUEST = 0.2;
-const SETTINGS_FRACTION = 0.7;
 const WINDOW_MS = 10_000;
 const STEP_MS = 10;
 const TICK_MS = 400;
@@ -138,9 +137,8 @@
     const state = createDirectState({
       nodeId: "n",
       failureDomain: "a",
-      retryRatio: RETRIES_PER_REQUEST * SETTINGS_FRACTION,
-      retryExtra: this.#scenario.additionalRetries * SETTINGS_FRACTION,
-      retryWindowMs: WINDOW_MS,
+      retryRatio: RETRIES_PER_REQUEST,
+      retryExtra: this.#scenario.additionalRetries,
       loadMultiple: 1.6,
     });
     reduceDirect(state, {
--- a/packages/daemon/src/direct/direct_settings.ts
+++ b/packages/daemon/src/direct/direct_settings.ts
@@ -34,7 +34,6 @@
    * all routers together.
    */
   retryExtra: z.number().nonnegative(),
-  retryWindowMs: positive,
   /** Maximum load of an endpoint, as a multiple of the mean of its pool. */
   loadMultiple: z.number().min(1),
   /** Time between the signal to stop and the kill of the process. */
