Read the newest configuration after a failed call instead of all versions

What callers saw: 404 for a route that was added, at every router that had missed several versions of a large configuration while it did not reach the store.

Cause: the watch was repeated from the last known revision. Its answer holds every version since then in full, so it grew beyond the limit of 8 MB (or beyond what a link carries in time), failed, and was repeated. Only a peer that knew the version could help; when all routers had missed it, none did. Class: a call that cannot succeed is repeated unchanged.

Watches of endpoints keep their calls: entries are small, and the store drops its history after 20 s.

--- a/packages/daemon/src/direct/collection_watcher.ts
+++ b/packages/daemon/src/direct/collection_watcher.ts
@@ -118,9 +118,9 @@
 
   /**
    * @param random Uniform in [0, 1), for the jitter of retries.
-   * @param latestOnly Only the newest state matters. After a change the
-   *   collection is listed instead of watched, because a watch returns each
-   *   intermediate version of a large object that changes often.
+   * @param latestOnly Only the newest state matters. After a change or a failed
+   *   call the collection is listed instead of watched, because a watch returns
+   *   each intermediate version of a large object that changes often.
    */
   constructor(
     collection: Collection<T>,
@@ -185,7 +185,7 @@
 
   /** Aborts the pending watch and makes the next one; a list is completed. */
   restart(): void {
-    if (this.#position !== undefined && !this.#relistNext) {
+    if (!this.#listsNext) {
       this.#callController.abort();
     }
   }
@@ -255,7 +255,7 @@
   async #callOnce(): Promise<void> {
     const { signal } = this.#callController;
     const position = this.#position;
-    if (position === undefined || this.#relistNext) {
+    if (position === undefined || this.#listsNext) {
       await this.#list(position, signal);
       return;
     }
@@ -295,7 +295,7 @@
     position: DirectoryPosition | undefined,
     signal: AbortSignal,
   ): Promise<void> {
-    if (this.#relistNext) {
+    if (this.#relistNext && !this.#lastCallFailed) {
       await sleep(this.#relistDelayMs);
     }
     const startedMs = performance.now();
@@ -311,6 +311,16 @@
     this.#onUpdate.fire({ ...update, isSnapshot: true });
   }
 
+  /**
+   * Whether the next call is a list. With `latestOnly`, that is the case after a
+   * failed call: the answer to a watch grows with each version that was missed
+   * and may have become too large to be read.
+   */
+  get #listsNext(): boolean {
+    return this.#position === undefined || this.#relistNext ||
+      this.#latestOnly && this.#lastCallFailed;
+  }
+
   /**
    * Reading a large collection takes at most about half of the time, so that a
    * slow link has capacity left while the collection changes often.
--- a/packages/daemon/src/direct/collection_watcher_test.ts
+++ b/packages/daemon/src/direct/collection_watcher_test.ts
@@ -116,6 +116,16 @@
     expect(failures).toEqual([true]);
   });
 
+  // Guards against repeating a watch whose answer cannot be read.
+  it("lists after a failed call if only the newest state matters", async () => {
+    const { calls } = await run(
+      [update(5, "a"), new DirectoryCallError("too large"), update(9, "b")],
+      4,
+      true,
+    );
+    expect(calls).toEqual(["list", "watch 5", "list", "list"]);
+  });
+
   it("watches from the same revision after a failed call", async () => {
     const { calls, failures } = await run(
       [update(5), new DirectoryCallError("reset")],
