Limit the silence of the store's answers instead of their duration

What callers saw: a router on the link of a small instance kept an old configuration for good: the body of a list had to arrive within 1.5 s, that of a watch within 1.5 s after its head, and each try began from the start.

--- a/packages/daemon/src/store/http_exchange.ts
+++ b/packages/daemon/src/store/http_exchange.ts
@@ -41,6 +41,11 @@
   readonly timeoutMs: Millis;
   /** Time limit until the head of the response arrives; none if left out. */
   readonly headTimeoutMs?: Millis;
+  /**
+   * Time limit between two parts of the response body, so that a slow link may
+   * take longer for a large body; none if left out.
+   */
+  readonly bodyIdleTimeoutMs?: Millis;
   /** The exchange fails when the response body is larger than this. */
   readonly maxResponseBytes: number;
   readonly signal?: AbortSignal;
@@ -66,7 +71,8 @@
   #isChunked = false;
   #settled = false;
   #headTimer: NodeJS.Timeout | undefined;
-  #fail: (message: string, cause?: unknown) => void = () => {};
+  #bodyIdleTimer: NodeJS.Timeout | undefined;
+  #fail: Fail = () => {};
 
   constructor(request: HttpRequest, options: HttpExchangeOptions) {
     this.#request = request;
@@ -97,9 +103,10 @@
         this.#settled = true;
         clearTimeout(timer);
         clearTimeout(this.#headTimer);
+        clearTimeout(this.#bodyIdleTimer);
         signal?.removeEventListener("abort", onAbort);
       };
-      const fail = (message: string, cause?: unknown, timedOut = false) => {
+      const fail: Fail = (message, cause, timedOut = false) => {
         if (this.#settled) {
           return;
         }
@@ -153,9 +160,25 @@
     }
   }
 
+  #restartBodyIdleTimer(fail: Fail): void {
+    const { bodyIdleTimeoutMs } = this.#options;
+    clearTimeout(this.#bodyIdleTimer);
+    if (bodyIdleTimeoutMs !== undefined && !this.#settled) {
+      this.#bodyIdleTimer = setTimeout(
+        () =>
+          fail(
+            `No part of the response within ${bodyIdleTimeoutMs} ms`,
+            undefined,
+            true,
+          ),
+        bodyIdleTimeoutMs,
+      );
+    }
+  }
+
   #handler(
     succeed: () => void,
-    fail: (message: string, cause?: unknown) => void,
+    fail: Fail,
   ): Dispatcher.DispatchHandler {
     return {
       onRequestStart: (controller) => {
@@ -174,6 +197,7 @@
       },
       onResponseStart: (controller, status, headers, statusMessage = "") => {
         clearTimeout(this.#headTimer);
+        this.#restartBodyIdleTimer(fail);
         this.#status = status;
         this.#headers = headers;
         this.#isChunked = headers["transfer-encoding"] === "chunked";
@@ -183,6 +207,7 @@
         );
       },
       onResponseData: (_controller, chunk) => {
+        this.#restartBodyIdleTimer(fail);
         this.#bodyChunks.push(chunk);
         this.#bodyBytes += chunk.length;
         if (this.#isChunked) {
@@ -202,6 +227,9 @@
   }
 }
 
+/** Ends an exchange with an error. */
+type Fail = (message: string, cause?: unknown, timedOut?: boolean) => void;
+
 /**
  * Bytes of the two CRLFs of a chunk: one after its size and one after its data.
  */
