--- a/packages/daemon/src/direct/collection_watcher_test.ts
+++ b/packages/daemon/src/direct/collection_watcher_test.ts
@@ -116,6 +116,26 @@
     expect(failures).toEqual([true]);
   });
 
+  // Guards against a call that is still pending on a path that carries nothing
+  // when the platform expects the router to have recovered, 3 s after the path
+  // has healed: calls after failures lasted 3.8 s.
+  it("makes only calls after failures that end within the bound", async () => {
+    const failures = Array.from(
+      { length: 5 },
+      () => new DirectoryCallError("no answer"),
+    );
+    const collection = new ScriptedCollection([update(5), ...failures]);
+    watcher = new CollectionWatcher(collection, () => 0);
+    watcher.start();
+    while (collection.calls.length < 7) {
+      await new Promise((resolve) => setTimeout(resolve, 5));
+    }
+    const durationsMs = collection.waitsMs.map((waitMs, i) =>
+      waitMs + collection.marginsMs[i]!
+    );
+    expect(Math.max(...durationsMs.slice(1))).toBeLessThanOrEqual(2100);
+  });
+
   // Guards against repeating a watch whose answer cannot be read.
   it("lists after a failed call if only the newest state matters", async () => {
     const { calls } = await run(
