End calls after failures before the router must have recovered

What callers saw: an old configuration for up to 4 s after the path of a router to the store had healed; the platform allows 3 s.

Cause: a call that was sent just before the path healed may never be answered. After failures a watch waited 1 s and up to 2.8 s for its answer, longer than the time to recover. Class: time limits that together exceed the bound that they serve.

--- a/packages/daemon/src/direct/collection_watcher.ts
+++ b/packages/daemon/src/direct/collection_watcher.ts
@@ -20,14 +20,13 @@
  * Longest wait of the first watch call after a failed call. Its answer tells
  * soon whether the directory is available again and whether it was restored.
  */
-const WAIT_AFTER_FAILURE_MS: Millis = 1000;
+const WAIT_AFTER_FAILURE_MS: Millis = 200;
 
 /**
  * Time after its wait within which a watch call must be answered. A directory
  * that is slower gets more time after each failed call.
  */
 const MIN_ANSWER_MARGIN_MS: Millis = 700;
-const MAX_ANSWER_MARGIN_MS: Millis = 2800;
 const ANSWER_MARGIN_FACTOR = 2;
 
 /**
@@ -55,10 +54,20 @@
    * groups, and each call is charged for; the delay lets one call read a group.
    */
   readonly batchDelayMs: Millis;
+  /**
+   * Longest duration of a watch call after a failed one. A call that is pending
+   * when the path to the directory heals may never be answered, so it must end
+   * before the router is expected to be up to date again.
+   */
+  readonly maxCallAfterFailureMs: Millis;
 }
 
 /** Pace until {@link CollectionWatcher.setPace} is called. */
-const INITIAL_PACE: WatchPace = { waitMs: 1000, batchDelayMs: 200 };
+const INITIAL_PACE: WatchPace = {
+  waitMs: 1000,
+  batchDelayMs: 200,
+  maxCallAfterFailureMs: 2100,
+};
 
 export interface WatchedUpdate<T> extends CollectionUpdate<T> {
   /** The update contains all items; items that it lacks were removed. */
@@ -359,7 +368,7 @@
       return;
     }
     this.#answerMarginMs = Math.min(
-      MAX_ANSWER_MARGIN_MS,
+      this.#pace.maxCallAfterFailureMs - WAIT_AFTER_FAILURE_MS,
       this.#answerMarginMs * ANSWER_MARGIN_FACTOR,
     );
     if (waitedMs > RETRY_RESET_AFTER_MS) {
--- a/packages/daemon/src/direct/watch_duty.ts
+++ b/packages/daemon/src/direct/watch_duty.ts
@@ -22,6 +22,12 @@
  */
 const CONFIRMING_WAIT_FRACTION = 1 / 3;
 
+/**
+ * A watch call after a failed one lasts at most for this fraction of the allowed
+ * age. The rest is for the delay before the next call.
+ */
+const CALL_AFTER_FAILURE_FRACTION = 0.7;
+
 /**
  * Delay between a change and the next watch call. It is longer in a large fleet,
  * where several watchers read each group of changes.
@@ -144,6 +150,9 @@
       batchDelayMs: this.#election.isShared(this.#routerCount)
         ? SHARED_BATCH_DELAY_MS
         : BATCH_DELAY_MS,
+      maxCallAfterFailureMs: Math.round(
+        this.#options.maxDirectoryAgeMs * CALL_AFTER_FAILURE_FRACTION,
+      ),
     };
   }
 }
