Query one more peer when the first one is slow to answer

What callers saw: an old configuration at a router that the store does not serve, for longer than the 2 s allowed, when the peer that it asked was paused or cut off.

Cause: one query was pending at a time and counted as lost after 2 s, on top of up to 1.2 s before it was sent. Class: time limits that together exceed the bound that they serve.

After 0.6 s without an answer another peer is asked, two at a time at most. peer_catch_up_test.ts, 'queries one more peer', failed before.

--- a/packages/daemon/src/direct/peer_catch_up.ts
+++ b/packages/daemon/src/direct/peer_catch_up.ts
@@ -17,6 +17,15 @@
  */
 const QUERY_TIMEOUT_MS: Millis = 2000;
 
+/**
+ * If the latest query has not been answered for this long, one more peer is
+ * queried: the first one may be paused or cut off.
+ */
+const HEDGE_AFTER_MS: Millis = 600;
+
+/** Maximum number of queries that are pending at a time. */
+const MAX_PENDING_QUERIES = 2;
+
 /** How much of the configuration and of the endpoints a router knows. */
 export interface KnownContent {
   readonly configVersion: number;
@@ -25,8 +34,8 @@
 
 /**
  * Decides when a router that is behind its peers queries one of them. Answers
- * can be large, so only one query is pending at a time, and a router first gives
- * the directory the time that a change usually takes.
+ * can be large, so a router first gives the directory the time that a change
+ * usually takes, and queries a second peer only if the first is slow to answer.
  */
 export class PeerCatchUp {
   readonly #clock: Clock;
@@ -34,7 +43,8 @@
   #behind:
     | { readonly sinceMs: Millis; readonly target: KnownContent }
     | undefined;
-  #pending: { readonly nodeId: string; readonly sinceMs: Millis } | undefined;
+  /** When each peer was queried whose answer is pending, the latest last. */
+  readonly #pending = new Map<string, Millis>();
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -60,7 +70,7 @@
     if (!this.#behind || !isAhead(this.#behind.target, own)) {
       this.#behind = { sinceMs: nowMs, target: peer };
     }
-    if (this.#pending && nowMs - this.#pending.sinceMs < QUERY_TIMEOUT_MS) {
+    if (!this.#mayQuery(nodeId, nowMs)) {
       return false;
     }
     const delayMs = usualTransferMs === undefined ? 0 : Math.min(
@@ -76,14 +86,26 @@
 
   /** Records that a query was sent to a peer. */
   recordQuery(nodeId: string): void {
-    this.#pending = { nodeId, sinceMs: this.#clock.nowMs() };
+    this.#pending.delete(nodeId);
+    this.#pending.set(nodeId, this.#clock.nowMs());
   }
 
   /** Records that a peer sent content or was disconnected. */
   endQuery(nodeId: string): void {
-    if (this.#pending?.nodeId === nodeId) {
-      this.#pending = undefined;
+    this.#pending.delete(nodeId);
+  }
+
+  #mayQuery(nodeId: string, nowMs: Millis): boolean {
+    for (const [id, sinceMs] of this.#pending) {
+      if (nowMs - sinceMs >= QUERY_TIMEOUT_MS) {
+        this.#pending.delete(id);
+      }
     }
+    const latestMs = [...this.#pending.values()].at(-1);
+    return latestMs === undefined ||
+      !this.#pending.has(nodeId) &&
+        this.#pending.size < MAX_PENDING_QUERIES &&
+        nowMs - latestMs >= HEDGE_AFTER_MS;
   }
 }
 
--- a/packages/daemon/src/direct/peer_catch_up_test.ts
+++ b/packages/daemon/src/direct/peer_catch_up_test.ts
@@ -60,6 +60,19 @@
     expect(shouldQueryAtOnce(content(1), content(0, 0, 0))).toBe(true);
   });
 
+  // Guards against a router that waits for a silent peer until its configuration
+  // is older than the platform allows.
+  it("queries one more peer if the first one is slow to answer", () => {
+    shouldQueryAtOnce(content(2), content(1), "p");
+    clock.timeMs += 600;
+    expect(shouldQueryAtOnce(content(2), content(1), "p")).toBe(false);
+    expect(shouldQueryAtOnce(content(2), content(1), "q")).toBe(true);
+    clock.timeMs += 600;
+    expect(shouldQueryAtOnce(content(2), content(1), "r")).toBe(false);
+    catchUp.endQuery("q");
+    expect(shouldQueryAtOnce(content(2), content(1), "r")).toBe(true);
+  });
+
   it("queries another peer if the first one does not answer", () => {
     shouldQueryAtOnce(content(2), content(1));
     clock.timeMs += 2000;
