Count rejections of an endpoint as failures when endpoints are compared

An endpoint that rejects requests, confirming that they did not run, was chosen again for the next request, and each rejection used a retry of the fleet's budget. Since the balances of a new process are small, four requests to a fleet of one bad and one good endpoint were enough to refuse some (direct_router_test.ts, 'go to another endpoint', failed with the balances). Rejections now count in the failure rate, which breaks ties and lets other endpoints be preferred; when all reject alike, none is avoided.

--- a/packages/core/src/direct/direct_attempt.ts
+++ b/packages/core/src/direct/direct_attempt.ts
@@ -63,6 +63,9 @@
       endpoint.recordSuccess(nowMs);
       return relayAnswer(request, attempt, head.status, nowMs);
     case "not_run":
+      if (!head.misdirected) {
+        endpoint.failureRate.record(nowMs, true);
+      }
       return [
         ...(head.misdirected
           ? suspectEndpoint(endpoint, "misdirected", nowMs)
