Log the software version of endpoints and which call continues a stream

The logs could not tell a stream that a caller takes up from a new one, nor which version of an endpoint's software served it, so none of the hypotheses of the incident could be told apart. The version is decoded from the directory and sent between routers with the other fields of an endpoint.

--- a/packages/core/src/direct/direct_event.ts
+++ b/packages/core/src/direct/direct_event.ts
@@ -31,6 +31,13 @@
   readonly model: string | undefined;
   readonly promptTokens: number;
   readonly outputTokens: number;
+  /** Id of the last stream event that the caller has; undefined if it has none. */
+  readonly lastEventId: string | undefined;
+  /**
+   * Call id of the caller's request that brought the first event of the stream
+   * that this one continues.
+   */
+  readonly continuedCallId: string | undefined;
   /** Parts in prompt order; only the last is specific to this request. */
   readonly promptParts: readonly PromptPart[];
   readonly headerBytes: number;
--- a/packages/core/src/direct/direct_place.ts
+++ b/packages/core/src/direct/direct_place.ts
@@ -317,6 +317,8 @@
       account: request.account?.name,
       service: request.service,
       endpoint: endpoint.id,
+      software_version: endpoint.record.softwareVersion,
+      continues: request.call.continuedCallId,
       attempt: request.attemptCount,
       decision: reason,
       prompt_part: affinityKeyOf(request),
--- a/packages/core/src/direct/reduce_direct_property_test.ts
+++ b/packages/core/src/direct/reduce_direct_property_test.ts
@@ -132,6 +132,8 @@
     model: undefined,
     promptTokens: 0,
     outputTokens: 0,
+    lastEventId: undefined,
+    continuedCallId: undefined,
     promptParts: [{ id: `p${key % 3}`, tokens: 500 }, { id: "own", tokens: 9 }],
     headerBytes: 10,
     bodyBytes: 0,
--- a/packages/core/src/direct/reduce_direct_test.ts
+++ b/packages/core/src/direct/reduce_direct_test.ts
@@ -91,6 +91,8 @@
     model: undefined,
     promptTokens: 0,
     outputTokens: 0,
+    lastEventId: undefined,
+    continuedCallId: undefined,
     promptParts: [],
     headerBytes: 10,
     bodyBytes: 0,
--- a/packages/core/src/direct/retry_fleet_test.ts
+++ b/packages/core/src/direct/retry_fleet_test.ts
@@ -197,6 +197,8 @@
         model: undefined,
         promptTokens: 0,
         outputTokens: 0,
+        lastEventId: undefined,
+        continuedCallId: undefined,
         promptParts: [],
         headerBytes: 10,
         bodyBytes: 10,
--- a/packages/core/src/direct/routing_config.ts
+++ b/packages/core/src/direct/routing_config.ts
@@ -105,6 +105,8 @@
    * without load.
    */
   incarnation: z.number(),
+  /** Version of the endpoint's software; several may serve side by side. */
+  softwareVersion: z.string().optional(),
   slots: positive.optional(),
 });
 export type EndpointRecord = z.infer<typeof EndpointRecordSchema>;
