Keep each stream at the software version that began it

Cause: a router did not decode the version of an endpoint's software, and chose among all endpoints both for the rest of a broken answer and for a caller that takes a stream up. Class: state that belongs to a stream was kept by no one beyond the attempt.

Now the first bytes of a resumable stream bind it to the version. The router tells three others, found by rendezvous hashing of the call id, and asks them when a caller names an earlier call that it does not know. If nobody knows it, the stream is continued only where a single version serves. The load bound still uses the mean of the whole pool.

--- a/packages/cli/src/request_log.ts
+++ b/packages/cli/src/request_log.ts
@@ -58,6 +58,10 @@
   no_endpoint: "the router knew no ready endpoint of the service",
   no_route: "no route of the configuration in force matches the request",
   retry_budget_spent: "a retry was possible, but the retry budget was used up",
+  stream_version_gone:
+    "no endpoint of the software version that began the stream is left",
+  stream_version_unknown:
+    "endpoints of several software versions serve, and no router knew which one began the stream",
   unknown_key: "no account of the configuration in force has this key",
 };
 
--- a/packages/core/src/direct/choose_endpoint.ts
+++ b/packages/core/src/direct/choose_endpoint.ts
@@ -74,6 +74,8 @@
   readonly failureDomain: string;
   /** Ids of the endpoints that this request has tried. */
   readonly triedEndpointIds: ReadonlySet<string>;
+  /** Whether an endpoint of the pool may serve the request; all by default. */
+  readonly isEligible?: (endpoint: DirectEndpoint) => boolean;
   /** Load bound of an endpoint, as a multiple of the mean load of its pool. */
   readonly loadBoundMultiple: number;
 }
@@ -114,7 +116,7 @@
 /**
  * Chooses an endpoint of a pool for a request. Endpoints that have lapsed from
  * the directory are used only when no other is left. Returns undefined if the
- * request has tried all ready endpoints.
+ * request has tried all ready endpoints that may serve it.
  */
 export function chooseEndpoint(
   pool: readonly DirectEndpoint[],
@@ -124,12 +126,15 @@
   const ready = pool.filter(({ record, lapsedUntilMs }) =>
     record.state === "ready" && lapsedUntilMs === undefined
   );
-  const untried = ready.filter(({ id }) => !request.triedEndpointIds.has(id));
+  const isUntried = (endpoint: DirectEndpoint) =>
+    !request.triedEndpointIds.has(endpoint.id) &&
+    (request.isEligible?.(endpoint) ?? true);
+  const untried = ready.filter(isUntried);
   const usable = untried.length > 0
     ? untried
-    : pool.filter(({ id, record, lapsedUntilMs }) =>
-      record.state === "ready" && lapsedUntilMs !== undefined &&
-      !request.triedEndpointIds.has(id)
+    : pool.filter((endpoint) =>
+      endpoint.record.state === "ready" &&
+      endpoint.lapsedUntilMs !== undefined && isUntried(endpoint)
     );
   if (usable.length === 0) {
     return undefined;
--- a/packages/core/src/direct/direct_admission.ts
+++ b/packages/core/src/direct/direct_admission.ts
@@ -6,7 +6,8 @@
   DirectRefusalReason,
 } from "./direct_event.js";
 import { refusalOf } from "./direct_finish.js";
-import { affinityPartIdOf, placeRequest } from "./direct_place.js";
+import { affinityPartIdOf } from "./direct_place.js";
+import { placeNewRequest } from "./direct_streams.js";
 import {
   type ActiveRequest,
   canServe,
@@ -153,7 +154,7 @@
       timer: "deadline",
       delayMs: request.deadlineAtMs - nowMs,
     },
-    ...placeRequest(state, request, nowMs),
+    ...placeNewRequest(state, request, nowMs),
   ];
 }
 
@@ -184,6 +185,8 @@
     attempt: undefined,
     attemptCount: 0,
     possibleExecutions: 0,
+    origin: undefined,
+    awaitsOrigin: false,
     answerStarted: false,
     answerStatus: undefined,
     lastFailureReason: undefined,
--- a/packages/core/src/direct/direct_attempt.ts
+++ b/packages/core/src/direct/direct_attempt.ts
@@ -9,6 +9,7 @@
 import { closeAttempt, finishRequest, refuse } from "./direct_finish.js";
 import { suspectEndpoint } from "./endpoint_suspicion.js";
 import { placeRequest } from "./direct_place.js";
+import { recordOrigin } from "./direct_streams.js";
 import {
   canRelayErrorAnswer,
   classifyHead,
@@ -18,6 +19,7 @@
   type ActiveAttempt,
   type ActiveRequest,
   type DirectState,
+  eligibleEndpoints,
   prefillRateOf,
   retryBalanceOf,
   retryLimitsOf,
@@ -96,16 +98,21 @@
  */
 export function handleFirstBodyBytes(
   state: DirectState,
-  { key, route, service }: ActiveRequest,
-  { prefillTokens, startedMs }: ActiveAttempt,
+  request: ActiveRequest,
+  attempt: ActiveAttempt,
   nowMs: Millis,
 ): DirectEffect[] {
+  const { key, route, service } = request;
+  const { prefillTokens, startedMs } = attempt;
   if (
     route.callKind === "stream" && prefillTokens >= MIN_MEASURED_PREFILL_TOKENS
   ) {
     prefillRateOf(state, service).record(prefillTokens, nowMs - startedMs);
   }
-  return [{ type: "clear_timer", key, timer: "attempt" }];
+  return [
+    { type: "clear_timer", key, timer: "attempt" },
+    ...recordOrigin(state, request, attempt, nowMs),
+  ];
 }
 
 /**
@@ -290,7 +297,7 @@
   const { route } = request;
   return isRetryable(route) && request.possibleExecutions < route.maxAttempts &&
     nowMs < request.deadlineAtMs &&
-    state.directory.ofService(request.service).length > 1;
+    eligibleEndpoints(state, request).length > 1;
 }
 
 /**
@@ -341,7 +348,7 @@
 ): boolean {
   const { possibleExecutions, route, service, triedEndpointIds } = request;
   return isRetryable(route) && possibleExecutions + 1 < route.maxAttempts &&
-    state.directory.ofService(service).some(({ id, record }) =>
+    eligibleEndpoints(state, request).some(({ id, record }) =>
       record.state === "ready" && !triedEndpointIds.has(id)
     ) &&
     retryBalanceOf(state, service).allowsRetry(retryLimitsOf(state));
--- a/packages/core/src/direct/direct_event.ts
+++ b/packages/core/src/direct/direct_event.ts
@@ -5,6 +5,7 @@
 import type { ReportedLoad } from "./direct_endpoint.js";
 import type { RoutingConfig } from "./routing_config.js";
 import type { PromptCacheEntry } from "./prompt_cache_index.js";
+import type { StreamOrigin } from "./stream_origins.js";
 
 /**
  * Part of a prompt. Requests with equal leading parts can reuse cached tokens.
@@ -238,6 +239,23 @@
     readonly nowMs: Millis;
     readonly routerCount: number;
   }
+  /** Other routers announced which versions began streams. */
+  | {
+    readonly type: "stream_origins_received";
+    readonly nowMs: Millis;
+    readonly origins: readonly {
+      readonly callId: string;
+      readonly origin: StreamOrigin;
+    }[];
+  }
+  /** Result of the effect `find_stream_origin`. */
+  | {
+    readonly type: "stream_origin_answered";
+    readonly nowMs: Millis;
+    readonly key: number;
+    /** Undefined if no router that was asked knows the stream. */
+    readonly origin: StreamOrigin | undefined;
+  }
   | { readonly type: "tick"; readonly nowMs: Millis }
   | { readonly type: "stopping"; readonly nowMs: Millis };
 
@@ -253,6 +271,10 @@
   | "endpoints_unreachable"
   | "endpoint_failed"
   | "retry_budget_spent"
+  /** The endpoints of the version that began the stream have left. */
+  | "stream_version_gone"
+  /** Several versions serve, and it is not known which one began the stream. */
+  | "stream_version_unknown"
   | "deadline_passed"
   | "stopping";
 
@@ -369,6 +391,18 @@
     readonly type: "broadcast_prompt_cache_entry";
     readonly entry: PromptCacheEntry;
   }
+  /** Tell other routers which version began a stream. */
+  | {
+    readonly type: "announce_stream_origin";
+    readonly callId: string;
+    readonly origin: StreamOrigin;
+  }
+  /** Ask other routers which version began a stream. */
+  | {
+    readonly type: "find_stream_origin";
+    readonly key: number;
+    readonly callId: string;
+  }
   /**
    * Apply the limits of the new configuration to the connections of callers.
    */
--- a/packages/core/src/direct/direct_place.ts
+++ b/packages/core/src/direct/direct_place.ts
@@ -7,6 +7,7 @@
   type ActiveRequest,
   directoryAgeMs,
   type DirectState,
+  isEligible,
   prefillRateOf,
 } from "./direct_state.js";
 import { finishRequest, refuse } from "./direct_finish.js";
@@ -85,6 +86,7 @@
       sharedTokens: sumTokens(sharedPartsOf(request)),
       failureDomain: state.options.failureDomain,
       triedEndpointIds: request.triedEndpointIds,
+      isEligible: (endpoint) => isEligible(request, endpoint),
       loadBoundMultiple: effectiveLoadBoundMultiple(state),
     },
     nowMs,
@@ -94,7 +96,8 @@
       transitionRequest(request.snapshot, { type: "no_endpoint" }).snapshot;
     const reason = leftMs < MIN_ATTEMPT_MS
       ? "deadline_passed"
-      : request.lastFailureReason ?? "no_endpoint";
+      : request.lastFailureReason ??
+        (request.origin ? "stream_version_gone" : "no_endpoint");
     return request.answerStarted
       ? finishRequest(state, request, nowMs, "broken_off", reason)
       : refuse(state, request, nowMs, reason);
@@ -136,6 +139,7 @@
     startedMs: nowMs,
     prefillTokens: endpoint.prefillBacklog.remaining(nowMs, tokensPerMs) +
       Math.max(0, request.call.promptTokens - choice.cachedTokens),
+    softwareVersion: endpoint.record.softwareVersion,
     hasHead: false,
   };
   const cacheSource = cacheSourceOf(state, request, choice, nowMs);
--- a/packages/core/src/direct/direct_state.ts
+++ b/packages/core/src/direct/direct_state.ts
@@ -12,6 +12,7 @@
 import { PrefillRate } from "./prefill_rate.js";
 import type { RoutingConfigIndex } from "./routing_config_index.js";
 import { PromptCacheIndex } from "./prompt_cache_index.js";
+import { type StreamOrigin, StreamOrigins } from "./stream_origins.js";
 import type { DirectAccount, DirectRoute } from "./routing_config.js";
 
 /**
@@ -60,6 +61,8 @@
    * attempt started, those of earlier requests included.
    */
   readonly prefillTokens: number;
+  /** Version of the endpoint's software when the attempt started. */
+  readonly softwareVersion: string | undefined;
   /** Whether status and headers of the answer have arrived. */
   hasHead: boolean;
 }
@@ -71,7 +74,8 @@
   readonly receivedMs: Millis;
   readonly route: DirectRoute;
   readonly account: DirectAccount | undefined;
-  readonly service: string;
+  /** Service that the request goes to. */
+  service: string;
   readonly deadlineAtMs: Millis;
   /** Ids of the endpoints to which attempts were sent. */
   readonly triedEndpointIds: Set<string>;
@@ -84,6 +88,13 @@
    * request.
    */
   possibleExecutions: number;
+  /**
+   * Where the stream began that the answer is a part of; further attempts go to
+   * that version only. Undefined as long as the caller has no event of it.
+   */
+  origin: StreamOrigin | undefined;
+  /** Whether the request waits for other routers to name the origin. */
+  awaitsOrigin: boolean;
   /** Whether the head of an answer was relayed to the caller. */
   answerStarted: boolean;
   /** HTTP status that was sent to the caller, if any. */
@@ -108,6 +119,7 @@
   readonly requests: Map<number, ActiveRequest>;
   /** Balances of retries by service. */
   readonly retryBalances: Map<string, RetryBalance>;
+  readonly streamOrigins: StreamOrigins;
   readonly prefillRates: Map<string, PrefillRate>;
   /**
    * Moving average of the time from the start of an attempt to the head of its
@@ -149,6 +161,7 @@
     promptCacheIndex: new PromptCacheIndex(),
     requests: new Map(),
     retryBalances: new Map(),
+    streamOrigins: new StreamOrigins(),
     prefillRates: new Map(),
     typicalTimeToHeadMs: new Map(),
     deferredCalls: new Map(),
@@ -209,6 +222,28 @@
     : Math.round(nowMs - directoryConfirmedMs);
 }
 
+/** Endpoints of the request's service that may serve it. */
+export function eligibleEndpoints(
+  state: DirectState,
+  request: ActiveRequest,
+): DirectEndpoint[] {
+  return state.directory.ofService(request.service)
+    .filter((endpoint) => isEligible(request, endpoint));
+}
+
+/**
+ * Whether an endpoint may serve the request. A stream that has begun stays at
+ * the software version that began it. Versions of different services have
+ * nothing in common, so a stream whose route has moved may go to any.
+ */
+export function isEligible(
+  { origin, service }: ActiveRequest,
+  { record }: DirectEndpoint,
+): boolean {
+  return origin === undefined || origin.service !== service ||
+    record.softwareVersion === origin.softwareVersion;
+}
+
 /** Returns the retry balance of a service; creates it on first use. */
 export function retryBalanceOf(
   state: DirectState,
--- a/packages/core/src/direct/index.ts
+++ b/packages/core/src/direct/index.ts
@@ -13,6 +13,7 @@
 export * from "./reduce_direct.js";
 export * from "./fleet_size.js";
 export * from "./retry_balance.js";
+export * from "./stream_origins.js";
 export * from "./routing_config_index.js";
 export * from "./routing_config.js";
 export * from "./prompt_cache_index.js";
--- a/packages/core/src/direct/reduce_direct.ts
+++ b/packages/core/src/direct/reduce_direct.ts
@@ -20,6 +20,7 @@
   applyPromptCacheEntries,
   removeLapsedEndpoints,
 } from "./direct_updates.js";
+import { applyStreamOrigins, handleOriginAnswer } from "./direct_streams.js";
 import { handleAttemptTimeout, handleStalls } from "./direct_stalls.js";
 import {
   type ActiveRequest,
@@ -83,10 +84,14 @@
       return ifActiveRequest(
         state,
         event.key,
-        (request) =>
-          event.timer === "deadline"
-            ? handleDeadline(state, request, event.nowMs)
-            : handleAttemptTimeout(state, request, event.nowMs),
+        (request) => {
+          if (event.timer === "deadline") {
+            return handleDeadline(state, request, event.nowMs);
+          }
+          return request.awaitsOrigin
+            ? handleOriginAnswer(state, request, undefined, event.nowMs)
+            : handleAttemptTimeout(state, request, event.nowMs);
+        },
       );
     case "config_received":
       return [
@@ -108,6 +113,16 @@
         endpoint.recordPeerLoad(event.nowMs, event.peerId, requests);
       }
       return [];
+    case "stream_origins_received":
+      applyStreamOrigins(state, event);
+      return [];
+    case "stream_origin_answered":
+      return ifActiveRequest(
+        state,
+        event.key,
+        (request) =>
+          handleOriginAnswer(state, request, event.origin, event.nowMs),
+      );
     case "prompt_cache_entries_received":
       applyPromptCacheEntries(state, event);
       return [];
--- a/packages/core/src/wire/field_codes.ts
+++ b/packages/core/src/wire/field_codes.ts
@@ -125,6 +125,10 @@
   "afterRevision",
   "removedIds",
   "directoryEpoch",
+  "softwareVersion",
+  "origins",
+  "callId",
+  "unknownIds",
 ] as const;
 
 /** Code of each name, for the key map of the CBOR codec. */
--- a/packages/core/src/wire/messages.ts
+++ b/packages/core/src/wire/messages.ts
@@ -410,6 +410,26 @@
   entries: z.array(PromptCacheEntrySchema),
 });
 
+const StreamOriginSchema = z.object({
+  callId: z.string().max(128),
+  service: id,
+  softwareVersion: z.string().optional(),
+});
+
+/** Which software version began streams, by the id of the caller's request. */
+const FleetStreamsSchema = z.object({
+  type: z.literal("fleet_streams"),
+  origins: z.array(StreamOriginSchema),
+  /** In an answer: streams that were asked for and that the sender does not know. */
+  unknownIds: z.array(z.string().max(128)).optional(),
+});
+
+/** Asks which software version began a stream. */
+const FleetStreamQuerySchema = z.object({
+  type: z.literal("fleet_stream_query"),
+  callId: z.string().max(128),
+});
+
 /** Every message between two anvildeal processes. */
 export const MessageSchema = z.discriminatedUnion("type", [
   HelloSchema,
@@ -443,6 +463,8 @@
   FleetWarmthSchema,
   FleetWatchingSchema,
   FleetChangeSchema,
+  FleetStreamsSchema,
+  FleetStreamQuerySchema,
 ]);
 export type Message = z.infer<typeof MessageSchema>;
 export type MessageType = Message["type"];
--- a/packages/daemon/src/direct/direct_router_host.ts
+++ b/packages/daemon/src/direct/direct_router_host.ts
@@ -124,6 +124,7 @@
       configInForce: () => this.#state.configIndex?.config,
       isDirectoryReliable: () =>
         !isDirectoryUnreliable(this.#state, clock.nowMs()),
+      streamOriginOf: (callId) => this.#state.streamOrigins.get(callId),
       promptCacheEntries: () => this.#state.promptCacheIndex.entries(),
       observe: (measurement) => this.#metrics.observe(measurement),
       renewConnections: options.renewDirectoryConnections,
@@ -342,6 +343,12 @@
       case "store_prompt_cache":
         this.#promptCachePersistence.markChanged();
         break;
+      case "announce_stream_origin":
+        this.#directorySync.announceStreamOrigin(effect.callId, effect.origin);
+        break;
+      case "find_stream_origin":
+        this.#directorySync.findStreamOrigin(effect.key, effect.callId);
+        break;
       case "apply_limits":
         this.#edge.applyLimits(this.#state.configIndex!.config.limits);
         break;
--- a/packages/daemon/src/direct/directory_sync.ts
+++ b/packages/daemon/src/direct/directory_sync.ts
@@ -9,6 +9,7 @@
   type MessageOf,
   type PromptCacheEntry,
   type RoutingConfig,
+  type StreamOrigin,
 } from "@anvildeal/core";
 import type { Logger } from "../logging/index.js";
 import { type Disposable, splitAddress } from "../net/index.js";
@@ -20,6 +21,7 @@
 import { type KnownContent, PeerCatchUp } from "./peer_catch_up.js";
 import { PeerMesh } from "./peer_mesh.js";
 import { PromptCacheBroadcaster } from "./prompt_cache_broadcaster.js";
+import { StreamOriginExchange } from "./stream_origin_exchange.js";
 import { WatchDuty } from "./watch_duty.js";
 
 /**
@@ -45,6 +47,8 @@
   /** Whether the directory is available and was not unavailable recently. */
   readonly isDirectoryReliable: () => boolean;
   readonly promptCacheEntries: () => readonly PromptCacheEntry[];
+  /** Origin of a stream that this router knows. */
+  readonly streamOriginOf: (callId: string) => StreamOrigin | undefined;
   readonly observe: (measurement: Measurement) => void;
   /** Makes further calls to the directory use new connections. */
   readonly renewConnections: (reason: string) => void;
@@ -71,6 +75,7 @@
   readonly #endpoints: EndpointSync;
   readonly #watchDuty: WatchDuty;
   readonly #promptCacheBroadcaster: PromptCacheBroadcaster;
+  readonly #streamOrigins: StreamOriginExchange;
   readonly #catchUp: PeerCatchUp;
   readonly #health: DirectoryHealth;
   #inFlightByEndpoint: Readonly<Record<string, number>> = {};
@@ -106,6 +111,13 @@
       broadcast: (message) => this.#mesh.broadcast(message),
       sendTo: (nodeId, message) => this.#mesh.sendTo(nodeId, message),
     });
+    this.#streamOrigins = new StreamOriginExchange({
+      clock,
+      push: options.push,
+      originOf: options.streamOriginOf,
+      connectedIds: () => this.#mesh.connectedIds,
+      sendTo: (nodeId, message) => this.#mesh.sendTo(nodeId, message),
+    });
     this.#mesh.setSeeds(settings.seeds);
     this.#mesh.onMessage(({ message, nodeId }) =>
       this.#handleMessage(nodeId, message)
@@ -119,9 +131,11 @@
         this.#catchUp.endQuery(nodeId);
         this.#watchDuty.removeWatcher(nodeId);
         this.#promptCacheBroadcaster.handleDisconnect(nodeId);
+        this.#streamOrigins.handleDisconnect(nodeId);
         return;
       }
       this.#promptCacheBroadcaster.handleReconnect(nodeId);
+      this.#streamOrigins.handleConnect(nodeId);
       this.#mesh.sendTo(
         nodeId,
         this.#stateMessage([this.#mesh.localEntry()]),
@@ -210,10 +224,21 @@
     this.#promptCacheBroadcaster.enqueue(entry);
   }
 
+  /** Tells other routers which software version began a stream. */
+  announceStreamOrigin(callId: string, origin: StreamOrigin): void {
+    this.#streamOrigins.announce(callId, origin);
+  }
+
+  /** Asks other routers; the answer is an event `stream_origin_answered`. */
+  findStreamOrigin(key: number, callId: string): void {
+    this.#streamOrigins.find(key, callId);
+  }
+
   dispose(): void {
     this.#configs.dispose();
     this.#endpoints.dispose();
     this.#promptCacheBroadcaster.dispose();
+    this.#streamOrigins.dispose();
     this.#mesh.dispose();
   }
 
@@ -363,6 +388,12 @@
       case "fleet_content":
         this.#applyContent(nodeId, message);
         break;
+      case "fleet_streams":
+        this.#streamOrigins.handleOrigins(nodeId, message);
+        break;
+      case "fleet_stream_query":
+        this.#streamOrigins.answerQuery(nodeId, message);
+        break;
       case "fleet_watching":
         this.#handleWatcherReport(nodeId, message);
         break;
--- a/packages/daemon/src/direct/peer_mesh.ts
+++ b/packages/daemon/src/direct/peer_mesh.ts
@@ -154,7 +154,12 @@
     return [...this.#routers.keys()].every((nodeId) => localNodeId < nodeId);
   }
 
-  /** Routers that this one is connected to. */
+  /** Ids of the routers that this one is connected to. */
+  get connectedIds(): readonly string[] {
+    return [...this.#connected];
+  }
+
+  /** Number of routers that this one is connected to. */
   get connectedCount(): number {
     return this.#connected.size;
   }
