Close connections on which a discarded answer does not end

What happens: when a request that must not run twice reaches its deadline, the rest of its answer is read and dropped, so that the connection can be reused. An endless status line, interim answers or chunk extension count as no body bytes, so the connection stayed open for good. Class: a wait without a time limit of its own.

--- a/packages/daemon/src/direct/endpoint_attempt.ts
+++ b/packages/daemon/src/direct/endpoint_attempt.ts
@@ -17,6 +17,12 @@
  */
 const MAX_DISCARDED_BYTES = 64 * 1024;
 
+/**
+ * How long after its deadline the endpoint may still send the end of a discarded
+ * answer. An endpoint that sends bytes without end would keep the connection.
+ */
+const DISCARD_MARGIN_MS: Millis = 500;
+
 /** Callbacks of an attempt. */
 export interface AttemptListener {
   /** The status line and headers of the answer arrived. */
@@ -55,6 +61,8 @@
   #hasReceivedBody = false;
   #lastReceivedMs: Millis;
   readonly #clock: Clock;
+  readonly #startedMs: Millis;
+  #discardTimer: NodeJS.Timeout | undefined;
 
   constructor(
     effect: StartAttempt,
@@ -64,7 +72,8 @@
     listener: AttemptListener,
   ) {
     this.#clock = clock;
-    this.#lastReceivedMs = clock.nowMs();
+    this.#startedMs = clock.nowMs();
+    this.#lastReceivedMs = this.#startedMs;
     this.effect = effect;
     this.#connection = connection;
     this.#dialect = dialect;
@@ -140,8 +149,8 @@
 
   /**
    * Stops forwarding the answer. The rest is read and dropped, so that the
-   * connection can be reused; if the rest is too long, the connection is
-   * closed.
+   * connection can be reused; if the rest is too long or arrives too long after
+   * the endpoint's deadline, the connection is closed.
    *
    * @param closeConnection Whether to close the connection at once instead.
    */
@@ -152,7 +161,14 @@
     this.#mode = "discarding";
     if (closeConnection) {
       this.#close(false);
-    } else if (this.#controller?.paused) {
+      return;
+    }
+    this.#discardTimer ??= setTimeout(
+      () => this.#close(false),
+      this.#startedMs + this.effect.deadlineMs + DISCARD_MARGIN_MS -
+        this.#clock.nowMs(),
+    );
+    if (this.#controller?.paused) {
       this.#controller.resume();
     }
   }
@@ -268,6 +284,7 @@
       return;
     }
     this.#mode = "closed";
+    clearTimeout(this.#discardTimer);
     this.#listener.done(reusable);
   }
 }
