Limit the size of a buffered stream event

What happens: an endpoint that sends an event without end made the router buffer all of it, and copy it with each part, until the deadline of the request. Found with the tests of endless answers; class: memory that grows with what an endpoint sends.

An event of more than 1 MB now ends the attempt like other invalid bytes. sse_event_buffer_test.ts, 'rejects an event that is too large', failed before.

--- a/packages/daemon/src/direct/answer_writer.ts
+++ b/packages/daemon/src/direct/answer_writer.ts
@@ -89,6 +89,8 @@
   /**
    * Forwards a chunk of the body. Returns false if the caller's socket is
    * congested; more should then be written only after the response's `drain`.
+   *
+   * Throws {@link OversizedEventError} if an event of a stream is too large.
    */
   write(chunk: Buffer): boolean {
     const bytes = this.#eventBuffer ? this.#eventBuffer.push(chunk) : chunk;
--- a/packages/daemon/src/direct/endpoint_attempt.ts
+++ b/packages/daemon/src/direct/endpoint_attempt.ts
@@ -9,6 +9,7 @@
 import type { AnswerWriter } from "./answer_writer.js";
 import type { CallDialect, RawHeaders } from "./call_dialect.js";
 import type { EndpointConnection } from "./endpoint_connection.js";
+import { OversizedEventError } from "./sse_event_buffer.js";
 import { endToEndHeaders } from "./hop_headers.js";
 
 /**
@@ -217,9 +218,13 @@
       this.#hasReceivedBody = true;
       this.#listener.firstBodyBytes();
     }
-    if (!writer.write(chunk)) {
-      controller.pause();
-      writer.response.once("drain", () => controller.resume());
+    try {
+      if (!writer.write(chunk)) {
+        controller.pause();
+        writer.response.once("drain", () => controller.resume());
+      }
+    } catch (error) {
+      this.onResponseError(undefined, error as Error);
     }
   }
 
@@ -294,6 +299,9 @@
     return "connect";
   }
   const code = (error as { code?: string }).code ?? "";
+  if (error instanceof OversizedEventError) {
+    return "garbled";
+  }
   return code.startsWith("HPE_") ? "garbled" : "reset";
 }
 
--- a/packages/daemon/src/direct/sse_event_buffer.ts
+++ b/packages/daemon/src/direct/sse_event_buffer.ts
@@ -2,6 +2,18 @@
 const LF_EVENT_END = Buffer.from("\n\n");
 const CRLF_EVENT_END = Buffer.from("\r\n\r\n");
 
+/** Maximum size of one event. */
+const MAX_EVENT_BYTES = 1024 * 1024;
+
+/** An event is larger than the router buffers; its stream cannot be relayed. */
+export class OversizedEventError extends Error {
+  override readonly name = "OversizedEventError";
+
+  constructor() {
+    super(`an event of the stream exceeds ${MAX_EVENT_BYTES} bytes`);
+  }
+}
+
 /**
  * Buffers a server-sent event stream and releases it in complete events.
  *
@@ -22,7 +34,10 @@
     return this.#lastEventId;
   }
 
-  /** Adds bytes and returns those up to the end of the last complete event. */
+  /**
+   * Adds bytes and returns those up to the end of the last complete event. Throws
+   * {@link OversizedEventError} if the event after that is too large.
+   */
   push(chunk: Buffer): Buffer {
     const bytes = this.#bufferedBytes === 0
       ? chunk
@@ -32,6 +47,9 @@
     const rest = bytes.subarray(end);
     this.#buffered = rest.length > 0 ? [rest] : [];
     this.#bufferedBytes = rest.length;
+    if (rest.length > MAX_EVENT_BYTES) {
+      throw new OversizedEventError();
+    }
     this.#updateLastEventId(complete);
     return complete;
   }
--- a/packages/daemon/src/direct/sse_event_buffer_test.ts
+++ b/packages/daemon/src/direct/sse_event_buffer_test.ts
@@ -1,6 +1,6 @@
 import * as fc from "fast-check";
 import { describe, expect, it } from "vitest";
-import { SseEventBuffer } from "./sse_event_buffer.js";
+import { OversizedEventError, SseEventBuffer } from "./sse_event_buffer.js";
 
 describe("SseEventBuffer", () => {
   it("returns only complete events, however the stream is split into chunks", () => {
@@ -31,6 +31,19 @@
     );
   });
 
+  // Guards against memory that grows with an event that never ends.
+  it("rejects an event that is too large", () => {
+    const buffer = new SseEventBuffer(undefined);
+    const part = Buffer.alloc(64 * 1024, "x");
+    const pushParts = (count: number) => {
+      for (let i = 0; i < count; i++) {
+        buffer.push(part);
+      }
+    };
+    pushParts(15);
+    expect(() => pushParts(2)).toThrow(OversizedEventError);
+  });
+
   it("discards the partial event of an endpoint that failed", () => {
     const buffer = new SseEventBuffer(undefined);
     buffer.push(Buffer.from("id: 1\ndata: a\n\nid: 2\nda"));
