Tell a reset from the end of an answer without a length

What callers saw: an answer that an endpoint had broken off with a reset, and that looked complete. The platform's pages say that such an answer is not complete.

Cause: when the last bytes and a reset are read together, the socket reports an orderly end and no error. In 300 answers that were reset 50 ms to 110 ms after their begin, the router took 92 for complete. Found by tracing endless_answer_test.ts, which failed once: 400 aborted answers, 58 of them complete for a Node caller, though all were reset on the wire. Class: the absence of an error taken as success.

--- a/packages/daemon/src/direct/endpoint_connection.ts
+++ b/packages/daemon/src/direct/endpoint_connection.ts
@@ -45,6 +45,11 @@
         socket.on("error", () => {
           this.#failed = true;
         });
+        // An orderly end is also reported when the last bytes and a reset are read
+        // together. A socket that was reset has no peer any more.
+        socket.once("end", () => {
+          this.#failed ||= socket.remoteAddress === undefined;
+        });
         socket.once("close", () => {
           this.#closed = true;
           onClosed(this);
