Drop requests whose callers left before the router read them

What happens: a process that was held up reads a request, and sends it on, before it reads the close of the connection behind it. 20 of 20 requests that callers had given up while the process was stopped reached an endpoint.

--- a/packages/daemon/src/direct/edge_server.ts
+++ b/packages/daemon/src/direct/edge_server.ts
@@ -178,9 +178,16 @@
       if (bytes > this.#maxBodyBytes) {
         return;
       }
-      callEmitted = true;
       const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
-      this.#onCall.fire({ key, request, response, body });
+      // A request that waited to be read, while the process was held up, may be
+      // followed by the close of its connection, which is read after it.
+      afterNextPoll(() => {
+        if (response.closed || socket.destroyed || socket.readableEnded) {
+          return;
+        }
+        callEmitted = true;
+        this.#onCall.fire({ key, request, response, body });
+      });
     });
   }
 
@@ -211,3 +218,11 @@
     );
   }
 }
+
+/**
+ * Calls back after the event loop has read from all sockets once more. An
+ * immediate runs after the sockets of the current turn were read.
+ */
+function afterNextPoll(callback: () => void): void {
+  setImmediate(() => setImmediate(callback));
+}
