Do not replace the stored prompt cache index before it was read

A router that has just started knows no other, so it takes itself for the one that writes the index of prompt caches. When its read had failed or was pending, its first placement replaced what all routers before it had stored; after the loss of all routers nobody else knows it.

prompt_cache_persistence_test.ts, 'writes nothing before', failed before. The test of the write interval now reads the document first, as every router does.

--- a/packages/daemon/src/direct/prompt_cache_persistence.ts
+++ b/packages/daemon/src/direct/prompt_cache_persistence.ts
@@ -62,6 +62,8 @@
   /** The last read failed, and no other read has begun since. */
   #readFailed = false;
   #writeDelayTimer: NodeJS.Timeout | undefined;
+  /** Whether the stored document was read; until then it is not replaced. */
+  #hasRead = false;
   #changed = false;
   #writing = false;
   #disposed = false;
@@ -93,13 +95,13 @@
   }
 
   /**
-   * Writes the document if the entries changed, this router is the writer and
-   * the minimum time since the last write has passed. Call periodically.
+   * Writes the document if the entries changed, this router is the writer and has
+   * read the document, and the minimum time since the last write has passed. Call periodically.
    */
   writeIfDue(): void {
     if (
-      !this.#changed || this.#writing || this.#writeDelayTimer !== undefined ||
-      !this.#options.isWriter()
+      !this.#changed || !this.#hasRead || this.#writing ||
+      this.#writeDelayTimer !== undefined || !this.#options.isWriter()
     ) {
       return;
     }
@@ -119,6 +121,7 @@
     this.#readFailed = false;
     try {
       const value = await document.read();
+      this.#hasRead = true;
       if (value !== undefined) {
         onRead(decode(value));
       }
--- a/packages/daemon/src/direct/prompt_cache_persistence_test.ts
+++ b/packages/daemon/src/direct/prompt_cache_persistence_test.ts
@@ -58,6 +58,22 @@
     vi.useRealTimers();
   });
 
+  // Guards against a router that has just started, knows little and replaces what
+  // all routers before it have stored.
+  it("writes nothing before it has read the stored document", async () => {
+    document.available = false;
+    persistence.start();
+    await vi.advanceTimersByTimeAsync(0);
+    document.available = true;
+    persistence.markChanged();
+    persistence.writeIfDue();
+    expect(document.written).toBeUndefined();
+    persistence.handleDirectoryAnswer();
+    await vi.advanceTimersByTimeAsync(0);
+    persistence.writeIfDue();
+    expect(document.written).toEqual(STORED);
+  });
+
   it("reads the stored document at the start", async () => {
     persistence.start();
     await vi.advanceTimersByTimeAsync(0);
@@ -97,6 +113,8 @@
   });
 
   it("writes changes only while it is the writer, at most once a second", async () => {
+    persistence.start();
+    await vi.advanceTimersByTimeAsync(0);
     persistence.markChanged();
     persistence.writeIfDue();
     await vi.advanceTimersByTimeAsync(0);
