Confirm the configuration only by routers that confirm it themselves

Reports of watching routers name the revision of the endpoints, and counted as a confirmation of the configuration too, although most of these routers watch it with waits of 25 s. directory_age_ms could be small while the configuration was old; nothing else depends on it.

--- a/packages/core/src/wire/messages.ts
+++ b/packages/core/src/wire/messages.ts
@@ -384,6 +384,8 @@
  */
 const FleetWatchingSchema = z.object({
   type: z.literal("fleet_watching"),
+  /** Newest configuration, if the sender confirms that one too. */
+  configVersion: z.int().nonnegative().optional(),
   /** Revision of the last directory change that the sender knows of. */
   directoryRevision: z.int().nonnegative(),
   directoryEpoch,
--- a/packages/daemon/src/direct/directory_health.ts
+++ b/packages/daemon/src/direct/directory_health.ts
@@ -36,9 +36,9 @@
     this.clearFailures(label);
   }
 
-  /** Records that another router confirmed the view that this one has. */
-  recordConfirmation(): void {
-    this.#confirm(this.#options.labels);
+  /** Records that another router confirmed what this one knows of collections. */
+  recordConfirmation(labels: readonly string[]): void {
+    this.#confirm(labels);
   }
 
   recordFailure(label: string): void {
--- a/packages/daemon/src/direct/directory_health_test.ts
+++ b/packages/daemon/src/direct/directory_health_test.ts
@@ -41,10 +41,20 @@
     health.recordAnswer("endpoints");
     expect(last("directory_confirmed")).toMatchObject({ nowMs: startMs });
     clock.timeMs += 500;
-    health.recordConfirmation();
+    health.recordConfirmation(["config", "endpoints"]);
     expect(last("directory_confirmed")).toMatchObject({ nowMs: clock.timeMs });
   });
 
+  // Guards against a router that takes its configuration as confirmed by one that
+  // only confirmed the endpoints.
+  it("keeps the age of a collection that was not confirmed", () => {
+    const startMs = clock.timeMs;
+    health.recordAnswer("config");
+    clock.timeMs += 500;
+    health.recordConfirmation(["endpoints"]);
+    expect(last("directory_confirmed")).toMatchObject({ nowMs: startMs });
+  });
+
   it("reports a restore for each higher epoch but the first", () => {
     expect([3, 3, 4, 2, 4, 6].map((epoch) => health.observeEpoch(epoch)))
       .toEqual([false, false, true, false, false, true]);
--- a/packages/daemon/src/direct/directory_sync.ts
+++ b/packages/daemon/src/direct/directory_sync.ts
@@ -413,6 +413,9 @@
       type: "fleet_watching",
       directoryRevision: revision,
       directoryEpoch: epoch,
+      ...(this.#watchDuty.confirmsConfig
+        ? { configVersion: this.#configVersion() }
+        : {}),
     });
   }
 
@@ -429,7 +432,13 @@
       this.#handlePeerContent(nodeId, { ...report, configVersion: 0 });
       return;
     }
-    this.#health.recordConfirmation();
+    const { configs, endpoints } = this.#options;
+    this.#health.recordConfirmation([
+      endpoints.label,
+      ...(report.configVersion === this.#configVersion()
+        ? [configs.label]
+        : []),
+    ]);
   }
 
   /** Queries the peer if this router has been behind it for too long. */
--- a/packages/daemon/src/direct/watch_duty.ts
+++ b/packages/daemon/src/direct/watch_duty.ts
@@ -77,6 +77,11 @@
       (this.#election.role !== "first" || configs.isFollowing);
   }
 
+  /** Whether this router may report that its configuration is up to date. */
+  get confirmsConfig(): boolean {
+    return this.#election.role === "first" && this.#options.configs.isFollowing;
+  }
+
   /** Records that another router watches the directory and gets answers. */
   recordWatcher(nodeId: string): void {
     this.#election.recordWatcher(nodeId, this.#options.clock.nowMs());
