Let refusals wait for a view that is overdue

What callers saw: a final 404 for a route that was in force elsewhere, from a router that knew that its view was old, as after a pause of its process, or that another router had a newer version.

Cause: the age of the view was logged and decided nothing. Class: acting on a view without regard to its age.

A call that the configuration does not allow now waits up to 0.5 s if a newer version was announced, or if the store is available and a confirmation is overdue.

--- a/packages/core/src/direct/direct_admission.ts
+++ b/packages/core/src/direct/direct_admission.ts
@@ -11,8 +11,10 @@
 import {
   type ActiveRequest,
   canServe,
+  type DeferredCall,
   directoryAgeMs,
   type DirectState,
+  isConfigOutdated,
   retryBalanceOf,
   retryLimitsOf,
 } from "./direct_state.js";
@@ -48,6 +50,12 @@
  */
 const ADMIT_WHILE_STOPPING_MS: Millis = 2700;
 
+/**
+ * Maximum time for which a call is deferred that an outdated configuration does
+ * not allow.
+ */
+const MAX_OUTDATED_DEFERRAL_MS: Millis = 500;
+
 /** Starts a request for a call, defers the call, or refuses it. */
 export function admitCall(
   state: DirectState,
@@ -61,44 +69,81 @@
     return rejectCall(state, key, call, nowMs, "stopping");
   }
   return canServe(state) || state.stopping
-    ? startRequest(state, key, call, nowMs, nowMs)
-    : deferCall(state, key, call, nowMs);
+    ? startRequest(state, key, { call, receivedMs: nowMs }, nowMs, "received")
+    : deferCall(state, key, { call, receivedMs: nowMs }, MAX_DEFERRAL_MS);
 }
 
 /**
  * Defers a call until the router has its first configuration and endpoints,
- * which it gets soon after the start of the process. A refusal would use up one
- * of the caller's few retries.
+ * which it gets soon after the start of the process, or until its view is
+ * confirmed. A refusal would use up one of the caller's few retries, or end them.
  */
 function deferCall(
   state: DirectState,
   key: number,
-  call: DirectCall,
-  nowMs: Millis,
+  deferred: DeferredCall,
+  maxDelayMs: Millis,
 ): DirectEffect[] {
-  state.deferredCalls.set(key, { call, receivedMs: nowMs });
+  state.deferredCalls.set(key, deferred);
   const delayMs = Math.min(
-    MAX_DEFERRAL_MS,
-    (call.deadlineMs ?? DEFAULT_DEADLINE_MS) * MAX_DEFERRAL_FRACTION,
+    maxDelayMs,
+    (deferred.call.deadlineMs ?? DEFAULT_DEADLINE_MS) * MAX_DEFERRAL_FRACTION,
   );
   return [{ type: "set_timer", key, timer: "deadline", delayMs }];
 }
 
 /**
- * Ends the deferral of a call and starts its request or refuses it. Has no
- * effect if the call is not deferred.
+ * How a call reaches the checks: `received` just now, `waiting` after it was
+ * deferred, or `overdue`, so that it must not be deferred any longer.
+ */
+type CallPhase = "received" | "waiting" | "overdue";
+
+/**
+ * Refuses a call that the configuration does not allow, or defers it if the
+ * configuration may be outdated.
  */
-export function admitDeferredCall(
+function rejectOrDefer(
   state: DirectState,
   key: number,
+  deferred: DeferredCall,
   nowMs: Millis,
+  reason: DirectRefusalReason,
+  phase: CallPhase,
+): DirectEffect[] {
+  if (phase === "overdue" || !isConfigOutdated(state, nowMs)) {
+    return rejectCall(state, key, deferred.call, nowMs, reason);
+  }
+  if (phase === "received") {
+    return deferCall(state, key, deferred, MAX_OUTDATED_DEFERRAL_MS);
+  }
+  state.deferredCalls.set(key, deferred);
+  return [];
+}
+
+/**
+ * Ends the deferral of a call whose time is over, and starts its request or
+ * refuses it. Has no effect if the call is not deferred.
+ */
+export function endDeferral(
+  state: DirectState,
+  key: number,
+  nowMs: Millis,
+): DirectEffect[] {
+  return admitDeferredCall(state, key, nowMs, "overdue");
+}
+
+function admitDeferredCall(
+  state: DirectState,
+  key: number,
+  nowMs: Millis,
+  phase: CallPhase,
 ): DirectEffect[] {
   const deferred = state.deferredCalls.get(key);
   if (!deferred) {
     return [];
   }
   state.deferredCalls.delete(key);
-  return startRequest(state, key, deferred.call, deferred.receivedMs, nowMs);
+  return startRequest(state, key, deferred, nowMs, phase);
 }
 
 /** Starts requests for all deferred calls if the router can serve them now. */
@@ -110,7 +155,7 @@
     return [];
   }
   return [...state.deferredCalls.keys()].flatMap((key) =>
-    admitDeferredCall(state, key, nowMs)
+    admitDeferredCall(state, key, nowMs, "waiting")
   );
 }
 
@@ -121,10 +166,11 @@
 function startRequest(
   state: DirectState,
   key: number,
-  call: DirectCall,
-  receivedMs: Millis,
+  deferred: DeferredCall,
   nowMs: Millis,
+  phase: CallPhase,
 ): DirectEffect[] {
+  const { call, receivedMs } = deferred;
   const { configIndex } = state;
   if (!configIndex) {
     return rejectCall(state, key, call, nowMs, "no_config");
@@ -138,11 +184,11 @@
   }
   const route = configIndex.match(call.host, call.path);
   if (!route) {
-    return rejectCall(state, key, call, nowMs, "no_route");
+    return rejectOrDefer(state, key, deferred, nowMs, "no_route", phase);
   }
   const account = accountOf(configIndex, route, call);
   if (account === "unknown") {
-    return rejectCall(state, key, call, nowMs, "unknown_key");
+    return rejectOrDefer(state, key, deferred, nowMs, "unknown_key", phase);
   }
   const request = createRequest(key, call, route, account, receivedMs);
   state.requests.set(key, request);
--- a/packages/core/src/direct/direct_event.ts
+++ b/packages/core/src/direct/direct_event.ts
@@ -123,6 +123,8 @@
   | {
     readonly type: "directory_confirmed";
     readonly nowMs: Millis;
+    /** When the collection was confirmed that was confirmed longest ago. */
+    readonly confirmedMs: Millis;
   }
   | {
     readonly type: "caller_gone";
@@ -174,6 +176,11 @@
     /** Origin for the log: `directory`, or `peer` and the id of a router. */
     readonly source: string;
   }
+  /** Another router has this version of the configuration. */
+  | {
+    readonly type: "config_announced";
+    readonly version: number;
+  }
   | {
     readonly type: "endpoints_changed";
     readonly nowMs: Millis;
--- a/packages/core/src/direct/direct_state.ts
+++ b/packages/core/src/direct/direct_state.ts
@@ -27,6 +27,12 @@
  */
 const STORED_FRACTION = 0.6;
 
+/**
+ * A view that was confirmed longer ago than this fraction of the allowed age may
+ * be outdated. In a fleet without faults, it is confirmed more often.
+ */
+const OUTDATED_AGE_FRACTION = 0.6;
+
 /** Initial balance of a process; lets its first rejected requests be retried. */
 const INITIAL_RETRIES = 1.5;
 
@@ -49,6 +55,8 @@
   readonly retryExtra: number;
   /** Load bound of an endpoint, as a multiple of the mean load of its pool. */
   readonly loadMultiple: number;
+  /** Longest time for which the fleet may act on an outdated view. */
+  readonly maxDirectoryAgeMs: Millis;
 }
 
 /** The attempt of a request that is in progress; replaced on a retry. */
@@ -106,7 +114,10 @@
   lastFailureReason: DirectRefusalReason | undefined;
 }
 
-/** A deferred call, which arrived before the router could serve. */
+/**
+ * A deferred call, which arrived before the router could serve or which an
+ * outdated configuration does not allow.
+ */
 export interface DeferredCall {
   readonly call: DirectCall;
   readonly receivedMs: Millis;
@@ -127,10 +138,13 @@
    */
   readonly typicalTimeToHeadMs: Map<string, Millis>;
   /**
-   * Deferred calls by key. They wait for the first configuration and endpoints.
+   * Deferred calls by key. They wait for the first configuration and endpoints,
+   * or for a confirmed view.
    */
   readonly deferredCalls: Map<number, DeferredCall>;
   configIndex: RoutingConfigIndex | undefined;
+  /** Newest version of the configuration that another router has announced. */
+  announcedConfigVersion: number;
   /** The routers of the fleet share retry budgets and the load of endpoints. */
   readonly fleetSize: FleetSize;
   /**
@@ -166,6 +180,7 @@
     typicalTimeToHeadMs: new Map(),
     deferredCalls: new Map(),
     configIndex: undefined,
+    announcedConfigVersion: 0,
     fleetSize: new FleetSize(),
     directoryConfirmedMs: undefined,
     directoryAvailable: false,
@@ -222,6 +237,20 @@
     : Math.round(nowMs - directoryConfirmedMs);
 }
 
+/**
+ * Whether the configuration may be outdated and will be confirmed or replaced
+ * soon: another router has a newer one, or the directory is available and has
+ * not confirmed it for long, as after a pause of the process.
+ */
+export function isConfigOutdated(state: DirectState, nowMs: Millis): boolean {
+  if (state.announcedConfigVersion > (state.configIndex?.version ?? 0)) {
+    return true;
+  }
+  const ageMs = directoryAgeMs(state, nowMs) ?? 0;
+  return state.directoryAvailable &&
+    ageMs > state.options.maxDirectoryAgeMs * OUTDATED_AGE_FRACTION;
+}
+
 /** Endpoints of the request's service that may serve it. */
 export function eligibleEndpoints(
   state: DirectState,
--- a/packages/core/src/direct/reduce_direct.ts
+++ b/packages/core/src/direct/reduce_direct.ts
@@ -2,8 +2,8 @@
 import { transitionRequest } from "../router/request_machine.js";
 import {
   admitCall,
-  admitDeferredCall,
   admitDeferredCalls,
+  endDeferral,
 } from "./direct_admission.js";
 import {
   failAttempt,
@@ -38,8 +38,8 @@
     case "call_received":
       return admitCall(state, event.key, event.call, event.nowMs);
     case "directory_confirmed":
-      state.directoryConfirmedMs = event.nowMs;
-      return [];
+      state.directoryConfirmedMs = event.confirmedMs;
+      return admitDeferredCalls(state, event.nowMs);
     case "caller_gone":
       state.deferredCalls.delete(event.key);
       return ifActiveRequest(
@@ -79,7 +79,7 @@
         ));
     case "timer_fired":
       if (state.deferredCalls.has(event.key)) {
-        return admitDeferredCall(state, event.key, event.nowMs);
+        return endDeferral(state, event.key, event.nowMs);
       }
       return ifActiveRequest(
         state,
@@ -98,6 +98,12 @@
         ...applyConfig(state, event),
         ...admitDeferredCalls(state, event.nowMs),
       ];
+    case "config_announced":
+      state.announcedConfigVersion = Math.max(
+        state.announcedConfigVersion,
+        event.version,
+      );
+      return [];
     case "endpoints_changed":
       return [
         ...applyEndpointChange(state, event),
--- a/packages/core/src/direct/reduce_direct_property_test.ts
+++ b/packages/core/src/direct/reduce_direct_property_test.ts
@@ -166,6 +166,7 @@
       retryRatio: 0.2,
       retryExtra: 20,
       loadMultiple: 1.5,
+      maxDirectoryAgeMs: 3000,
     });
     this.apply(reduceDirect(this.state, {
       type: "config_received",
--- a/packages/core/src/direct/reduce_direct_test.ts
+++ b/packages/core/src/direct/reduce_direct_test.ts
@@ -15,6 +15,7 @@
   retryRatio: 0.2,
   retryExtra: 10,
   loadMultiple: 1.5,
+  maxDirectoryAgeMs: 3000,
 };
 
 const ROUTE = {
@@ -397,6 +398,96 @@
     });
   });
 
+  // Guards against a final answer of 404 or 401 by a router that knows that its
+  // configuration may be older than the caller's.
+  describe("with a configuration that may be outdated", () => {
+    const NEXT: RoutingConfig = {
+      ...CONFIG,
+      version: 2,
+      routes: [
+        ...CONFIG.routes,
+        { ...ROUTE, name: "added", pathPrefix: "/added/" },
+      ],
+    };
+
+    function createOutdatedState(): DirectState {
+      const state = createServingState();
+      reduceDirect(state, {
+        type: "directory_state_changed",
+        nowMs: 0,
+        available: true,
+      });
+      confirm(state, 0);
+      return state;
+    }
+
+    function confirm(state: DirectState, nowMs: number): DirectEffect[] {
+      return reduceDirect(state, {
+        type: "directory_confirmed",
+        nowMs,
+        confirmedMs: nowMs,
+      });
+    }
+
+    function receiveNext(state: DirectState, nowMs: number): DirectEffect[] {
+      return reduceDirect(state, {
+        type: "config_received",
+        nowMs,
+        config: NEXT,
+        source: "test",
+      });
+    }
+
+    it("serves a call whose route arrives soon", () => {
+      const state = createOutdatedState();
+      expect(receiveCall(state, "/added/x", 1, 4000)).toMatchObject([
+        { type: "set_timer", delayMs: 500 },
+      ]);
+      expect(startedAttempts(receiveNext(state, 4200))).toHaveLength(1);
+    });
+
+    it("refuses a call when its configuration is confirmed", () => {
+      const state = createOutdatedState();
+      receiveCall(state, "/added/x", 1, 4000);
+      expect(refusals(confirm(state, 4100))).toMatchObject([{ status: 404 }]);
+    });
+
+    it("refuses a call when neither happens in time", () => {
+      const state = createOutdatedState();
+      receiveCall(state, "/added/x", 1, 4000);
+      const effects = reduceDirect(state, {
+        type: "timer_fired",
+        nowMs: 4499,
+        key: 1,
+        timer: "deadline",
+      });
+      expect(refusals(effects)).toMatchObject([{ status: 404 }]);
+      expect(state.deferredCalls.size).toBe(0);
+    });
+
+    it("waits also when another router has announced a newer one", () => {
+      const state = createOutdatedState();
+      confirm(state, 3900);
+      reduceDirect(state, { type: "config_announced", version: 2 });
+      expect(refusals(receiveCall(state, "/added/x", 1, 4000))).toEqual([]);
+      expect(startedAttempts(receiveNext(state, 4100))).toHaveLength(1);
+    });
+
+    it("refuses at once with a confirmed one or without a directory", () => {
+      const state = createOutdatedState();
+      confirm(state, 3000);
+      expect(refusals(receiveCall(state, "/added/x", 1, 4000)))
+        .toMatchObject([{ status: 404 }]);
+      reduceDirect(state, {
+        type: "directory_state_changed",
+        nowMs: 8000,
+        available: false,
+      });
+      expect(refusals(receiveCall(state, "/added/x", 2, 9000)))
+        .toMatchObject([{ status: 404 }]);
+    });
+  });
+
   describe("with prompt cache updates", () => {
     const updates = [{
       endpointId: "e1",
--- a/packages/core/src/direct/retry_fleet_test.ts
+++ b/packages/core/src/direct/retry_fleet_test.ts
@@ -140,6 +140,7 @@
       retryRatio: RETRIES_PER_REQUEST,
       retryExtra: this.#scenario.additionalRetries,
       loadMultiple: 1.6,
+      maxDirectoryAgeMs: 3000,
     });
     reduceDirect(state, {
       type: "config_received",
--- a/packages/daemon/src/direct/directory_health.ts
+++ b/packages/daemon/src/direct/directory_health.ts
@@ -77,7 +77,8 @@
     if (this.#confirmedMs.size === this.#options.labels.length) {
       this.#options.push({
         type: "directory_confirmed",
-        nowMs: Math.min(...this.#confirmedMs.values()),
+        nowMs,
+        confirmedMs: Math.min(...this.#confirmedMs.values()),
       });
     }
   }
--- a/packages/daemon/src/direct/directory_health_test.ts
+++ b/packages/daemon/src/direct/directory_health_test.ts
@@ -39,10 +39,14 @@
     expect(last("directory_confirmed")).toBeUndefined();
     clock.timeMs += 500;
     health.recordAnswer("endpoints");
-    expect(last("directory_confirmed")).toMatchObject({ nowMs: startMs });
+    expect(last("directory_confirmed")).toMatchObject({
+      confirmedMs: startMs,
+    });
     clock.timeMs += 500;
     health.recordConfirmation(["config", "endpoints"]);
-    expect(last("directory_confirmed")).toMatchObject({ nowMs: clock.timeMs });
+    expect(last("directory_confirmed")).toMatchObject({
+      confirmedMs: clock.timeMs,
+    });
   });
 
   // Guards against a router that takes its configuration as confirmed by one that
@@ -52,7 +56,9 @@
     health.recordAnswer("config");
     clock.timeMs += 500;
     health.recordConfirmation(["endpoints"]);
-    expect(last("directory_confirmed")).toMatchObject({ nowMs: startMs });
+    expect(last("directory_confirmed")).toMatchObject({
+      confirmedMs: startMs,
+    });
   });
 
   it("reports a restore for each higher epoch but the first", () => {
--- a/packages/daemon/src/direct/directory_sync.ts
+++ b/packages/daemon/src/direct/directory_sync.ts
@@ -450,6 +450,12 @@
       configVersion: this.#configVersion(),
       directory: this.#endpoints.position,
     };
+    if (peer.configVersion > own.configVersion) {
+      this.#options.push({
+        type: "config_announced",
+        version: peer.configVersion,
+      });
+    }
     const canServe = own.configVersion > 0 && !this.#endpoints.isUninitialized;
     const usualTransferMs = canServe ? this.#configs.usualChangeMs : undefined;
     if (
