--- a/packages/bench/src/pairs/pairs_main.ts
+++ b/packages/bench/src/pairs/pairs_main.ts
@@ -11,7 +11,8 @@
   readonly arm?: string | readonly string[];
   readonly site?: string | readonly string[];
   readonly days?: string;
-  readonly seeds?: string;
+  /** The parser turns a single seed into a number. */
+  readonly seeds?: string | number;
   readonly jobs?: number;
   readonly why?: string;
   readonly cpu: boolean;
@@ -72,7 +73,8 @@
   });
   const sites = listOf(flags.site);
   const days = required(flags.days, "--days").split(",");
-  const seeds = required(flags.seeds, "--seeds").split(",").map(Number);
+  const seeds = required(flags.seeds?.toString(), "--seeds").split(",")
+    .map(Number);
   if (arms.length === 0 || sites.length === 0 || seeds.some(Number.isNaN)) {
     throw new Error("--arm, --site and numeric --seeds are required");
   }
