Log digests of requests whose answers broke off

Two requests could not be told to be the same: the logs had neither path nor body, and each request has a call id of its own. direct_attempt_failed and endpoint_crashed now name a digest of method, path and body, so the hypothesis that one request crashes one endpoint after the other can be checked.

--- a/packages/baseline/src/pass_through.ts
+++ b/packages/baseline/src/pass_through.ts
@@ -7,8 +7,8 @@
 import { pipeline } from "node:stream/promises";
 import { setTimeout as sleep } from "node:timers/promises";
 import {
+  type CallHead,
   type DirectAccount,
-  type DirectCall,
   type DirectRoute,
   type EndpointRecord,
   type Millis,
@@ -60,7 +60,7 @@
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
   readonly body: Buffer;
-  readonly call: DirectCall;
+  readonly call: CallHead;
   readonly route: DirectRoute;
   readonly account: DirectAccount | undefined;
 }
@@ -211,7 +211,7 @@
    * returns the least loaded endpoint; undefined if no endpoint is ready.
    */
   #chooseEndpoint(
-    call: DirectCall,
+    call: CallHead,
     route: DirectRoute,
   ): EndpointRecord | undefined {
     const sharedPart = call.promptParts.at(-2)?.id ??
--- a/packages/core/src/direct/direct_attempt.ts
+++ b/packages/core/src/direct/direct_attempt.ts
@@ -432,6 +432,9 @@
         after_ms: Math.round(nowMs - attempt.startedMs),
         prompt_parts: sharedPromptParts(request.call).map(({ id }) => id)
           .join(",") || undefined,
+        request_digest: kind === "reset" && sent
+          ? request.call.contentDigest()
+          : undefined,
         retries_left: roundToTenth(
           retryBalanceOf(state, request.service)
             .remaining(retryLimitsOf(state)),
--- a/packages/core/src/direct/direct_event.ts
+++ b/packages/core/src/direct/direct_event.ts
@@ -17,8 +17,8 @@
   readonly tokens: number;
 }
 
-/** The data of a caller's HTTP request that the router needs to route it. */
-export interface DirectCall {
+/** The headers of a caller's HTTP request, decoded, and the size of its body. */
+export interface CallHead {
   /**
    * Id that the caller gave to the request. Endpoints repeat it in the answer.
    */
@@ -47,6 +47,15 @@
   readonly bodyBytes: number;
 }
 
+/** The data of a caller's HTTP request that the router needs to route it. */
+export interface DirectCall extends CallHead {
+  /**
+   * Digest of method, path and body. It reads the whole body when it is first
+   * called, so it is called only if an endpoint may have crashed.
+   */
+  readonly contentDigest: () => string;
+}
+
 /** Status and headers of an endpoint's answer. */
 export interface AnswerHead {
   readonly status: number;
--- a/packages/core/src/direct/endpoint_crash.ts
+++ b/packages/core/src/direct/endpoint_crash.ts
@@ -32,15 +32,21 @@
   }
 }
 
+/** What an attempt that broke off had sent. */
+interface BrokenAttempt {
+  /** Ids of the shared prompt parts. */
+  readonly partIds: readonly string[];
+  readonly contentDigest: string;
+}
+
 /** Attempts that broke off at an endpoint, while it is checked. */
 export interface CrashCheck {
   readonly endpoint: DirectEndpoint;
-  /** Ids of the shared prompt parts of each of these attempts. */
-  readonly promptParts: (readonly string[])[];
+  readonly attempts: BrokenAttempt[];
 }
 
-/** Maximum number of part ids that a log line names. */
-const MAX_LOGGED_PARTS = 12;
+/** Maximum number of part ids, and of digests, that a log line names. */
+const MAX_LOGGED_IDS = 12;
 
 /**
  * Records an attempt that broke off after its request was sent, and has the
@@ -59,13 +65,17 @@
   ) {
     return [];
   }
-  const parts = sharedPromptParts(request.call).map((part) => part.id);
+  const { call } = request;
+  const attempt = {
+    partIds: sharedPromptParts(call).map((part) => part.id),
+    contentDigest: call.contentDigest(),
+  };
   const pending = state.crashChecks.get(id);
   if (pending?.endpoint === endpoint) {
-    pending.promptParts.push(parts);
+    pending.attempts.push(attempt);
     return [];
   }
-  state.crashChecks.set(id, { endpoint, promptParts: [parts] });
+  state.crashChecks.set(id, { endpoint, attempts: [attempt] });
   return [{ type: "check_endpoint", endpointId: id, address: record.address }];
 }
 
@@ -83,18 +93,17 @@
   if (!check || !refusesConnections) {
     return [];
   }
-  const { endpoint, promptParts } = check;
+  const { attempts, endpoint } = check;
   const { service } = endpoint.record;
   endpoint.markCrashed(nowMs);
-  const changed = promptParts.flatMap((parts) =>
+  const changed = attempts.flatMap(({ partIds }) =>
     state.promptSuspects.recordCrash(
       nowMs,
       service,
       endpointProcessOf(endpoint),
-      parts,
+      partIds,
     )
   );
-  const partIds = [...new Set(promptParts.flat())];
   return [
     {
       type: "log",
@@ -102,8 +111,11 @@
       fields: {
         endpoint: endpointId,
         service,
-        broken_attempts: promptParts.length,
-        prompt_parts: partIds.slice(0, MAX_LOGGED_PARTS).join(","),
+        broken_attempts: attempts.length,
+        prompt_parts: loggedIds(attempts.flatMap(({ partIds }) => partIds)),
+        request_digests: loggedIds(
+          attempts.map(({ contentDigest }) => contentDigest),
+        ),
       },
     },
     ...handleSuspectChanges(state, changed, nowMs, {
@@ -112,3 +124,7 @@
     }),
   ];
 }
+
+function loggedIds(ids: readonly string[]): string {
+  return [...new Set(ids)].slice(0, MAX_LOGGED_IDS).join(",");
+}
--- a/packages/core/src/direct/pool_fixture.ts
+++ b/packages/core/src/direct/pool_fixture.ts
@@ -45,6 +45,7 @@
 
 /** Returns a call on the route of {@link poolConfig}. */
 export function poolCall(fields: Partial<DirectCall> = {}): DirectCall {
+  const { path = "/x", promptParts = [] } = fields;
   return {
     callId: "c",
     host: "h",
@@ -60,6 +61,7 @@
     promptParts: [],
     headerBytes: 10,
     bodyBytes: 10,
+    contentDigest: () => [path, ...promptParts.map(({ id }) => id)].join(" "),
     ...fields,
   };
 }
--- a/packages/core/src/direct/reduce_direct_property_test.ts
+++ b/packages/core/src/direct/reduce_direct_property_test.ts
@@ -137,6 +137,7 @@
     promptParts: [{ id: `p${key % 3}`, tokens: 500 }, { id: "own", tokens: 9 }],
     headerBytes: 10,
     bodyBytes: 0,
+    contentDigest: () => `digest of ${key}`,
   };
 }
 
--- a/packages/core/src/direct/reduce_direct_test.ts
+++ b/packages/core/src/direct/reduce_direct_test.ts
@@ -97,6 +97,7 @@
     promptParts: [],
     headerBytes: 10,
     bodyBytes: 0,
+    contentDigest: () => "digest",
   };
 }
 
--- a/packages/daemon/src/direct/call_dialect.ts
+++ b/packages/daemon/src/direct/call_dialect.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage } from "node:http";
 import type {
   AnswerHead,
-  DirectCall,
+  CallHead,
   Refusal,
   StartAttempt,
 } from "@anvildeal/core";
@@ -15,7 +15,7 @@
  */
 export abstract class CallDialect {
   /** Decodes the headers of a caller's request. */
-  abstract readCall(request: IncomingMessage, bodyBytes: number): DirectCall;
+  abstract readCall(request: IncomingMessage, bodyBytes: number): CallHead;
 
   /**
    * Id of the last event that the caller received of an interrupted stream;
--- a/packages/daemon/src/direct/direct_router_host.ts
+++ b/packages/daemon/src/direct/direct_router_host.ts
@@ -24,6 +24,7 @@
 import { AnswerWriter } from "./answer_writer.js";
 import type { CallDialect } from "./call_dialect.js";
 import type { Collection } from "./collection.js";
+import { lazyContentDigest } from "./content_digest.js";
 import type { DirectSettings } from "./direct_settings.js";
 import { DirectorySync } from "./directory_sync.js";
 import {
@@ -338,7 +339,10 @@
       type: "call_received",
       nowMs: this.#clock.nowMs(),
       key,
-      call: this.#dialect.readCall(request, body.length),
+      call: {
+        ...this.#dialect.readCall(request, body.length),
+        contentDigest: lazyContentDigest(request, body),
+      },
     });
   }
 
