Continue only streams when an answer stalls

Callers of idempotent requests got an answer that was joined from two runs: after 0.6 s without a byte, an answer that had begun was continued by a second attempt, as a resumable stream is, and the second answer was appended to the part of the first one. An answer in chunks looked complete.

--- a/packages/core/src/direct/direct_event.ts
+++ b/packages/core/src/direct/direct_event.ts
@@ -116,6 +116,8 @@
   readonly attemptNumber: number;
   /** Time since the last bytes of the answer arrived. */
   readonly silentMs: Millis;
+  /** As in the event `attempt_failed`. */
+  readonly canResume: boolean;
 }
 
 /**
--- a/packages/core/src/direct/direct_stalls.ts
+++ b/packages/core/src/direct/direct_stalls.ts
@@ -96,7 +96,7 @@
       const maxSilentMs =
         (request.route.gapObjectiveMs ?? DEFAULT_GAP_OBJECTIVE_MS) *
         GAP_OBJECTIVE_FRACTION;
-      return stall.silentMs >= maxSilentMs &&
+      return stall.canResume && stall.silentMs >= maxSilentMs &&
           canRetryElsewhere(state, request, nowMs)
         ? abandonAttempt(state, request, attempt, nowMs)
         : [];
--- a/packages/core/src/direct/reduce_direct_test.ts
+++ b/packages/core/src/direct/reduce_direct_test.ts
@@ -256,7 +256,12 @@
         nowMs: 1000,
         busyEndpoints: 1,
         endpoints: [],
-        attempts: [{ key: 1, attemptNumber: 1, silentMs: 950 }],
+        attempts: [{
+          key: 1,
+          attemptNumber: 1,
+          silentMs: 950,
+          canResume: true,
+        }],
       });
       expect(effects).toEqual([]);
       const later = reduceDirect(state, {
@@ -269,6 +274,34 @@
       expect(state.requests.size).toBe(1);
     });
 
+    // Guards against an answer that is joined from two runs: the caller has a part
+    // of the first one.
+    it("keeps a stalled answer that is no stream once it has begun", () => {
+      const state = createServingState();
+      receiveCall(state, "/read/x");
+      reduceDirect(state, {
+        type: "attempt_head",
+        nowMs: 50,
+        key: 1,
+        attemptNumber: 1,
+        head: HEAD,
+      });
+      const effects = reduceDirect(state, {
+        type: "stalls_observed",
+        nowMs: 1000,
+        busyEndpoints: 2,
+        endpoints: [],
+        attempts: [{
+          key: 1,
+          attemptNumber: 1,
+          silentMs: 950,
+          canResume: false,
+        }],
+      });
+      expect(startedAttempts(effects)).toEqual([]);
+      expect(state.requests.size).toBe(1);
+    });
+
     it("suspects no endpoint when most of them stall at once", () => {
       // A large configuration can saturate a router's network connection. The
       // router must not then suspect all endpoints and move every stream.
@@ -283,7 +316,12 @@
           silentMs: 800,
           onReusedConnections: false,
         })),
-        attempts: [{ key: 1, attemptNumber: 1, silentMs: 800 }],
+        attempts: [{
+          key: 1,
+          attemptNumber: 1,
+          silentMs: 800,
+          canResume: true,
+        }],
       });
       const endpoint = state.directory.get(first!.endpointId);
       expect(endpoint?.isSuspected(801)).toBe(false);
@@ -349,7 +387,7 @@
           nowMs: 50 + silentMs,
           busyEndpoints: 2,
           endpoints: [],
-          attempts: [{ key: 1, attemptNumber: 1, silentMs }],
+          attempts: [{ key: 1, attemptNumber: 1, silentMs, canResume: true }],
         });
       expect(startedAttempts(stallFor(200))).toEqual([]);
       const [second] = startedAttempts(stallFor(240));
--- a/packages/daemon/src/direct/direct_router_host.ts
+++ b/packages/daemon/src/direct/direct_router_host.ts
@@ -306,7 +306,8 @@
       }
       const silentMs = nowMs - running.lastReceivedMs;
       if (running.awaitsBodyBytes && silentMs >= MIN_REPORTED_SILENT_MS) {
-        attempts.push({ key, attemptNumber, silentMs });
+        const { canResume } = running;
+        attempts.push({ key, attemptNumber, silentMs, canResume });
       }
     }
     const endpoints = [...lastReceivedByEndpoint]
--- a/packages/daemon/src/direct/endpoint_attempt.ts
+++ b/packages/daemon/src/direct/endpoint_attempt.ts
@@ -107,6 +107,11 @@
       !this.#controller?.paused;
   }
 
+  /** Whether another attempt can continue the answer that is relayed. */
+  get canResume(): boolean {
+    return this.#writer?.canResume ?? false;
+  }
+
   /** Sends the caller's request to the endpoint. */
   start(writer: AnswerWriter): void {
     const { request, body } = writer;
