Block requests under which endpoints crash, like prompt parts

Callers lost a whole plain service again and again: one request crashed each endpoint that ran it, came again, and went to the next one. Evidence of crashes was held against prompt parts only, and a plain request has none.

Evidence is now held against traits of requests, of which a prompt part is one and the whole request (account, method, path and body, known by a digest) another. Both share the suspects, the exchange between routers, the stored document, the trials, the refusal and the code of the log; a table has what differs: how much evidence suffices and the names.

- The content of a request is blocked after three crashes that are not all of one moment, or after two under short runs if no other request was at both.
A retry after a crash is a moment of its own.
- Crashes near by speak for a suspect's innocence only if no other suspect that was at several crashes explains them, so several such requests at once do not hide behind each other.
- A request that was at all crashes together with another one is tried after a second, alone.
- Times of crashes are those of the broken answers, not of the checks after them, and messages are aged when they are sent, so that routers agree on which crashes are of one moment.
- A block is tried twice and then no more: the platform allows three requests in all.
A trial needs an endpoint that seems to be sound.
In a large fleet one of eight routers may make it, since each gets few of the requests.
- The digest is needed for requests whose origin (account, method, path, size) is under suspicion, and for broken answers.

--- a/packages/core/src/direct/blocked_parts_test.ts
+++ b/packages/core/src/direct/blocked_requests_test.ts
@@ -2,7 +2,8 @@
 import type { DirectEffect, DirectEvent } from "./direct_event.js";
 import { createDirectState, type DirectState } from "./direct_state.js";
 import { ACCEPTED_HEAD, poolCall, poolConfig } from "./pool_fixture.js";
-import { SuspectReportSchema } from "./prompt_suspects.js";
+import { contentTraitOf, promptPartTraitsOf } from "./request_trait.js";
+import { SuspectReportSchema } from "./suspect_report.js";
 import { reduceDirect } from "./reduce_direct.js";
 
 const ENDPOINT_COUNT = 12;
@@ -10,6 +11,8 @@
 /** Delay from the block of a part to the first request that tries it. */
 const FIRST_TRIAL_MS = 60_000;
 
+const CRASH = { crashedMs: 0, ranMs: 10, isRetry: false };
+
 const CONFIG = poolConfig({ sticky: true });
 
 describe("blocked prompt parts", () => {
@@ -99,6 +102,18 @@
     nowMs += 100;
   }
 
+  function recordCrash(number: number, partIds: readonly string[]) {
+    return state.crashSuspects.recordCrash(
+      number,
+      { ...CRASH, endpointProcess: `e${number}@1`, crashedMs: number },
+      partIds.map((partId) => ({
+        kind: "prompt_part",
+        service: "pool",
+        partId,
+      })),
+    );
+  }
+
   function block(): void {
     for (let i = 0; i < 4; i++) {
       crash("root", "bad");
@@ -179,6 +194,18 @@
     expect(isSent(effects)).toBe(false);
   });
 
+  // Guards against a trial that is used up at an endpoint which is known to be gone.
+  it("are not tried while no endpoint seems to be sound", () => {
+    block();
+    nowMs += FIRST_TRIAL_MS;
+    for (const endpoint of state.directory.all()) {
+      endpoint.markCrashed(nowMs);
+    }
+    expect(isSent(send("root", "bad"))).toBe(false);
+    nowMs += 10_000;
+    expect(isSent(send("root", "bad"))).toBe(true);
+  });
+
   it("are unblocked when the answer of a trial ends well", () => {
     block();
     nowMs += FIRST_TRIAL_MS;
@@ -224,23 +251,34 @@
   // Guards against the memory that callers who invent parts would take.
   it("are bounded in number when each crash names other parts", () => {
     for (let i = 0; i < 6000; i++) {
-      state.promptSuspects.recordCrash(i, "pool", `e${i}@1`, [`part-${i}`]);
+      recordCrash(i, [`part-${i}`]);
     }
     block();
     expect(isSent(send("root", "bad"))).toBe(false);
-    expect(state.promptSuspects.reports(nowMs).length).toBeLessThan(300);
+    expect(state.crashSuspects.reports(nowMs).length).toBeLessThan(300);
   });
 
   // Guards against evidence that other routers reject together with the
   // connection, because callers send many parts or long ids.
   it("are reported in a form that other routers can read", () => {
-    const parts = Array.from({ length: 40 }, (_, i) => `part-${i}`);
-    const changed = state.promptSuspects.recordCrash(0, "pool", "e0@1", [
-      ...parts,
-      "x".repeat(500),
-    ]);
-    expect(changed.length).toBeGreaterThan(0);
-    for (const report of state.promptSuspects.reports(0)) {
+    const ids = Array.from({ length: 40 }, (_, i) => `part-${i}`);
+    const request = {
+      call: poolCall({
+        path: `/${"p".repeat(500)}?q`,
+        method: "M".repeat(500),
+        contentDigest: () => "0".repeat(32),
+        promptParts: ["x".repeat(500), ...ids].map((id) => ({ id, tokens: 1 })),
+      }),
+      service: "pool",
+      account: { name: "a".repeat(500) },
+    };
+    const changed = state.crashSuspects.recordCrash(
+      0,
+      { ...CRASH, endpointProcess: "e0@1" },
+      [contentTraitOf(request), ...promptPartTraitsOf(request)],
+    );
+    expect(changed.length).toBeGreaterThan(1);
+    for (const report of state.crashSuspects.reports(0)) {
       expect(SuspectReportSchema.safeParse(report).success).toBe(true);
     }
   });
--- a/packages/core/src/direct/direct_admission.ts
+++ b/packages/core/src/direct/direct_admission.ts
@@ -233,7 +233,7 @@
     possibleExecutions: 0,
     origin: undefined,
     isTrial: false,
-    blockedPart: undefined,
+    blockedTrait: undefined,
     awaitsOrigin: false,
     answerStarted: false,
     answerStatus: undefined,
--- a/packages/core/src/direct/direct_attempt.ts
+++ b/packages/core/src/direct/direct_attempt.ts
@@ -161,7 +161,7 @@
     ? suspectEndpoint(endpoint, "connect", nowMs)
     : [];
   const check = failure.sent && failure.kind === "reset"
-    ? checkForCrash(state, request, endpoint)
+    ? checkForCrash(state, request, attempt, nowMs)
     : [];
   closeAttempt(request);
   if (failure.sent) {
--- a/packages/core/src/direct/direct_event.ts
+++ b/packages/core/src/direct/direct_event.ts
@@ -5,7 +5,7 @@
 import type { ReportedLoad } from "./direct_endpoint.js";
 import type { RoutingConfig } from "./routing_config.js";
 import type { PromptCacheEntry } from "./prompt_cache_index.js";
-import type { SuspectReport } from "./prompt_suspects.js";
+import type { SuspectReport } from "./suspect_report.js";
 import type { LimitReport } from "./request_limit.js";
 import type { StreamOrigin } from "./stream_origins.js";
 
@@ -277,7 +277,7 @@
     readonly refusesConnections: boolean;
   }
   /**
-   * Other routers, or the stored document, name prompt parts under which
+   * Other routers, or the stored document, name traits of requests under which
    * endpoints crashed.
    */
   | {
@@ -335,6 +335,8 @@
   | "stream_version_unknown"
   /** Endpoints crash under a part of the prompt. */
   | "prompt_part_blocked"
+  /** Endpoints crash under this very request. */
+  | "request_blocked"
   /** The endpoints take fewer requests than callers send, by their own limits. */
   | "endpoints_limited"
   | "deadline_passed"
@@ -466,7 +468,7 @@
   }
   /** Send the event `suspects_review_due` after a delay. */
   | { readonly type: "review_suspects"; readonly delayMs: Millis }
-  /** Tell other routers about prompt parts under which endpoints crashed. */
+  /** Tell other routers under which traits of requests endpoints crashed. */
   | {
     readonly type: "share_suspects";
     readonly suspects: readonly SuspectReport[];
--- a/packages/core/src/direct/direct_finish.ts
+++ b/packages/core/src/direct/direct_finish.ts
@@ -1,4 +1,5 @@
 import type { Millis } from "../clock.js";
+import type { LogFields } from "../log_events.js";
 import type {
   DirectEffect,
   DirectRefusalReason,
@@ -122,7 +123,7 @@
         endpoint: endpointId,
         attempts: request.attemptCount,
         possible_runs: request.possibleExecutions,
-        prompt_part: request.blockedPart,
+        ...blockedTraitFields(request),
         took_ms: Math.round(nowMs - request.receivedMs),
         deadline_ms: Math.round(request.deadlineAtMs - request.receivedMs),
         config_version: state.configIndex?.version,
@@ -147,3 +148,13 @@
   );
   return effects;
 }
+
+/** Names the trait because of which a request was refused. */
+function blockedTraitFields({ blockedTrait }: ActiveRequest): LogFields {
+  if (!blockedTrait) {
+    return {};
+  }
+  return blockedTrait.kind === "prompt_part"
+    ? { prompt_part: blockedTrait.partId }
+    : { request_digest: blockedTrait.digest };
+}
--- a/packages/core/src/direct/direct_place.ts
+++ b/packages/core/src/direct/direct_place.ts
@@ -1,6 +1,6 @@
 import type { Millis } from "../clock.js";
 import { transitionRequest } from "../router/request_machine.js";
-import { announceTrial, refuseBlocked } from "./blocked_parts.js";
+import { announceTrial, refuseBlocked } from "./blocked_requests.js";
 import { type Choice, chooseEndpoint } from "./choose_endpoint.js";
 import type { DirectEndpoint } from "./direct_endpoint.js";
 import type {
@@ -67,7 +67,7 @@
 const MAX_URGENCY = 9;
 
 /**
- * Starts an attempt at the best endpoint, unless the prompt has a blocked part.
+ * Starts an attempt at the best endpoint, unless the request is blocked.
  * If no endpoint is available or too little time is left, refuses the request,
  * or aborts the answer if a part of it was already relayed.
  */
@@ -76,7 +76,13 @@
   request: ActiveRequest,
   nowMs: Millis,
 ): DirectEffect[] {
-  const refusal = refuseBlocked(state, request, nowMs);
+  const leftMs = request.deadlineAtMs - nowMs;
+  const choice = leftMs < MIN_ATTEMPT_MS
+    ? undefined
+    : choosePlace(state, request, nowMs);
+  const hasSoundEndpoint = choice !== undefined &&
+    choice.reason !== "last_resort";
+  const refusal = refuseBlocked(state, request, nowMs, hasSoundEndpoint);
   if (refusal) {
     return refusal;
   }
@@ -95,9 +101,26 @@
       retryAfterMs,
     );
   }
-  const leftMs = request.deadlineAtMs - nowMs;
+  if (!choice) {
+    const reason = leftMs < MIN_ATTEMPT_MS
+      ? "deadline_passed"
+      : request.lastFailureReason ??
+        (request.origin ? "stream_version_gone" : "no_endpoint");
+    return endUnplaced(state, request, nowMs, reason);
+  }
+  request.snapshot =
+    transitionRequest(request.snapshot, { type: "placed" }).snapshot;
+  return startAttempt(state, request, choice, nowMs);
+}
+
+/** Returns undefined if no endpoint can take the request. */
+function choosePlace(
+  state: DirectState,
+  request: ActiveRequest,
+  nowMs: Millis,
+): Choice | undefined {
   const { tokensPerMs } = prefillRateOf(state, request.service);
-  const choice = leftMs < MIN_ATTEMPT_MS ? undefined : chooseEndpoint(
+  return chooseEndpoint(
     state.directory.ofService(request.service),
     {
       affinityKey: affinityKeyOf(request),
@@ -120,16 +143,6 @@
     },
     nowMs,
   );
-  if (!choice) {
-    const reason = leftMs < MIN_ATTEMPT_MS
-      ? "deadline_passed"
-      : request.lastFailureReason ??
-        (request.origin ? "stream_version_gone" : "no_endpoint");
-    return endUnplaced(state, request, nowMs, reason);
-  }
-  request.snapshot =
-    transitionRequest(request.snapshot, { type: "placed" }).snapshot;
-  return startAttempt(state, request, choice, nowMs);
 }
 
 /** Endpoints at which the request has not been and that may serve it. */
--- a/packages/core/src/direct/direct_state.ts
+++ b/packages/core/src/direct/direct_state.ts
@@ -9,12 +9,13 @@
 } from "./direct_event.js";
 import { EndpointDirectory } from "./endpoint_directory.js";
 import type { DirectEndpoint } from "./direct_endpoint.js";
-import type { CrashCheck } from "./endpoint_crash.js";
+import type { CrashCheck } from "./crash_check.js";
+import { CrashSuspects } from "./crash_suspects.js";
 import type { KnownLimitShare } from "./endpoint_limits.js";
 import { FleetSize } from "./fleet_size.js";
 import { RetryBalance, type RetryBalanceLimits } from "./retry_balance.js";
-import { PromptSuspects } from "./prompt_suspects.js";
 import { PrefillRate } from "./prefill_rate.js";
+import type { RequestTrait } from "./request_trait.js";
 import type { RoutingConfigIndex } from "./routing_config_index.js";
 import { PromptCacheIndex } from "./prompt_cache_index.js";
 import { type StreamOrigin, StreamOrigins } from "./stream_origins.js";
@@ -66,8 +67,8 @@
   /** Longest time for which the fleet may act on an outdated view. */
   readonly maxDirectoryAgeMs: Millis;
   /**
-   * Whether the router serves only after it learned which prompt parts the fleet
-   * has blocked, or has waited for that in vain.
+   * Whether the router serves only after it learned which requests the fleet has
+   * blocked, or has waited for that in vain.
    */
   readonly awaitsSuspects?: boolean;
 }
@@ -114,10 +115,10 @@
    * that version only. Undefined as long as the caller has no event of it.
    */
   origin: StreamOrigin | undefined;
-  /** Whether the request is to show if a blocked prompt part is sound. */
+  /** Whether the request is to show if a blocked trait is sound. */
   isTrial: boolean;
-  /** Prompt part because of which the request was refused. */
-  blockedPart: string | undefined;
+  /** Because of which the request was refused. */
+  blockedTrait: RequestTrait | undefined;
   /** Whether the request waits for other routers to name the origin. */
   awaitsOrigin: boolean;
   /** Whether the head of an answer was relayed to the caller. */
@@ -150,13 +151,13 @@
   readonly streamOrigins: StreamOrigins;
   /** Endpoints that are checked after an attempt broke off, by id. */
   readonly crashChecks: Map<string, CrashCheck>;
-  readonly promptSuspects: PromptSuspects;
+  readonly crashSuspects: CrashSuspects;
   /**
    * Limits the suspects with a single crash that this router sends to others,
    * since a failure domain that is lost makes many of them at once.
    */
   readonly minorSuspectsBucket: TokenBucket;
-  /** Whether the router has learned which prompt parts the fleet suspects. */
+  /** Whether the router has learned what the fleet suspects. */
   suspectsKnown: boolean;
   /** Time of the first tick after which only the suspects were not known. */
   suspectsAwaitedSinceMs: Millis | undefined;
@@ -167,7 +168,7 @@
   /** Times of the first and the last event `router_count_observed`. */
   routersObservedSinceMs: Millis | undefined;
   routersObservedMs: Millis;
-  /** Whether this router makes the trials of blocked prompt parts. */
+  /** Whether this router makes the trials of blocked requests. */
   isFirstRouter: boolean;
   readonly prefillRates: Map<string, PrefillRate>;
   /**
@@ -215,7 +216,7 @@
     retryBalances: new Map(),
     streamOrigins: new StreamOrigins(),
     crashChecks: new Map(),
-    promptSuspects: new PromptSuspects(),
+    crashSuspects: new CrashSuspects(),
     minorSuspectsBucket: new TokenBucket(
       MINOR_SUSPECTS_PER_S,
       MINOR_SUSPECTS_BURST,
@@ -244,8 +245,8 @@
 }
 
 /**
- * Whether the router has a configuration and endpoints, knows the blocked prompt
- * parts, and is not stopping.
+ * Whether the router has a configuration and endpoints, knows which requests are
+ * blocked, and is not stopping.
  */
 export function canServe(state: DirectState): boolean {
   return hasDirectory(state) && state.suspectsKnown && !state.stopping;
--- a/packages/core/src/direct/endpoint_crash.ts
+++ b/packages/core/src/direct/endpoint_crash.ts
@@ -1,13 +1,22 @@
-// Tells endpoints that crashed from connections that only broke, and names the
-// prompt parts that were in flight when an endpoint crashed.
+// Tells endpoints that crashed from connections that only broke, and holds a
+// crash against what the endpoint's requests have in common with others.
 
 import type { Millis } from "../clock.js";
-import { handleSuspectChanges } from "./blocked_parts.js";
+import type { LogFields } from "../log_events.js";
+import { handleSuspectChanges } from "./blocked_requests.js";
 import type { DirectEndpoint } from "./direct_endpoint.js";
 import type { DirectEffect, DirectEvent } from "./direct_event.js";
-import type { ActiveRequest, DirectState } from "./direct_state.js";
-import type { SuspectReport } from "./prompt_suspects.js";
-import { sharedPromptParts } from "./prompt_parts.js";
+import type {
+  ActiveAttempt,
+  ActiveRequest,
+  DirectState,
+} from "./direct_state.js";
+import {
+  contentTraitOf,
+  promptPartTraitsOf,
+  type RequestTrait,
+} from "./request_trait.js";
+import type { SuspectReport } from "./suspect_report.js";
 
 /** Names a process of an endpoint, of which the same id may have several. */
 function endpointProcessOf({ id, record }: DirectEndpoint): string {
@@ -32,19 +41,6 @@
   }
 }
 
-/** What an attempt that broke off had sent. */
-interface BrokenAttempt {
-  /** Ids of the shared prompt parts. */
-  readonly partIds: readonly string[];
-  readonly contentDigest: string;
-}
-
-/** Attempts that broke off at an endpoint, while it is checked. */
-export interface CrashCheck {
-  readonly endpoint: DirectEndpoint;
-  readonly attempts: BrokenAttempt[];
-}
-
 /** Maximum number of part ids, and of digests, that a log line names. */
 const MAX_LOGGED_IDS = 12;
 
@@ -56,7 +52,8 @@
 export function checkForCrash(
   state: DirectState,
   request: ActiveRequest,
-  endpoint: DirectEndpoint,
+  { endpoint, startedMs }: ActiveAttempt,
+  nowMs: Millis,
 ): DirectEffect[] {
   const { id, lapsedUntilMs, record } = endpoint;
   if (
@@ -65,24 +62,21 @@
   ) {
     return [];
   }
-  const { call } = request;
   const attempt = {
-    partIds: sharedPromptParts(call).map((part) => part.id),
-    contentDigest: call.contentDigest(),
+    ranMs: nowMs - startedMs,
+    isRetry: request.possibleExecutions > 0,
+    traits: [contentTraitOf(request), ...promptPartTraitsOf(request)],
   };
   const pending = state.crashChecks.get(id);
   if (pending?.endpoint === endpoint) {
     pending.attempts.push(attempt);
     return [];
   }
-  state.crashChecks.set(id, { endpoint, attempts: [attempt] });
+  state.crashChecks.set(id, { endpoint, brokenMs: nowMs, attempts: [attempt] });
   return [{ type: "check_endpoint", endpointId: id, address: record.address }];
 }
 
-/**
- * Holds the crash of an endpoint against the prompt parts of the requests that
- * it had.
- */
+/** Holds the crash of an endpoint against the requests that it had. */
 export function handleEndpointCheck(
   state: DirectState,
   event: Extract<DirectEvent, { type: "endpoint_checked" }>,
@@ -93,15 +87,15 @@
   if (!check || !refusesConnections) {
     return [];
   }
-  const { attempts, endpoint } = check;
+  const { attempts, brokenMs, endpoint } = check;
   const { service } = endpoint.record;
   endpoint.markCrashed(nowMs);
-  const changed = attempts.flatMap(({ partIds }) =>
-    state.promptSuspects.recordCrash(
+  const endpointProcess = endpointProcessOf(endpoint);
+  const changed = attempts.flatMap(({ isRetry, ranMs, traits }) =>
+    state.crashSuspects.recordCrash(
       nowMs,
-      service,
-      endpointProcessOf(endpoint),
-      partIds,
+      { endpointProcess, crashedMs: brokenMs, ranMs, isRetry },
+      traits,
     )
   );
   return [
@@ -112,10 +106,7 @@
         endpoint: endpointId,
         service,
         broken_attempts: attempts.length,
-        prompt_parts: loggedIds(attempts.flatMap(({ partIds }) => partIds)),
-        request_digests: loggedIds(
-          attempts.map(({ contentDigest }) => contentDigest),
-        ),
+        ...loggedTraits(attempts.flatMap(({ traits }) => traits)),
       },
     },
     ...handleSuspectChanges(state, changed, nowMs, {
@@ -125,6 +116,17 @@
   ];
 }
 
-function loggedIds(ids: readonly string[]): string {
-  return [...new Set(ids)].slice(0, MAX_LOGGED_IDS).join(",");
+function loggedTraits(traits: readonly RequestTrait[]): LogFields {
+  const partIds = new Set<string>();
+  const digests = new Set<string>();
+  for (const trait of traits) {
+    if (trait.kind === "prompt_part") {
+      partIds.add(trait.partId);
+    } else {
+      digests.add(trait.digest);
+    }
+  }
+  const join = (ids: ReadonlySet<string>) =>
+    [...ids].slice(0, MAX_LOGGED_IDS).join(",");
+  return { prompt_parts: join(partIds), request_digests: join(digests) };
 }
--- a/packages/core/src/direct/index.ts
+++ b/packages/core/src/direct/index.ts
@@ -10,7 +10,12 @@
 } from "./direct_state.js";
 export * from "./endpoint_directory.js";
 export * from "./direct_endpoint.js";
-export { type SuspectReport, SuspectReportSchema } from "./prompt_suspects.js";
+export {
+  olderReport,
+  reportKeyOf,
+  type SuspectReport,
+  SuspectReportSchema,
+} from "./suspect_report.js";
 export * from "./reduce_direct.js";
 export * from "./fleet_size.js";
 export * from "./retry_balance.js";
--- a/packages/core/src/direct/reduce_direct.ts
+++ b/packages/core/src/direct/reduce_direct.ts
@@ -12,9 +12,9 @@
 } from "./direct_attempt.js";
 import {
   applySuspectReports,
-  recordSoundParts,
+  recordSoundTraits,
   reviewSuspects,
-} from "./blocked_parts.js";
+} from "./blocked_requests.js";
 import type { DirectEffect, DirectEvent } from "./direct_event.js";
 import { applyLimitReports } from "./endpoint_limits.js";
 import { finishRequest, refuse } from "./direct_finish.js";
@@ -233,7 +233,7 @@
   request.snapshot =
     transitionRequest(request.snapshot, { type: "ended" }).snapshot;
   return [
-    ...recordSoundParts(state, request, nowMs),
+    ...recordSoundTraits(state, request, nowMs),
     ...finishRequest(state, request, nowMs, "answered"),
   ];
 }
--- a/packages/core/src/direct/reduce_direct_test.ts
+++ b/packages/core/src/direct/reduce_direct_test.ts
@@ -654,10 +654,12 @@
         service: "s",
         partId: "p",
         clearCount: 0,
-        crashes: [{ endpoint: "e1@1", ageMs: 20 }, {
-          endpoint: "e2@0",
+        crashes: ["e1@1", "e2@0"].map((endpoint) => ({
+          endpoint,
           ageMs: 20,
-        }],
+          ranMs: 20,
+          isRetry: false,
+        })),
         companions: [],
         trialCount: 0,
       }],
--- a/packages/core/src/log_events.ts
+++ b/packages/core/src/log_events.ts
@@ -231,7 +231,22 @@
   prompt_suspects_unknown: {
     code: 4046,
     level: "warn",
-    message: "router serves without knowing the blocked prompt parts",
+    message: "router serves without knowing which requests are blocked",
+  },
+  request_blocked: {
+    code: 4049,
+    level: "warn",
+    message: "endpoints crash under a request; the same is refused",
+  },
+  request_unblocked: {
+    code: 4050,
+    level: "info",
+    message: "a blocked request is sound and is served again",
+  },
+  request_tried: {
+    code: 4051,
+    level: "info",
+    message: "a blocked request was sent to try it",
   },
   endpoint_limit_changed: {
     code: 4047,
--- a/packages/core/src/wire/field_codes.ts
+++ b/packages/core/src/wire/field_codes.ts
@@ -140,6 +140,15 @@
   "endpoint",
   "limitVersion",
   "limitPerS",
+  "content",
+  "digest",
+  "account",
+  "method",
+  "path",
+  "bodyBytes",
+  "blockedAgeMs",
+  "ranMs",
+  "isRetry",
 ] as const;
 
 /** Code of each name, for the key map of the CBOR codec. */
--- a/packages/core/src/wire/messages.ts
+++ b/packages/core/src/wire/messages.ts
@@ -5,7 +5,7 @@
 } from "../direct/routing_config.js";
 import { PromptCacheEntrySchema } from "../direct/prompt_cache_index.js";
 import { LimitReportSchema } from "../direct/request_limit.js";
-import { SuspectReportSchema } from "../direct/prompt_suspects.js";
+import { SuspectReportSchema } from "../direct/suspect_report.js";
 import { BurnSnapshotSchema } from "../report/burn_snapshot.js";
 
 /** Version of the protocol between anvildeal processes. */
@@ -434,7 +434,7 @@
   callId: z.string().max(128),
 });
 
-/** Prompt parts under which endpoints crashed, as far as the sender knows. */
+/** Under which requests endpoints crashed, as far as the sender knows. */
 const FleetSuspectsSchema = z.object({
   type: z.literal("fleet_suspects"),
   suspects: z.array(SuspectReportSchema),
--- a/packages/daemon/src/direct/direct_router_host.ts
+++ b/packages/daemon/src/direct/direct_router_host.ts
@@ -75,7 +75,7 @@
   readonly renewDirectoryConnections: (reason: string) => void;
   /** Holds the prompt cache contents of the endpoints. */
   readonly promptCacheDocument: SharedDocument;
-  /** Holds the prompt parts under which endpoints crashed. */
+  /** Holds under which requests endpoints crashed. */
   readonly suspectDocument: SharedDocument;
   readonly logger: Logger;
   readonly clock: Clock;
@@ -138,7 +138,7 @@
       observe: (measurement) => this.#metrics.observe(measurement),
       renewConnections: options.renewDirectoryConnections,
       limits: () => limitReports(this.#state),
-      suspects: () => this.#state.promptSuspects.reports(clock.nowMs()),
+      suspects: () => this.#state.crashSuspects.reports(clock.nowMs()),
       onAnswer: () => {
         this.#promptCachePersistence.handleDirectoryAnswer();
         this.#suspectPersistence.handleDirectoryAnswer();
@@ -148,10 +148,10 @@
       document: options.suspectDocument,
       logger,
       clock,
-      reports: () => this.#state.promptSuspects.reports(clock.nowMs()),
-      hasBlocked: () => this.#state.promptSuspects.hasBlocked,
+      reports: () => this.#state.crashSuspects.reports(clock.nowMs()),
+      hasBlocked: () => this.#state.crashSuspects.hasBlocked,
       hasRecentEvidence: () =>
-        this.#state.promptSuspects.hasRecentEvidence(clock.nowMs()),
+        this.#state.crashSuspects.hasRecentEvidence(clock.nowMs()),
       onRead: (reports) =>
         this.#queue.push({
           type: "suspects_received",
--- a/packages/daemon/src/direct/directory_sync.ts
+++ b/packages/daemon/src/direct/directory_sync.ts
@@ -8,7 +8,9 @@
   type Measurement,
   type Message,
   type MessageOf,
+  olderReport,
   type PromptCacheEntry,
+  reportKeyOf,
   type RoutingConfig,
   type StreamOrigin,
   type SuspectReport,
@@ -54,7 +56,7 @@
   readonly streamOriginOf: (callId: string) => StreamOrigin | undefined;
   /** Limits that endpoints name, as this router knows them. */
   readonly limits: () => readonly LimitReport[];
-  /** Prompt parts under which endpoints crashed, as this router knows them. */
+  /** Under which requests endpoints crashed, as this router knows it. */
   readonly suspects: () => readonly SuspectReport[];
   readonly observe: (measurement: Measurement) => void;
   /** Makes further calls to the directory use new connections. */
@@ -128,7 +130,9 @@
       sendTo: (nodeId, message) => this.#mesh.sendTo(nodeId, message),
     });
     this.#suspects = new SharedRecordExchange({
-      keyOf: ({ partId, service }) => `${service}/${partId}`,
+      clock,
+      olderBy: olderReport,
+      keyOf: reportKeyOf,
       all: options.suspects,
       connectedCount: () => this.#mesh.connectedCount,
       broadcast: (suspects) =>
@@ -143,6 +147,8 @@
         }),
     });
     this.#limits = new SharedRecordExchange({
+      clock,
+      olderBy: (limit) => limit,
       keyOf: ({ endpointId }) => endpointId,
       all: options.limits,
       connectedCount: () => this.#mesh.connectedCount,
--- a/packages/daemon/src/direct/shared_record_exchange.ts
+++ b/packages/daemon/src/direct/shared_record_exchange.ts
@@ -1,4 +1,4 @@
-import type { Millis } from "@anvildeal/core";
+import type { Clock, Millis } from "@anvildeal/core";
 import type { Disposable } from "../net/index.js";
 
 /** Minimum time for which records are collected into one message. */
@@ -11,8 +11,11 @@
 const MAX_BATCH_RECORDS = 64;
 
 export interface SharedRecordExchangeOptions<R> {
+  readonly clock: Clock;
   /** Records with the same key replace each other. */
   readonly keyOf: (record: R) => string;
+  /** Returns a record as it is some time after it was made. */
+  readonly olderBy: (record: R, elapsedMs: Millis) => R;
   /** All records that this router knows, as they are now. */
   readonly all: () => readonly R[];
   readonly connectedCount: () => number;
@@ -20,6 +23,11 @@
   readonly sendTo: (nodeId: string, records: readonly R[]) => void;
 }
 
+interface PendingRecord<R> {
+  readonly record: R;
+  readonly madeMs: Millis;
+}
+
 /**
  * Sends small records that all routers share: each change to all connected
  * routers, and everything to a router that connects, since it may have started
@@ -27,7 +35,7 @@
  */
 export class SharedRecordExchange<R> implements Disposable {
   readonly #options: SharedRecordExchangeOptions<R>;
-  readonly #pending = new Map<string, R>();
+  readonly #pending = new Map<string, PendingRecord<R>>();
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: SharedRecordExchangeOptions<R>) {
@@ -36,8 +44,10 @@
 
   /** Sends records to all connected routers, in a batch. */
   share(records: readonly R[]): void {
+    const { clock, keyOf } = this.#options;
+    const madeMs = clock.nowMs();
     for (const record of records) {
-      this.#pending.set(this.#options.keyOf(record), record);
+      this.#pending.set(keyOf(record), { record, madeMs });
     }
     if (this.#pending.size > 0) {
       this.#timer ??= setTimeout(
@@ -64,7 +74,11 @@
 
   #sendPending(): void {
     this.#timer = undefined;
-    const records = [...this.#pending.values()];
+    const { clock, olderBy } = this.#options;
+    const nowMs = clock.nowMs();
+    const records = [...this.#pending.values()].map(({ madeMs, record }) =>
+      olderBy(record, nowMs - madeMs)
+    );
     this.#pending.clear();
     for (let i = 0; i < records.length; i += MAX_BATCH_RECORDS) {
       this.#options.broadcast(records.slice(i, i + MAX_BATCH_RECORDS));
--- a/packages/daemon/src/direct/suspect_persistence.ts
+++ b/packages/daemon/src/direct/suspect_persistence.ts
@@ -1,6 +1,8 @@
 import {
   type Clock,
   type Millis,
+  olderReport,
+  reportKeyOf,
   type SuspectReport,
   SuspectReportSchema,
 } from "@anvildeal/core";
@@ -25,7 +27,7 @@
 const DocumentSchema = z.object({
   /** Unix time; the ages in the reports refer to it. */
   writtenAtMs: z.number(),
-  suspects: z.array(SuspectReportSchema),
+  suspects: z.array(z.unknown()),
 });
 
 export interface SuspectPersistenceOptions extends DocumentPersistenceOptions {
@@ -33,18 +35,18 @@
   readonly reports: () => readonly SuspectReport[];
   /** Called with the reports of the stored document, also if there is none. */
   readonly onRead: (reports: readonly SuspectReport[]) => void;
-  /** Whether a prompt part is blocked. */
+  /** Whether any request is blocked. */
   readonly hasBlocked: () => boolean;
-  /** Whether there is recent evidence against a part. */
+  /** Whether there is recent evidence against requests. */
   readonly hasRecentEvidence: () => boolean;
 }
 
 /**
- * Persists the prompt parts under which endpoints crash, so that routers which
- * all restart at once do not crash endpoints to learn them again.
+ * Persists under which requests endpoints crash, so that routers which all restart
+ * at once do not crash endpoints to learn it again.
  *
  * A write includes what was stored before it, because reports merge. An operator
- * unblocks a part by a higher `clearCount` without crashes in the document.
+ * lifts a block by a higher `clearCount` without crashes in the document.
  */
 export class SuspectPersistence extends DocumentPersistence {
   protected override readonly mergesStored = true;
@@ -108,36 +110,38 @@
       this.#options.onRead([]);
       return;
     }
-    const { suspects, writtenAtMs } = DocumentSchema.parse(value);
-    suspects.forEach((report) => this.#storedKeys.add(keyOf(report)));
+    const { suspects: stored, writtenAtMs } = DocumentSchema.parse(value);
+    const suspects = stored.flatMap((record, i) => this.#decode(record, i));
+    suspects.forEach((report) => this.#storedKeys.add(reportKeyOf(report)));
     const ageMs = Math.max(0, this.#options.clock.wallMs() - writtenAtMs);
-    this.#options.onRead(suspects.map((report) => ({
-      ...report,
-      crashes: report.crashes.map((crash) => ({
-        ...crash,
-        ageMs: crash.ageMs + ageMs,
-      })),
-      ...(report.trialInMs === undefined
-        ? {}
-        : { trialInMs: report.trialInMs - ageMs }),
-    })));
+    this.#options.onRead(suspects.map((report) => olderReport(report, ageMs)));
+  }
+
+  /** Leaves out a record that cannot be read, so that the others hold. */
+  #decode(record: unknown, index: number): SuspectReport[] {
+    const { data, error } = SuspectReportSchema.safeParse(record);
+    if (data) {
+      return [data];
+    }
+    this.#options.logger.log("record_ignored", {
+      collection: "suspects",
+      record: String(index),
+      detail: z.prettifyError(error),
+    });
+    return [];
   }
 
   #storedReports(): SuspectReport[] {
     const reports = this.#options.reports().filter((report) =>
       this.#isStored(report)
     );
-    reports.forEach((report) => this.#storedKeys.add(keyOf(report)));
+    reports.forEach((report) => this.#storedKeys.add(reportKeyOf(report)));
     return reports;
   }
 
-  /** A part that was stored stays, so that a clear outlasts the processes too. */
+  /** What was stored stays, so that a clear outlasts the processes too. */
   #isStored(report: SuspectReport): boolean {
     return report.crashes.length >= MIN_STORED_CRASHES ||
-      this.#storedKeys.has(keyOf(report));
+      this.#storedKeys.has(reportKeyOf(report));
   }
 }
-
-function keyOf({ partId, service }: SuspectReport): string {
-  return `${service}/${partId}`;
-}
--- a/packages/daemon/src/direct/suspect_persistence_test.ts
+++ b/packages/daemon/src/direct/suspect_persistence_test.ts
@@ -1,4 +1,4 @@
-import type { SuspectReport } from "@anvildeal/core";
+import { reportKeyOf, type SuspectReport } from "@anvildeal/core";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { ManualClock } from "../manual_clock_fixture.js";
 import { SharedDocument } from "./shared_document.js";
@@ -12,6 +12,8 @@
     crashes: Array.from({ length: crashCount }, (_, i) => ({
       endpoint: `e${i}@1`,
       ageMs: 10,
+      ranMs: 20,
+      isRetry: false,
     })),
     companions: [],
     trialCount: 0,
@@ -40,6 +42,7 @@
   let known: SuspectReport[];
   let read: SuspectReport[][];
   let isWriter: boolean;
+  let logged: string[];
   let persistence: SuspectPersistence;
 
   beforeEach(async () => {
@@ -49,17 +52,18 @@
     known = [];
     read = [];
     isWriter = true;
+    logged = [];
     persistence = new SuspectPersistence({
       document,
-      logger: { log: () => {} },
+      logger: { log: (event) => logged.push(event) },
       clock,
       reports: () => known,
       onRead: (reports) => {
         read.push([...reports]);
         known = [
           ...known,
-          ...reports.filter(({ partId }) =>
-            !known.some((report) => report.partId === partId)
+          ...reports.filter((report) =>
+            !known.some((other) => reportKeyOf(other) === reportKeyOf(report))
           ),
         ];
       },
@@ -77,7 +81,8 @@
   });
 
   async function change(report: SuspectReport, isOwn: boolean): Promise<void> {
-    known = [report, ...known.filter(({ partId }) => partId !== report.partId)];
+    const key = reportKeyOf(report);
+    known = [report, ...known.filter((other) => reportKeyOf(other) !== key)];
     persistence.recordChange([report], isOwn);
     persistence.writeIfDue();
     await vi.advanceTimersByTimeAsync(1000);
@@ -108,7 +113,10 @@
     document.value = { writtenAtMs: 0, suspects: [reportOf("q", 4)] };
     await change(reportOf("p", 4), true);
     const { suspects } = document.value as { suspects: SuspectReport[] };
-    expect(suspects.map(({ partId }) => partId).sort()).toEqual(["p", "q"]);
+    expect(suspects.map(reportKeyOf).sort()).toEqual([
+      reportKeyOf(reportOf("p", 4)),
+      reportKeyOf(reportOf("q", 4)),
+    ]);
   });
 
   it("looks for changes of operators while a part is blocked", async () => {
@@ -120,4 +128,19 @@
     await vi.advanceTimersByTimeAsync(0);
     expect(read.at(-1)).toEqual([lifted]);
   });
+
+  // Guards against a record that an operator or another version wrote and that
+  // makes routers forget all others.
+  it("ignores a record that it cannot read", async () => {
+    const suspects = [
+      { ...reportOf("p", 4), crashes: "two" },
+      reportOf("q", 4),
+    ];
+    document.value = { writtenAtMs: 0, suspects };
+    await change(reportOf("r", 4), true);
+    expect(read.at(-1)?.map(reportKeyOf)).toEqual([
+      reportKeyOf(reportOf("q", 4)),
+    ]);
+    expect(logged).toEqual(["record_ignored"]);
+  });
 });
