Keep to the backoff that endpoints ask for and to the drain that they announce

Routers read neither Retry-After of an endpoint that refuses a request with 503 nor the header by which it says that it is leaving. A refusal raised the failure rate of the endpoint and nothing else, so one that runs other requests got requests at the usual rate, and callers were told to return after 0.3 s although nobody could serve them by then.

What an answer says of its endpoint (load, limit, backoff, drain) is now read in one place, endpoint_answer.ts, and kept by the endpoint; which endpoints take a request is decided in one place, endpoint_availability.ts, for first attempts, retries and continued streams.

- The latest end that any answer names holds.
A refusal that asks for a backoff does not count as a failure.
- If all endpoints of a service back off, requests are refused at once with the time that is left, not run.
- A backoff of over an hour is doubtful: one request after 5 s and one after 60 s find out; if it is served, the backoff ends.
Values in no known form are logged once and ignored.
Dates count from the date of the answer.
- An endpoint that says it is leaving takes no new request, and is not taken for crashed when it ends.
Its directory entry ends this when it becomes ready after draining, or names a new process.
- A request that certainly did not run uses up a retry only if another endpoint is left for it.
- Caches are not copied from endpoints that back off.

--- a/packages/core/src/direct/choose_endpoint.ts
+++ b/packages/core/src/direct/choose_endpoint.ts
@@ -129,8 +129,8 @@
   request: ChoiceRequest,
   nowMs: Millis,
 ): Choice | undefined {
-  const ready = pool.filter(({ record, lapsedUntilMs }) =>
-    record.state === "ready" && lapsedUntilMs === undefined
+  const ready = pool.filter(({ isReady, lapsedUntilMs }) =>
+    isReady && lapsedUntilMs === undefined
   );
   const isUntried = (endpoint: DirectEndpoint) =>
     !request.triedEndpointIds.has(endpoint.id) &&
@@ -139,7 +139,7 @@
   const usable = untried.length > 0
     ? untried
     : pool.filter((endpoint) =>
-      endpoint.record.state === "ready" &&
+      endpoint.isReady &&
       endpoint.lapsedUntilMs !== undefined && isUntried(endpoint)
     );
   if (usable.length === 0) {
--- a/packages/core/src/direct/direct_attempt.ts
+++ b/packages/core/src/direct/direct_attempt.ts
@@ -7,7 +7,8 @@
   DirectRefusalReason,
 } from "./direct_event.js";
 import { closeAttempt, finishRequest, refuse } from "./direct_finish.js";
-import { eligibleEndpoints, observeLimit } from "./endpoint_limits.js";
+import { asksForBackoff, observeEndpoint } from "./endpoint_answer.js";
+import { availableEndpoints, shortageOf } from "./endpoint_availability.js";
 import { checkForCrash } from "./endpoint_crash.js";
 import { suspectEndpoint } from "./endpoint_suspicion.js";
 import { placeRequest } from "./direct_place.js";
@@ -56,21 +57,10 @@
   head: AnswerHead,
   nowMs: Millis,
 ): DirectEffect[] {
-  const { endpoint } = attempt;
   attempt.hasHead = true;
-  if (head.load) {
-    endpoint.recordReportedLoad(nowMs, head.load);
-  }
   const headClass = classifyHead(head, request.call.callId);
-  // Only an endpoint's own answer shows that it names no limit any more.
-  const showsLimit = headClass === "relay" ||
-    headClass !== "invalid" && !head.misdirected &&
-      head.limitPerS !== undefined;
-  const limitEffects = showsLimit
-    ? observeLimit(endpoint, head.limitPerS, nowMs)
-    : [];
   return [
-    ...limitEffects,
+    ...observeEndpoint(attempt.endpoint, head, headClass, nowMs),
     ...handleClassifiedHead(state, request, attempt, head, headClass, nowMs),
   ];
 }
@@ -88,9 +78,10 @@
     case "relay":
       updateTypicalTimeToHead(state, request, nowMs - attempt.startedMs);
       endpoint.recordSuccess(nowMs);
+      endpoint.backoff.recordSuccess(attempt.startedMs);
       return relayAnswer(request, attempt, head.status, nowMs);
     case "not_run":
-      if (!head.misdirected) {
+      if (!head.misdirected && !asksForBackoff(head)) {
         endpoint.failureRate.record(nowMs, true);
       }
       return [
@@ -336,7 +327,7 @@
   nowMs: Millis,
 ): boolean {
   const lastId = [...request.triedEndpointIds].at(-1);
-  return eligibleEndpoints(state, request, nowMs)
+  return availableEndpoints(state, request, nowMs)
     .some(({ id }) => id !== lastId);
 }
 
@@ -356,7 +347,8 @@
   const mayHaveRun = request.possibleExecutions > 0;
   const retryAllowed = mayHaveRun
     ? canRetry(state, request, nowMs) && (!request.answerStarted || canResume)
-    : request.attemptCount <= MAX_NOT_RUN_RETRIES;
+    : request.attemptCount <= MAX_NOT_RUN_RETRIES &&
+      hasOtherEndpoint(state, request, nowMs);
   const willRetry = retryAllowed && tryConsumeRetry(state, request);
   const event = mayHaveRun
     ? { type: "failed_unknown", mayRetry: willRetry } as const
@@ -373,6 +365,7 @@
     request,
     nowMs,
     retryAllowed ? "retry_budget_spent" : reason,
+    shortageOf(state, request, nowMs)?.retryAfterMs,
   );
 }
 
@@ -389,9 +382,8 @@
 ): boolean {
   const { possibleExecutions, route, service, triedEndpointIds } = request;
   return isRetryable(route) && possibleExecutions + 1 < route.maxAttempts &&
-    eligibleEndpoints(state, request, nowMs).some(({ id, record }) =>
-      record.state === "ready" && !triedEndpointIds.has(id)
-    ) &&
+    availableEndpoints(state, request, nowMs)
+      .some(({ id }) => !triedEndpointIds.has(id)) &&
     retryBalanceOf(state, service).allowsRetry(retryLimitsOf(state));
 }
 
--- a/packages/core/src/direct/direct_endpoint.ts
+++ b/packages/core/src/direct/direct_endpoint.ts
@@ -1,4 +1,5 @@
 import type { Millis } from "../clock.js";
+import { EndpointBackoff } from "./endpoint_backoff.js";
 import { FailureRate } from "./failure_rate.js";
 import { PrefillBacklog } from "./prefill_backlog.js";
 import { RequestLimit } from "./request_limit.js";
@@ -49,6 +50,15 @@
   readonly limit = new RequestLimit();
   /** Whether the last limit that it named is no possible value. */
   hasInvalidLimit = false;
+  /** Time for which it wants no requests of this router. */
+  readonly backoff = new EndpointBackoff();
+  /** Whether it named a backoff that is no possible value. */
+  hasInvalidBackoff = false;
+  /**
+   * Whether an answer said that the endpoint is draining. The directory may show
+   * that later or, if it removes the entry instead, never.
+   */
+  announcesDrain = false;
   #suspicionCount = 0;
   #suspectedUntilMs: Millis = 0;
   /**
@@ -65,6 +75,11 @@
     return this.record.id;
   }
 
+  /** Whether the endpoint takes new work, by the directory and its answers. */
+  get isReady(): boolean {
+    return this.record.state === "ready" && !this.announcesDrain;
+  }
+
   /**
    * Marks the endpoint as suspected for a period that doubles each time up to a
    * limit. Has no effect if the endpoint is already suspected. A success ends
--- a/packages/core/src/direct/direct_event.ts
+++ b/packages/core/src/direct/direct_event.ts
@@ -74,6 +74,13 @@
    * names them; may be any number. Undefined if it names no limit.
    */
   readonly limitPerS?: number | undefined;
+  /**
+   * Time until which the caller of the endpoint is to wait; NaN if the endpoint
+   * names it in no known form. Undefined if it names none.
+   */
+  readonly retryAfterMs?: Millis | undefined;
+  /** Whether the endpoint says that it is draining. */
+  readonly draining?: boolean;
 }
 
 export type AttemptFailureKind =
@@ -339,6 +346,8 @@
   | "request_blocked"
   /** The endpoints take fewer requests than callers send, by their own limits. */
   | "endpoints_limited"
+  /** All endpoints refused requests and asked for none for a time. */
+  | "endpoints_back_off"
   | "deadline_passed"
   | "stopping";
 
--- a/packages/core/src/direct/direct_place.ts
+++ b/packages/core/src/direct/direct_place.ts
@@ -9,7 +9,8 @@
   DirectRefusalReason,
   PromptPart,
 } from "./direct_event.js";
-import { consumeRoom, hasRoom, limitRetryAfterMs } from "./endpoint_limits.js";
+import { isAvailable, shortageOf } from "./endpoint_availability.js";
+import { consumeRoom } from "./endpoint_limits.js";
 import {
   type ActiveRequest,
   directoryAgeMs,
@@ -86,20 +87,10 @@
   if (refusal) {
     return refusal;
   }
-  const retryAfterMs = limitRetryAfterMs(
-    state,
-    request,
-    placeableEndpoints(state, request),
-    nowMs,
-  );
-  if (retryAfterMs !== undefined) {
-    return endUnplaced(
-      state,
-      request,
-      nowMs,
-      "endpoints_limited",
-      retryAfterMs,
-    );
+  const shortage = shortageOf(state, request, nowMs);
+  if (shortage) {
+    const { reason, retryAfterMs } = shortage;
+    return endUnplaced(state, request, nowMs, reason, retryAfterMs);
   }
   if (!choice) {
     const reason = leftMs < MIN_ATTEMPT_MS
@@ -137,7 +128,7 @@
       failureDomain: state.options.failureDomain,
       triedEndpointIds: request.triedEndpointIds,
       isEligible: (endpoint) =>
-        isEligible(request, endpoint) && hasRoom(state, endpoint, nowMs),
+        isEligible(request, endpoint) && isAvailable(state, endpoint, nowMs),
       isLimited: ({ limit }) => limit.limitPerS !== undefined,
       loadBoundMultiple: effectiveLoadBoundMultiple(state),
     },
@@ -145,17 +136,6 @@
   );
 }
 
-/** Endpoints at which the request has not been and that may serve it. */
-function placeableEndpoints(
-  state: DirectState,
-  request: ActiveRequest,
-): DirectEndpoint[] {
-  return state.directory.ofService(request.service).filter((endpoint) =>
-    endpoint.record.state === "ready" && isEligible(request, endpoint) &&
-    !request.triedEndpointIds.has(endpoint.id)
-  );
-}
-
 /** Ends a request for which no endpoint can be chosen. */
 function endUnplaced(
   state: DirectState,
@@ -195,6 +175,7 @@
   const leftMs = request.deadlineAtMs - nowMs;
   const number = ++request.attemptCount;
   endpoint.localInFlight++;
+  endpoint.backoff.recordRequest(nowMs);
   consumeRoom(state, request, endpoint, nowMs);
   request.triedEndpointIds.add(endpoint.id);
   const { tokensPerMs } = prefillRateOf(state, request.service);
@@ -299,7 +280,8 @@
  * Endpoint from which the chosen endpoint can copy a longer cached prefix of
  * the prompt; undefined if there is none. Copying the prefix takes a small part
  * of the time that computing it takes. Draining endpoints count, as they still
- * serve their cache; endpoints with a limit do not, as a copy is work for them.
+ * serve their cache; endpoints with a limit or in a backoff do not, as a copy is
+ * work for them.
  */
 function cacheSourceOf(
   state: DirectState,
@@ -313,7 +295,9 @@
     const tokens = cachedTokens(state, request, endpoint);
     if (
       endpoint !== choice.endpoint && tokens > mostTokens &&
-      !endpoint.isSuspected(nowMs) && endpoint.limit.limitPerS === undefined
+      !endpoint.isSuspected(nowMs) &&
+      endpoint.limit.limitPerS === undefined &&
+      endpoint.backoff.waitMs(nowMs) === 0
     ) {
       source = endpoint;
       mostTokens = tokens;
--- a/packages/core/src/direct/endpoint_crash.ts
+++ b/packages/core/src/direct/endpoint_crash.ts
@@ -55,9 +55,9 @@
   { endpoint, startedMs }: ActiveAttempt,
   nowMs: Millis,
 ): DirectEffect[] {
-  const { id, lapsedUntilMs, record } = endpoint;
+  const { id, isReady, lapsedUntilMs, record } = endpoint;
   if (
-    state.directory.get(id) !== endpoint || record.state !== "ready" ||
+    state.directory.get(id) !== endpoint || !isReady ||
     lapsedUntilMs !== undefined
   ) {
     return [];
--- a/packages/core/src/direct/endpoint_directory.ts
+++ b/packages/core/src/direct/endpoint_directory.ts
@@ -104,7 +104,7 @@
       if (!endpoint || endpoint.lapsedUntilMs !== undefined) {
         continue;
       }
-      if (lapsedRetentionMs > 0 && endpoint.record.state === "ready") {
+      if (lapsedRetentionMs > 0 && endpoint.isReady) {
         endpoint.lapsedUntilMs = nowMs + lapsedRetentionMs;
         transitions.push(transitionOf(endpoint.record, "lapsed"));
       } else {
@@ -187,6 +187,9 @@
     const previousState = known.record.state;
     known.record = record;
     known.lapsedUntilMs = undefined;
+    if (previousState === "draining" && record.state === "ready") {
+      known.announcesDrain = false;
+    }
     return previousState === record.state
       ? undefined
       : transitionOf(record, record.state);
--- a/packages/core/src/direct/endpoint_limits.ts
+++ b/packages/core/src/direct/endpoint_limits.ts
@@ -6,11 +6,7 @@
 import { AccountShares } from "./account_shares.js";
 import type { DirectEndpoint } from "./direct_endpoint.js";
 import type { DirectEffect, DirectEvent } from "./direct_event.js";
-import {
-  type ActiveRequest,
-  type DirectState,
-  isEligible,
-} from "./direct_state.js";
+import type { ActiveRequest, DirectState } from "./direct_state.js";
 import {
   isCredibleLimit,
   type LimitReport,
@@ -78,26 +74,6 @@
     .map(limitReportOf);
 }
 
-/** Endpoints of the request's service that may serve it and have room for it. */
-export function eligibleEndpoints(
-  state: DirectState,
-  request: ActiveRequest,
-  nowMs: Millis,
-): DirectEndpoint[] {
-  return state.directory.ofService(request.service).filter((endpoint) =>
-    isEligible(request, endpoint) && hasRoom(state, endpoint, nowMs)
-  );
-}
-
-/** Whether the endpoint's limit leaves room for a request of this router now. */
-export function hasRoom(
-  state: DirectState,
-  endpoint: DirectEndpoint,
-  nowMs: Millis,
-): boolean {
-  return limitWaitMs(state, endpoint, nowMs) === 0;
-}
-
 /** Records that a request is sent to the endpoint. */
 export function consumeRoom(
   state: DirectState,
@@ -148,7 +124,8 @@
   );
 }
 
-function limitWaitMs(
+/** Time until the endpoint's limit leaves room for a request of this router. */
+export function limitWaitMs(
   state: DirectState,
   endpoint: DirectEndpoint,
   nowMs: Millis,
--- a/packages/core/src/log_events.ts
+++ b/packages/core/src/log_events.ts
@@ -258,6 +258,21 @@
     level: "warn",
     message: "endpoint names a limit that is no possible value; it is ignored",
   },
+  endpoint_backs_off: {
+    code: 4052,
+    level: "info",
+    message: "endpoint refused a request and wants none for a time",
+  },
+  endpoint_backoff_invalid: {
+    code: 4053,
+    level: "warn",
+    message: "endpoint names a backoff in no known form; it is ignored",
+  },
+  endpoint_announces_drain: {
+    code: 4054,
+    level: "info",
+    message: "endpoint says in an answer that it is draining",
+  },
   store_failed: {
     code: 4020,
     level: "warn",
