Avoid endpoints at whose address nothing listens until the directory drops them

An endpoint that refuses a connection was suspected for 0.5 s, as one that does not answer. A check after a broken answer already took a refused connection for a crash; an attempt now does too.

An attempt that finds the port closed marks the endpoint as crashed, for at most 5 s, and a retry is not spent if only such endpoints are left. A success ends it. The case in reduce_direct_test.ts fails before.

--- a/packages/core/src/direct/crash_fleet_fixture.ts
+++ b/packages/core/src/direct/crash_fleet_fixture.ts
@@ -550,7 +550,7 @@
     this.#dispatch(attempt.router, {
       type: "attempt_failed",
       ...this.#eventFields(attempt),
-      failure: { kind, sent: kind === "reset" },
+      failure: { kind, sent: kind === "reset", portClosed: kind === "connect" },
       canResume: false,
     });
   }
--- a/packages/core/src/direct/direct_attempt.ts
+++ b/packages/core/src/direct/direct_attempt.ts
@@ -6,11 +6,12 @@
   DirectEffect,
   DirectRefusalReason,
 } from "./direct_event.js";
+import type { DirectEndpoint } from "./direct_endpoint.js";
 import { closeAttempt, finishRequest, refuse } from "./direct_finish.js";
 import { asksForBackoff, observeEndpoint } from "./endpoint_answer.js";
 import { availableEndpoints, shortageOf } from "./endpoint_availability.js";
 import { checkForCrash } from "./endpoint_crash.js";
-import { suspectEndpoint } from "./endpoint_suspicion.js";
+import { avoidGoneEndpoint, suspectEndpoint } from "./endpoint_suspicion.js";
 import { placeRequest } from "./direct_place.js";
 import { recordOrigin } from "./direct_streams.js";
 import { sharedPromptParts } from "./prompt_parts.js";
@@ -148,9 +149,7 @@
 ): DirectEffect[] {
   const { endpoint } = attempt;
   endpoint.failureRate.record(nowMs, true);
-  const suspicion = failure.kind === "connect"
-    ? suspectEndpoint(endpoint, "connect", nowMs)
-    : [];
+  const suspicion = suspicionOf(endpoint, failure, nowMs);
   const check = failure.sent && failure.kind === "reset"
     ? checkForCrash(state, request, attempt, nowMs)
     : [];
@@ -176,6 +175,17 @@
   ];
 }
 
+function suspicionOf(
+  endpoint: DirectEndpoint,
+  { kind, portClosed }: AttemptFailure,
+  nowMs: Millis,
+): DirectEffect[] {
+  if (portClosed) {
+    return avoidGoneEndpoint(endpoint, nowMs);
+  }
+  return kind === "connect" ? suspectEndpoint(endpoint, "connect", nowMs) : [];
+}
+
 function updateTypicalTimeToHead(
   state: DirectState,
   { route }: ActiveRequest,
@@ -328,7 +338,7 @@
 ): boolean {
   const lastId = [...request.triedEndpointIds].at(-1);
   return availableEndpoints(state, request, nowMs)
-    .some(({ id }) => id !== lastId);
+    .some((endpoint) => endpoint.id !== lastId && !endpoint.isGone(nowMs));
 }
 
 /**
--- a/packages/core/src/direct/direct_endpoint.ts
+++ b/packages/core/src/direct/direct_endpoint.ts
@@ -61,6 +61,7 @@
   announcesDrain = false;
   #suspicionCount = 0;
   #suspectedUntilMs: Millis = 0;
+  #crashedUntilMs: Millis = Number.NEGATIVE_INFINITY;
   /**
    * Requests of other routers, according to the endpoint's newest load report.
    */
@@ -104,12 +105,20 @@
    * Marks the endpoint as crashed, so that it is avoided until the directory no
    * longer lists this process. A process that starts in its place has an
    * endpoint object of its own.
+   *
+   * @returns The time for which it is avoided; undefined if it was so already.
    */
-  markCrashed(crashedMs: Millis): void {
-    this.#suspectedUntilMs = Math.max(
-      this.#suspectedUntilMs,
-      crashedMs + CRASHED_ENTRY_MS,
-    );
+  markCrashed(crashedMs: Millis): Millis | undefined {
+    const untilMs = crashedMs + CRASHED_ENTRY_MS;
+    const isNews = this.#crashedUntilMs < crashedMs;
+    this.#crashedUntilMs = Math.max(this.#crashedUntilMs, untilMs);
+    this.#suspectedUntilMs = Math.max(this.#suspectedUntilMs, untilMs);
+    return isNews ? CRASHED_ENTRY_MS : undefined;
+  }
+
+  /** Whether the endpoint's process is known to have ended. */
+  isGone(nowMs: Millis): boolean {
+    return nowMs < this.#crashedUntilMs;
   }
 
   isSuspected(nowMs: Millis): boolean {
@@ -125,6 +134,7 @@
     this.failureRate.record(nowMs, false);
     this.#suspicionCount = 0;
     this.#suspectedUntilMs = 0;
+    this.#crashedUntilMs = Number.NEGATIVE_INFINITY;
   }
 
   /** Records the load that the endpoint reported in an answer. */
--- a/packages/core/src/direct/direct_event.ts
+++ b/packages/core/src/direct/direct_event.ts
@@ -99,6 +99,11 @@
   readonly kind: AttemptFailureKind;
   /** Whether a part of the request may have reached the endpoint. */
   readonly sent: boolean;
+  /**
+   * Whether the endpoint's instance answered that nothing listens on the address,
+   * so that the endpoint's process has ended.
+   */
+  readonly portClosed?: boolean;
   readonly detail?: string;
 }
 
--- a/packages/core/src/direct/reduce_direct_test.ts
+++ b/packages/core/src/direct/reduce_direct_test.ts
@@ -643,6 +643,27 @@
     }
   });
 
+  // Guards against retries that are spent on an endpoint whose process has ended,
+  // again after each short suspicion.
+  it("avoids an endpoint at whose address nothing listens", () => {
+    const state = createServingState();
+    const [first] = startedAttempts(receiveCall(state, "/write/x"));
+    reduceDirect(state, {
+      type: "attempt_failed",
+      nowMs: 10,
+      key: 1,
+      attemptNumber: 1,
+      failure: { kind: "connect", sent: false, portClosed: true },
+      canResume: false,
+    });
+    const chosen = Array.from(
+      { length: 8 },
+      (_, i) => startedAttempts(receiveCall(state, "/write/x", i + 2, 4000)),
+    ).flat();
+    expect(chosen.map(({ endpointId }) => endpointId))
+      .not.toContain(first!.endpointId);
+  });
+
   // Guards against each router finding out about a crash by requests of its own.
   it("avoids an endpoint that another router saw crash", () => {
     const state = createServingState();
--- a/packages/daemon/src/direct/endpoint_attempt.ts
+++ b/packages/daemon/src/direct/endpoint_attempt.ts
@@ -281,6 +281,7 @@
       this.#listener.failed({
         kind: failureKind(error, sent),
         sent,
+        portClosed: !sent && codeOf(error) === "ECONNREFUSED",
         detail: error.message,
       });
     }
@@ -316,11 +317,14 @@
   if (!sent) {
     return "connect";
   }
-  const code = (error as { code?: string }).code ?? "";
   if (error instanceof OversizedEventError) {
     return "garbled";
   }
-  return code.startsWith("HPE_") ? "garbled" : "reset";
+  return codeOf(error).startsWith("HPE_") ? "garbled" : "reset";
+}
+
+function codeOf(error: Error): string {
+  return (error as { code?: string }).code ?? "";
 }
 
 function rawHeadersOf(
