Keep in the store which software versions served and which began streams

After the loss of all routers nobody knew at which software version a stream had begun, nor which versions had served of late: streams of a version that had left were joined with events of the next one, and streams whose version still served were refused.

- The versions that serve or served within a minute are kept in one object, written when they change.
A process that has just started reads it when a caller takes up a stream that no router knows, and takes a stream for one of the only version only if no other one served of late.
If the store does not answer, such a stream is refused.
With one version nothing is written.
- The records are read when the other routers do not know a stream.

--- a/packages/core/src/direct/direct_admission.ts
+++ b/packages/core/src/direct/direct_admission.ts
@@ -234,7 +234,7 @@
     origin: undefined,
     isTrial: false,
     blockedTrait: undefined,
-    awaitsOrigin: false,
+    originLookup: undefined,
     answerStarted: false,
     answerStatus: undefined,
     lastFailureReason: undefined,
--- a/packages/core/src/direct/direct_event.ts
+++ b/packages/core/src/direct/direct_event.ts
@@ -7,7 +7,8 @@
 import type { PromptCacheEntry } from "./prompt_cache_index.js";
 import type { SuspectReport } from "./suspect_report.js";
 import type { LimitReport } from "./request_limit.js";
-import type { StreamOrigin } from "./stream_origins.js";
+import type { StreamOrigin, StreamRecord } from "./stream_origins.js";
+import type { ServiceVersions } from "./version_history.js";
 
 /**
  * Part of a prompt. Requests with equal leading parts can reuse cached tokens.
@@ -313,10 +314,13 @@
   | {
     readonly type: "stream_origins_received";
     readonly nowMs: Millis;
-    readonly origins: readonly {
-      readonly callId: string;
-      readonly origin: StreamOrigin;
-    }[];
+    readonly origins: readonly StreamRecord[];
+  }
+  /** Result of the effect `read_stream_records`; without records if it failed. */
+  | {
+    readonly type: "stream_records_read";
+    readonly nowMs: Millis;
+    readonly records?: StoredStreams;
   }
   /** Result of the effect `find_stream_origin`. */
   | {
@@ -371,6 +375,12 @@
   readonly retryAfterMs?: Millis;
 }
 
+/** What the routers of a fleet stored of streams and versions. */
+export interface StoredStreams {
+  readonly streams: readonly StreamRecord[];
+  readonly versions: readonly ServiceVersions[];
+}
+
 export interface StartAttempt {
   readonly type: "start_attempt";
   readonly key: number;
@@ -495,6 +505,13 @@
     readonly callId: string;
     readonly origin: StreamOrigin;
   }
+  /** Store which versions began streams, in case that all routers are lost. */
+  | {
+    readonly type: "store_stream_records";
+    readonly records: readonly StreamRecord[];
+  }
+  /** Read what routers stored of streams and versions. */
+  | { readonly type: "read_stream_records" }
   /** Ask other routers which version began a stream. */
   | {
     readonly type: "find_stream_origin";
--- a/packages/core/src/direct/direct_state.ts
+++ b/packages/core/src/direct/direct_state.ts
@@ -15,11 +15,13 @@
 import { FleetSize } from "./fleet_size.js";
 import { RetryBalance, type RetryBalanceLimits } from "./retry_balance.js";
 import { PrefillRate } from "./prefill_rate.js";
+import { RecentStreams } from "./recent_streams.js";
 import type { RequestTrait } from "./request_trait.js";
 import type { RoutingConfigIndex } from "./routing_config_index.js";
 import { PromptCacheIndex } from "./prompt_cache_index.js";
 import { type StreamOrigin, StreamOrigins } from "./stream_origins.js";
 import type { DirectAccount, DirectRoute } from "./routing_config.js";
+import { VersionHistory } from "./version_history.js";
 
 /**
  * Fraction of the budget's retries per request that requests add to the
@@ -89,6 +91,14 @@
   hasHead: boolean;
 }
 
+/** Where a request looks for the origin of the stream that it continues. */
+export interface OriginLookup {
+  awaitsPeers: boolean;
+  awaitsRecords: boolean;
+  /** Whether the stored records were read for this request. */
+  hasReadRecords: boolean;
+}
+
 /** A request that the router has accepted and that has not ended. */
 export interface ActiveRequest {
   readonly key: number;
@@ -119,8 +129,8 @@
   isTrial: boolean;
   /** Because of which the request was refused. */
   blockedTrait: RequestTrait | undefined;
-  /** Whether the request waits for other routers to name the origin. */
-  awaitsOrigin: boolean;
+  /** Who is asked for the origin; undefined if the request waits for no answer. */
+  originLookup: OriginLookup | undefined;
   /** Whether the head of an answer was relayed to the caller. */
   answerStarted: boolean;
   /** HTTP status that was sent to the caller, if any. */
@@ -149,6 +159,12 @@
   /** Balances of retries by service. */
   readonly retryBalances: Map<string, RetryBalance>;
   readonly streamOrigins: StreamOrigins;
+  readonly recentStreams: RecentStreams;
+  readonly versionHistory: VersionHistory;
+  /** Since when the router knows endpoints; undefined if it knows none yet. */
+  endpointsKnownSinceMs: Millis | undefined;
+  /** Whether the router has read which versions served before its start. */
+  hasReadStreamRecords: boolean;
   /** Endpoints that are checked after an attempt broke off, by id. */
   readonly crashChecks: Map<string, CrashCheck>;
   readonly crashSuspects: CrashSuspects;
@@ -215,6 +231,10 @@
     requests: new Map(),
     retryBalances: new Map(),
     streamOrigins: new StreamOrigins(),
+    recentStreams: new RecentStreams(),
+    versionHistory: new VersionHistory(),
+    endpointsKnownSinceMs: undefined,
+    hasReadStreamRecords: false,
     crashChecks: new Map(),
     crashSuspects: new CrashSuspects(),
     minorSuspectsBucket: new TokenBucket(
--- a/packages/core/src/direct/direct_streams.ts
+++ b/packages/core/src/direct/direct_streams.ts
@@ -3,7 +3,6 @@
 
 import type { Millis } from "../clock.js";
 import { transitionRequest } from "../router/request_machine.js";
-import type { DirectEndpoint } from "./direct_endpoint.js";
 import type { DirectEffect, DirectEvent } from "./direct_event.js";
 import { refuse } from "./direct_finish.js";
 import { placeRequest } from "./direct_place.js";
@@ -12,7 +11,8 @@
   ActiveRequest,
   DirectState,
 } from "./direct_state.js";
-import type { StreamOrigin } from "./stream_origins.js";
+import { ORIGIN_RETENTION_MS, type StreamOrigin } from "./stream_origins.js";
+import type { ServiceVersions } from "./version_history.js";
 
 /** Maximum time for which a request waits for what other routers know. */
 const ORIGIN_LOOKUP_MS: Millis = 400;
@@ -22,7 +22,9 @@
 
 /**
  * Places a new request. One that continues a stream goes to the version that
- * began it, which other routers are asked for if this one does not know it.
+ * began it. If this router does not know it, other routers are asked, and the
+ * records in the store are read if this router may lack knowledge that was lost
+ * with its predecessors.
  */
 export function placeNewRequest(
   state: DirectState,
@@ -32,45 +34,151 @@
   if (!continuesStream(request)) {
     return placeRequest(state, request, nowMs);
   }
-  const { continuedCallId } = request.call;
-  const origin = continuedCallId === undefined
-    ? undefined
-    : state.streamOrigins.get(continuedCallId);
-  if (
-    origin || continuedCallId === undefined ||
-    continuedCallId.length > MAX_CALL_ID_LENGTH
-  ) {
-    return placeAtOrigin(state, request, origin, nowMs);
+  const callId = continuedCallIdOf(request);
+  const origin = callId && state.streamOrigins.get(callId);
+  const lookup = {
+    awaitsPeers: callId !== undefined,
+    awaitsRecords: !knowsVersions(state, nowMs),
+    hasReadRecords: false,
+  };
+  if (origin || !lookup.awaitsPeers && !lookup.awaitsRecords) {
+    return placeAtOrigin(state, request, origin || undefined, nowMs);
   }
-  request.awaitsOrigin = true;
-  return [
-    { type: "find_stream_origin", key: request.key, callId: continuedCallId },
-    {
-      type: "set_timer",
-      key: request.key,
-      timer: "attempt",
-      delayMs: ORIGIN_LOOKUP_MS,
-    },
+  request.originLookup = lookup;
+  const { key } = request;
+  const effects: DirectEffect[] = [
+    { type: "set_timer", key, timer: "attempt", delayMs: ORIGIN_LOOKUP_MS },
   ];
+  if (callId !== undefined) {
+    effects.push({ type: "find_stream_origin", key, callId });
+  }
+  if (lookup.awaitsRecords) {
+    effects.push({ type: "read_stream_records" });
+  }
+  return effects;
 }
 
-/** Places a request that waited for the origin of its stream. */
+/** Handles the answer of the other routers. */
 export function handleOriginAnswer(
   state: DirectState,
   request: ActiveRequest,
   origin: StreamOrigin | undefined,
   nowMs: Millis,
 ): DirectEffect[] {
-  if (!request.awaitsOrigin) {
+  const { originLookup: lookup, service } = request;
+  if (!lookup) {
     return [];
   }
-  request.awaitsOrigin = false;
+  lookup.awaitsPeers = false;
+  if (
+    !origin && !lookup.awaitsRecords && !lookup.hasReadRecords &&
+    state.versionHistory.hasSeveral(service, nowMs)
+  ) {
+    lookup.awaitsRecords = true;
+    return [{ type: "read_stream_records" }];
+  }
+  return origin || !lookup.awaitsRecords
+    ? endOriginLookup(state, request, origin, nowMs)
+    : [];
+}
+
+/** Takes over what was stored, and places the requests that waited for it. */
+export function applyStreamRecords(
+  state: DirectState,
+  { nowMs, records }: Extract<DirectEvent, { type: "stream_records_read" }>,
+): DirectEffect[] {
+  if (records) {
+    state.versionHistory.recordServed(nowMs, records.versions);
+    for (const { callId, origin } of records.streams) {
+      state.streamOrigins.record(nowMs, callId, origin);
+    }
+    state.hasReadStreamRecords = true;
+  }
+  return [...state.requests.values()].flatMap((request) => {
+    const { originLookup: lookup } = request;
+    if (!lookup?.awaitsRecords) {
+      return [];
+    }
+    lookup.awaitsRecords = false;
+    lookup.hasReadRecords = true;
+    const callId = continuedCallIdOf(request);
+    const origin = callId === undefined
+      ? undefined
+      : state.streamOrigins.get(callId);
+    return origin || !lookup.awaitsPeers
+      ? endOriginLookup(state, request, origin, nowMs)
+      : [];
+  });
+}
+
+/** Places a request that waited for the origin of its stream. */
+export function endOriginLookup(
+  state: DirectState,
+  request: ActiveRequest,
+  origin: StreamOrigin | undefined,
+  nowMs: Millis,
+): DirectEffect[] {
+  request.originLookup = undefined;
   return [
     { type: "clear_timer", key: request.key, timer: "attempt" },
     ...placeAtOrigin(state, request, origin, nowMs),
   ];
 }
 
+/**
+ * Notes the versions that serve. When a service gets a second one, the streams
+ * that have begun are stored, since their version is no longer plain.
+ */
+export function updateVersions(
+  state: DirectState,
+  nowMs: Millis,
+): DirectEffect[] {
+  const { directory, versionHistory } = state;
+  if (directory.size > 0) {
+    state.endpointsKnownSinceMs ??= nowMs;
+  }
+  const isMixed = ({ versions }: ServiceVersions) => versions.length > 1;
+  const before = versionHistory.all(nowMs).filter(isMixed)
+    .map(({ service }) => service);
+  versionHistory.update(
+    nowMs,
+    [...directory.all()].map(({ record }) => record),
+  );
+  const newlyMixed = new Set(
+    versionHistory.all(nowMs).filter(isMixed).map(({ service }) => service)
+      .filter((service) => !before.includes(service)),
+  );
+  return newlyMixed.size === 0
+    ? []
+    : storeBegunStreams(state, newlyMixed, nowMs);
+}
+
+/** Stores the streams that are open or may have broken off just now. */
+function storeBegunStreams(
+  state: DirectState,
+  services: ReadonlySet<string>,
+  nowMs: Millis,
+): DirectEffect[] {
+  const records = new Map(
+    state.recentStreams.of(nowMs, services).map((record) =>
+      [record.callId, record] as const
+    ),
+  );
+  for (const request of state.requests.values()) {
+    const { answerStarted, origin } = request;
+    const callId = firstCallIdOf(request);
+    if (
+      answerStarted && origin && services.has(origin.service) &&
+      callId !== undefined
+    ) {
+      records.set(callId, { callId, origin });
+    }
+  }
+  return records.size === 0
+    ? []
+    : [{ type: "store_stream_records", records: [...records.values()] }];
+}
+
 /**
  * Remembers the version that begins a stream and tells other routers, since the
  * caller may take the stream up at any of them.
@@ -81,7 +189,7 @@
   { softwareVersion }: ActiveAttempt,
   nowMs: Millis,
 ): DirectEffect[] {
-  const { call: { callId }, route, service } = request;
+  const { call, route, service } = request;
   if (
     request.origin || route.callKind !== "stream" || !route.resumable
   ) {
@@ -89,11 +197,22 @@
   }
   const origin = { service, softwareVersion };
   request.origin = origin;
-  if (callId === undefined || callId.length > MAX_CALL_ID_LENGTH) {
+  const callId = keptCallId(call.callId);
+  if (callId === undefined) {
     return [];
   }
+  const record = { callId, origin };
   state.streamOrigins.record(nowMs, callId, origin);
-  return [{ type: "announce_stream_origin", callId, origin }];
+  state.recentStreams.add(nowMs, record);
+  return [
+    { type: "announce_stream_origin", callId, origin },
+    ...(state.versionHistory.hasSeveral(service, nowMs)
+      ? [{
+        type: "store_stream_records" as const,
+        records: [record],
+      }]
+      : []),
+  ];
 }
 
 /** Records origins that other routers announced. */
@@ -118,7 +237,7 @@
   nowMs: Millis,
 ): DirectEffect[] {
   const { route } = request;
-  request.origin = origin ?? onlyOrigin(state, request.service);
+  request.origin = origin ?? onlyOrigin(state, request.service, nowMs);
   if (!request.origin) {
     request.snapshot =
       transitionRequest(request.snapshot, { type: "no_endpoint" }).snapshot;
@@ -133,20 +252,48 @@
 
 /**
  * Returns the origin that any stream of a service has; undefined if endpoints of
- * several versions serve or served of late.
+ * several versions serve or served of late, or if that is not known.
  */
 function onlyOrigin(
   state: DirectState,
   service: string,
+  nowMs: Millis,
 ): StreamOrigin | undefined {
-  const versions = new Set(
-    state.directory.ofService(service).map(
-      ({ record }: DirectEndpoint) => record.softwareVersion,
-    ),
-  );
-  const [softwareVersion] = versions;
-  const origin = { service, softwareVersion };
-  return versions.size === 1 && !state.streamOrigins.hasOtherVersion(origin)
+  const [version, ...others] = state.versionHistory
+    .servedOfLate(service, nowMs);
+  const origin = { service, softwareVersion: version || undefined };
+  return version !== undefined && others.length === 0 &&
+      knowsVersions(state, nowMs) &&
+      !state.streamOrigins.hasOtherVersion(origin)
     ? origin
     : undefined;
 }
+
+/** Whether the router knows all versions that served of late. */
+function knowsVersions(
+  { endpointsKnownSinceMs, hasReadStreamRecords }: DirectState,
+  nowMs: Millis,
+): boolean {
+  return hasReadStreamRecords ||
+    endpointsKnownSinceMs !== undefined &&
+      nowMs - endpointsKnownSinceMs >= ORIGIN_RETENTION_MS;
+}
+
+/** Id of the call that brought the first event of the request's stream. */
+function firstCallIdOf(request: ActiveRequest): string | undefined {
+  const { callId, lastEventId } = request.call;
+  return lastEventId === undefined
+    ? keptCallId(callId)
+    : continuedCallIdOf(request);
+}
+
+function continuedCallIdOf({ call }: ActiveRequest): string | undefined {
+  return keptCallId(call.continuedCallId);
+}
+
+/** Ids that are too long are neither remembered nor sent. */
+function keptCallId(callId: string | undefined): string | undefined {
+  return callId !== undefined && callId.length <= MAX_CALL_ID_LENGTH
+    ? callId
+    : undefined;
+}
--- a/packages/core/src/direct/index.ts
+++ b/packages/core/src/direct/index.ts
@@ -20,6 +20,7 @@
 export * from "./fleet_size.js";
 export * from "./retry_balance.js";
 export * from "./stream_origins.js";
+export type { ServiceVersions } from "./version_history.js";
 export * from "./routing_config_index.js";
 export * from "./routing_config.js";
 export * from "./prompt_cache_index.js";
--- a/packages/core/src/direct/reduce_direct.ts
+++ b/packages/core/src/direct/reduce_direct.ts
@@ -30,7 +30,13 @@
   applyPromptCacheEntries,
   removeLapsedEndpoints,
 } from "./direct_updates.js";
-import { applyStreamOrigins, handleOriginAnswer } from "./direct_streams.js";
+import {
+  applyStreamOrigins,
+  applyStreamRecords,
+  endOriginLookup,
+  handleOriginAnswer,
+  updateVersions,
+} from "./direct_streams.js";
 import { handleAttemptTimeout, handleStalls } from "./direct_stalls.js";
 import {
   type ActiveRequest,
@@ -99,8 +105,8 @@
           if (event.timer === "deadline") {
             return handleDeadline(state, request, event.nowMs);
           }
-          return request.awaitsOrigin
-            ? handleOriginAnswer(state, request, undefined, event.nowMs)
+          return request.originLookup
+            ? endOriginLookup(state, request, undefined, event.nowMs)
             : handleAttemptTimeout(state, request, event.nowMs);
         },
       );
@@ -118,6 +124,7 @@
     case "endpoints_changed":
       return [
         ...applyEndpointChange(state, event),
+        ...updateVersions(state, event.nowMs),
         ...admitDeferredCalls(state, event.nowMs),
       ];
     case "directory_state_changed":
@@ -133,6 +140,8 @@
     case "stream_origins_received":
       applyStreamOrigins(state, event);
       return [];
+    case "stream_records_read":
+      return applyStreamRecords(state, event);
     case "stream_origin_answered":
       return ifActiveRequest(
         state,
@@ -170,6 +179,7 @@
     case "tick":
       return [
         ...removeLapsedEndpoints(state, event.nowMs),
+        ...updateVersions(state, event.nowMs),
         ...endWaitForSuspects(state, event.nowMs),
       ];
     case "stopping":
--- a/packages/core/src/direct/stream_origins.ts
+++ b/packages/core/src/direct/stream_origins.ts
@@ -7,11 +7,17 @@
   readonly softwareVersion: string | undefined;
 }
 
+/** Origin of the stream that a call began. */
+export interface StreamRecord {
+  readonly callId: string;
+  readonly origin: StreamOrigin;
+}
+
 /**
  * An origin is kept for at least this long, and for less than twice as long.
  * Streams last seconds, and their callers return at once.
  */
-const RETENTION_MS: Millis = 60_000;
+export const ORIGIN_RETENTION_MS: Millis = 60_000;
 
 /** Maximum number of origins that are added within the retention time. */
 const MAX_ORIGINS = 50_000;
@@ -47,10 +53,12 @@
 
   #removeExpired(nowMs: Millis): void {
     const elapsedMs = nowMs - this.#periodStartMs;
-    if (elapsedMs < RETENTION_MS) {
+    if (elapsedMs < ORIGIN_RETENTION_MS) {
       return;
     }
-    this.#older = elapsedMs < 2 * RETENTION_MS ? this.#recent : new Map();
+    this.#older = elapsedMs < 2 * ORIGIN_RETENTION_MS
+      ? this.#recent
+      : new Map();
     this.#recent = new Map();
     this.#periodStartMs = nowMs;
   }
--- a/packages/core/src/wire/messages.ts
+++ b/packages/core/src/wire/messages.ts
@@ -426,6 +426,8 @@
   origins: z.array(StreamOriginSchema),
   /** In an answer: streams that were asked for and that the sender does not know. */
   unknownIds: z.array(z.string().max(128)).optional(),
+  /** Whether the receiver sees to it that the store has them. */
+  toStore: z.boolean().optional(),
 });
 
 /** Asks which software version began a stream. */
--- a/packages/daemon/src/direct/direct_router_host.ts
+++ b/packages/daemon/src/direct/direct_router_host.ts
@@ -26,6 +26,7 @@
 import type { Collection } from "./collection.js";
 import { lazyContentDigest } from "./content_digest.js";
 import type { DirectSettings } from "./direct_settings.js";
+import type { DocumentFolder } from "./document_folder.js";
 import { DirectorySync } from "./directory_sync.js";
 import {
   type EarlyConnections,
@@ -77,6 +78,8 @@
   readonly promptCacheDocument: SharedDocument;
   /** Holds under which requests endpoints crashed. */
   readonly suspectDocument: SharedDocument;
+  /** Holds which software versions began streams. */
+  readonly streamFolder: DocumentFolder;
   readonly logger: Logger;
   readonly clock: Clock;
   /** Server that already listens on the callers' address, and its connections. */
@@ -133,6 +136,7 @@
       configInForce: () => this.#state.configIndex?.config,
       isDirectoryReliable: () =>
         !isDirectoryUnreliable(this.#state, clock.nowMs()),
+      versions: () => this.#state.versionHistory.all(clock.nowMs()),
       streamOriginOf: (callId) => this.#state.streamOrigins.get(callId),
       promptCacheEntries: () => this.#state.promptCacheIndex.entries(),
       observe: (measurement) => this.#metrics.observe(measurement),
@@ -407,6 +411,12 @@
       case "announce_stream_origin":
         this.#directorySync.announceStreamOrigin(effect.callId, effect.origin);
         break;
+      case "store_stream_records":
+        this.#directorySync.storeStreamRecords(effect.records);
+        break;
+      case "read_stream_records":
+        this.#directorySync.readStreamRecords();
+        break;
       case "find_stream_origin":
         this.#directorySync.findStreamOrigin(effect.key, effect.callId);
         break;
--- a/packages/daemon/src/direct/directory_sync.ts
+++ b/packages/daemon/src/direct/directory_sync.ts
@@ -10,9 +10,12 @@
   type MessageOf,
   olderReport,
   type PromptCacheEntry,
+  rankByRendezvous,
   reportKeyOf,
   type RoutingConfig,
+  type ServiceVersions,
   type StreamOrigin,
+  type StreamRecord,
   type SuspectReport,
 } from "@anvildeal/core";
 import type { Logger } from "../logging/index.js";
@@ -21,12 +24,14 @@
 import { CollectionWatcher, type WatchedUpdate } from "./collection_watcher.js";
 import type { DirectSettings } from "./direct_settings.js";
 import { DirectoryHealth } from "./directory_health.js";
+import type { DocumentFolder } from "./document_folder.js";
 import { EndpointSync } from "./endpoint_sync.js";
 import { type KnownContent, PeerCatchUp } from "./peer_catch_up.js";
 import { PeerMesh } from "./peer_mesh.js";
 import { PromptCacheBroadcaster } from "./prompt_cache_broadcaster.js";
 import { SharedRecordExchange } from "./shared_record_exchange.js";
 import { StreamOriginExchange } from "./stream_origin_exchange.js";
+import { StreamRecordPersistence } from "./stream_record_persistence.js";
 import { WatchDuty } from "./watch_duty.js";
 
 /**
@@ -54,6 +59,10 @@
   readonly promptCacheEntries: () => readonly PromptCacheEntry[];
   /** Origin of a stream that this router knows. */
   readonly streamOriginOf: (callId: string) => StreamOrigin | undefined;
+  /** Holds which versions began streams. */
+  readonly streamFolder: DocumentFolder;
+  /** Versions of the endpoints that serve or served of late. */
+  readonly versions: () => readonly ServiceVersions[];
   /** Limits that endpoints name, as this router knows them. */
   readonly limits: () => readonly LimitReport[];
   /** Under which requests endpoints crashed, as this router knows it. */
@@ -65,6 +74,12 @@
   readonly onAnswer: () => void;
 }
 
+/**
+ * Prefixes of the names of documents with streams. Each router uses one, so that
+ * the number of documents does not grow with the fleet.
+ */
+const STREAM_WRITERS = ["a", "b", "c", "d"];
+
 /** Fields of messages that name what the sender knows. */
 type ContentFields = Pick<
   MessageOf<"fleet_state">,
@@ -85,6 +100,7 @@
   readonly #watchDuty: WatchDuty;
   readonly #promptCacheBroadcaster: PromptCacheBroadcaster;
   readonly #streamOrigins: StreamOriginExchange;
+  readonly #streamRecords: StreamRecordPersistence;
   readonly #suspects: SharedRecordExchange<SuspectReport>;
   readonly #limits: SharedRecordExchange<LimitReport>;
   readonly #catchUp: PeerCatchUp;
@@ -129,6 +145,14 @@
       connectedIds: () => this.#mesh.connectedIds,
       sendTo: (nodeId, message) => this.#mesh.sendTo(nodeId, message),
     });
+    this.#streamRecords = new StreamRecordPersistence({
+      ...options,
+      folder: options.streamFolder,
+      namePrefix: rankByRendezvous(settings.nodeId, STREAM_WRITERS, 1)[0]!,
+      hasLowestConnectedId: () => this.hasLowestConnectedId,
+      connectedCount: () => this.#mesh.connectedCount,
+      relay: (records) => this.#relayStreamRecords(records),
+    });
     this.#suspects = new SharedRecordExchange({
       clock,
       olderBy: olderReport,
@@ -256,6 +280,7 @@
       routerIds: this.#mesh.knownIds,
     });
     this.#watchDuty.tick(this.#mesh.routerCount);
+    this.#streamRecords.tick();
     this.#reportWatching();
     this.#inFlightByEndpoint = inFlight;
     // Each broadcast sends one message per peer, so a router with many peers
@@ -294,6 +319,16 @@
     this.#streamOrigins.announce(callId, origin);
   }
 
+  /** Sees to it that the store has the origins of streams. */
+  storeStreamRecords(records: readonly StreamRecord[]): void {
+    this.#streamRecords.record(records);
+  }
+
+  /** Reads what is stored; the answer is an event `stream_records_read`. */
+  readStreamRecords(): void {
+    this.#streamRecords.read();
+  }
+
   /** Asks other routers; the answer is an event `stream_origin_answered`. */
   findStreamOrigin(key: number, callId: string): void {
     this.#streamOrigins.find(key, callId);
@@ -304,6 +339,7 @@
     this.#endpoints.dispose();
     this.#promptCacheBroadcaster.dispose();
     this.#streamOrigins.dispose();
+    this.#streamRecords.dispose();
     this.#suspects.dispose();
     this.#limits.dispose();
     this.#mesh.dispose();
@@ -457,6 +493,9 @@
         break;
       case "fleet_streams":
         this.#streamOrigins.handleOrigins(nodeId, message);
+        if (message.toStore) {
+          this.#streamRecords.record(message.origins.map(streamRecordOf));
+        }
         break;
       case "fleet_stream_query":
         this.#streamOrigins.answerQuery(nodeId, message);
@@ -486,6 +525,18 @@
     }
   }
 
+  /** The router with the lowest id writes, or knows one with a lower id. */
+  #relayStreamRecords(records: readonly StreamRecord[]): void {
+    const [lowestId] = [...this.#mesh.connectedIds].sort();
+    if (lowestId !== undefined) {
+      this.#mesh.sendTo(lowestId, {
+        type: "fleet_streams",
+        origins: records.map(({ callId, origin }) => ({ callId, ...origin })),
+        toStore: true,
+      });
+    }
+  }
+
   /** Tells the other routers that this one confirmed its view. */
   #reportWatching(): void {
     if (!this.#watchDuty.isConfirmed) {
@@ -583,6 +634,14 @@
   }
 }
 
+function streamRecordOf(
+  { callId, service, softwareVersion }: MessageOf<"fleet_streams">[
+    "origins"
+  ][number],
+): StreamRecord {
+  return { callId, origin: { service, softwareVersion } };
+}
+
 function knownContentOf(
   { configVersion, directoryEpoch, directoryRevision }: ContentFields,
 ): KnownContent {
--- a/packages/daemon/src/direct/index.ts
+++ b/packages/daemon/src/direct/index.ts
@@ -4,6 +4,7 @@
 export * from "./direct_router_host.js";
 export * from "./direct_settings.js";
 export * from "./hop_headers.js";
+export * from "./document_folder.js";
 export * from "./shared_document.js";
 export * from "./stdout_log.js";
 export {
--- /dev/null
+++ b/packages/daemon/src/direct/stream_record_persistence.ts
@@ -0,0 +1,281 @@
+import type {
+  Clock,
+  DirectEvent,
+  Millis,
+  ServiceVersions,
+  StoredStreams,
+  StreamRecord,
+} from "@anvildeal/core";
+import { z } from "zod";
+import type { Logger } from "../logging/index.js";
+import type { Disposable } from "../net/index.js";
+import type { DocumentFolder, StoredDocument } from "./document_folder.js";
+
+/** Name of the document with the versions that serve or served of late. */
+const VERSIONS_NAME = "versions";
+
+/**
+ * Records are written in turn to this many documents of a writer. The oldest is
+ * overwritten when all streams in it have ended.
+ */
+const DOCUMENT_COUNT = 64;
+
+/** Maximum number of streams in a document; it must fit into one object. */
+const MAX_STREAMS_PER_DOCUMENT = 5000;
+
+/** Maximum number of records that wait; the oldest ones are dropped. */
+const MAX_PENDING = 20_000;
+
+/** Delay for which records are collected before they go to the writer. */
+const RELAY_DELAY_MS: Millis = 50;
+
+/**
+ * A router without connections to others is the writer only after this time, since
+ * all routers may have just started.
+ */
+const ALONE_AFTER_MS: Millis = 1500;
+
+const LABEL = "streams";
+
+const StreamsSchema = z.object({
+  origins: z.array(z.object({
+    service: z.string(),
+    softwareVersion: z.string().optional(),
+    callIds: z.array(z.string()),
+  })),
+});
+
+const VersionsSchema = z.object({
+  services: z.array(z.object({
+    service: z.string(),
+    versions: z.array(z.string()),
+  })),
+});
+
+export interface StreamRecordPersistenceOptions {
+  readonly folder: DocumentFolder;
+  readonly logger: Logger;
+  readonly clock: Clock;
+  /** Prefix of the names of this router's documents; several may share one. */
+  readonly namePrefix: string;
+  /** Whether this router's id is the lowest of those that it is connected to. */
+  readonly hasLowestConnectedId: () => boolean;
+  readonly connectedCount: () => number;
+  /** Sends records to the router with the lowest id of the connected ones. */
+  readonly relay: (records: readonly StreamRecord[]) => void;
+  /** Versions that serve or served of late. */
+  readonly versions: () => readonly ServiceVersions[];
+  readonly push: (event: DirectEvent) => void;
+}
+
+/**
+ * Keeps in the directory which software versions serve and, while there are
+ * several of a service, which of them began each stream. Routers that all restart
+ * at once read it when a caller takes a stream up.
+ *
+ * One router writes for those that are connected to it, once a tick at most, so
+ * the number of calls does not grow with the fleet.
+ */
+export class StreamRecordPersistence implements Disposable {
+  readonly #options: StreamRecordPersistenceOptions;
+  readonly #startedMs: Millis;
+  #pending: StreamRecord[] = [];
+  #relayTimer: NodeJS.Timeout | undefined;
+  #isReading = false;
+  /** Names for the next documents, the one to be written first at the front. */
+  #names: string[] | undefined;
+  readonly #existingNames = new Set<string>();
+  /** The versions as this router stored or read them, as text. */
+  #storedVersions = "";
+  #isWriting = false;
+
+  constructor(options: StreamRecordPersistenceOptions) {
+    this.#options = options;
+    this.#startedMs = options.clock.nowMs();
+  }
+
+  /** Sees to it that the records are stored, by this router or another one. */
+  record(records: readonly StreamRecord[]): void {
+    this.#pending = [...this.#pending, ...records].slice(-MAX_PENDING);
+    this.#relayTimer ??= setTimeout(() => {
+      this.#relayTimer = undefined;
+      this.#relay();
+    }, RELAY_DELAY_MS);
+  }
+
+  /** Reads what is stored; the result is an event `stream_records_read`. */
+  read(): void {
+    if (!this.#isReading) {
+      void this.#read();
+    }
+  }
+
+  /** Writes what is due if this router is the writer. Call periodically. */
+  tick(): void {
+    this.#relay();
+    if (!this.#isWriter || this.#isWriting) {
+      return;
+    }
+    if (this.#names === undefined) {
+      this.read();
+      return;
+    }
+    const versions = encodeVersions(this.#options.versions());
+    if (this.#pending.length > 0 || versions !== this.#storedVersions) {
+      void this.#write(this.#names, versions);
+    }
+  }
+
+  dispose(): void {
+    clearTimeout(this.#relayTimer);
+  }
+
+  get #isWriter(): boolean {
+    const { clock, connectedCount, hasLowestConnectedId } = this.#options;
+    return connectedCount() > 0
+      ? hasLowestConnectedId()
+      : clock.nowMs() - this.#startedMs >= ALONE_AFTER_MS;
+  }
+
+  #relay(): void {
+    const { connectedCount, hasLowestConnectedId, relay } = this.#options;
+    if (
+      this.#pending.length > 0 && connectedCount() > 0 &&
+      !hasLowestConnectedId()
+    ) {
+      relay(this.#pending);
+      this.#pending = [];
+    }
+  }
+
+  async #read(): Promise<void> {
+    this.#isReading = true;
+    let records: StoredStreams | undefined;
+    try {
+      const documents = await this.#options.folder.list();
+      records = this.#decode(documents);
+      this.#noteNames(documents);
+    } catch (error) {
+      this.#logFailure("read", error);
+    } finally {
+      this.#isReading = false;
+    }
+    this.#options.push({
+      type: "stream_records_read",
+      nowMs: this.#options.clock.nowMs(),
+      ...(records ? { records } : {}),
+    });
+  }
+
+  async #write(names: string[], versions: string): Promise<void> {
+    this.#isWriting = true;
+    try {
+      if (versions !== this.#storedVersions) {
+        await this.#writeDocument(VERSIONS_NAME, JSON.parse(versions));
+        this.#storedVersions = versions;
+      }
+      while (this.#pending.length > 0) {
+        const written = this.#pending.slice(0, MAX_STREAMS_PER_DOCUMENT);
+        const name = names.shift()!;
+        names.push(name);
+        await this.#writeDocument(name, encodeStreams(written));
+        this.#pending = this.#pending.filter((record) =>
+          !written.includes(record)
+        );
+      }
+    } catch (error) {
+      this.#logFailure("write", error);
+    } finally {
+      this.#isWriting = false;
+    }
+  }
+
+  async #writeDocument(name: string, value: unknown): Promise<void> {
+    await this.#options.folder.write(
+      name,
+      value,
+      this.#existingNames.has(name),
+    );
+    this.#existingNames.add(name);
+  }
+
+  /** Leaves out a document that cannot be read, so that the others hold. */
+  #decode(documents: readonly StoredDocument[]): StoredStreams {
+    const versions = documents.filter(({ name }) => name === VERSIONS_NAME)
+      .flatMap((document) =>
+        this.#parse(VersionsSchema, document)?.services ?? []
+      );
+    const streams = documents.filter(({ name }) => name !== VERSIONS_NAME)
+      .flatMap((document) =>
+        this.#parse(StreamsSchema, document)?.origins ?? []
+      )
+      .flatMap(({ callIds, service, softwareVersion }) =>
+        callIds.map((callId) => ({
+          callId,
+          origin: { service, softwareVersion },
+        }))
+      );
+    return { streams, versions };
+  }
+
+  #parse<S extends z.ZodType>(
+    schema: S,
+    { name, value }: StoredDocument,
+  ): z.infer<S> | undefined {
+    const { data, error } = schema.safeParse(value);
+    if (error) {
+      this.#options.logger.log("record_ignored", {
+        collection: LABEL,
+        record: name,
+        detail: z.prettifyError(error),
+      });
+    }
+    return data;
+  }
+
+  /** Orders the names so that the oldest records are overwritten first. */
+  #noteNames(documents: readonly StoredDocument[]): void {
+    const revisions = new Map(
+      documents.map(({ name, revision }) => [name, revision]),
+    );
+    revisions.forEach((_, name) => this.#existingNames.add(name));
+    this.#names ??= Array.from(
+      { length: DOCUMENT_COUNT },
+      (_, i) => `${this.#options.namePrefix}-${i}`,
+    ).sort((a, b) => (revisions.get(a) ?? 0) - (revisions.get(b) ?? 0));
+    const stored = documents.find(({ name }) => name === VERSIONS_NAME);
+    const decoded = VersionsSchema.safeParse(stored?.value).data;
+    this.#storedVersions = decoded ? encodeVersions(decoded.services) : "";
+  }
+
+  #logFailure(call: "read" | "write", error: unknown): void {
+    this.#options.logger.log("directory_call_failed", {
+      label: LABEL,
+      call,
+      detail: error instanceof Error ? error.message : String(error),
+    });
+  }
+}
+
+function encodeVersions(services: readonly ServiceVersions[]): string {
+  return JSON.stringify({
+    services: services.map(({ service, versions }) => ({ service, versions })),
+  });
+}
+
+function encodeStreams(
+  records: readonly StreamRecord[],
+): z.infer<typeof StreamsSchema> {
+  const groups = new Map<
+    string,
+    z.infer<typeof StreamsSchema>["origins"][number]
+  >();
+  for (const { callId, origin: { service, softwareVersion } } of records) {
+    const key = `${service} ${softwareVersion ?? ""}`;
+    const group = groups.get(key) ??
+      { service, softwareVersion, callIds: [] };
+    groups.set(key, group);
+    group.callIds.push(callId);
+  }
+  return { origins: [...groups.values()] };
+}
