--- a/packages/core/src/direct/direct_finish.ts
+++ b/packages/core/src/direct/direct_finish.ts
@@ -116,6 +116,7 @@
       event: "direct_request_finished",
       fields: {
         request_id: call.callId,
+        continues: call.continuedCallId,
         route: route.name,
         outcome,
         reason,
--- a/packages/core/src/direct/direct_streams.ts
+++ b/packages/core/src/direct/direct_streams.ts
@@ -12,7 +12,6 @@
   DirectState,
 } from "./direct_state.js";
 import { ORIGIN_RETENTION_MS, type StreamOrigin } from "./stream_origins.js";
-import type { ServiceVersions } from "./version_history.js";
 
 /** Maximum time for which a request waits for what other routers know. */
 const ORIGIN_LOOKUP_MS: Millis = 400;
@@ -72,7 +71,7 @@
   lookup.awaitsPeers = false;
   if (
     !origin && !lookup.awaitsRecords && !lookup.hasReadRecords &&
-    state.versionHistory.hasSeveral(service, nowMs)
+    state.versionHistory.servedOfLate(service, nowMs).length > 1
   ) {
     lookup.awaitsRecords = true;
     return [{ type: "read_stream_records" }];
@@ -137,16 +136,16 @@
   if (directory.size > 0) {
     state.endpointsKnownSinceMs ??= nowMs;
   }
-  const isMixed = ({ versions }: ServiceVersions) => versions.length > 1;
-  const before = versionHistory.all(nowMs).filter(isMixed)
-    .map(({ service }) => service);
+  const mixedServices = () =>
+    versionHistory.all(nowMs).map(({ service }) => service)
+      .filter((service) => versionHistory.hasSeveral(service, nowMs));
+  const before = mixedServices();
   versionHistory.update(
     nowMs,
     [...directory.all()].map(({ record }) => record),
   );
   const newlyMixed = new Set(
-    versionHistory.all(nowMs).filter(isMixed).map(({ service }) => service)
-      .filter((service) => !before.includes(service)),
+    mixedServices().filter((service) => !before.includes(service)),
   );
   return newlyMixed.size === 0
     ? []
--- /dev/null
+++ b/packages/core/src/direct/stream_lookup_test.ts
@@ -0,0 +1,252 @@
+import { beforeEach, describe, expect, it } from "vitest";
+import type { Millis } from "../clock.js";
+import type { DirectEffect, DirectEvent } from "./direct_event.js";
+import { createDirectState, type DirectState } from "./direct_state.js";
+import { ACCEPTED_HEAD, poolCall, poolConfig } from "./pool_fixture.js";
+import { reduceDirect } from "./reduce_direct.js";
+import type { EndpointRecord } from "./routing_config.js";
+
+/** Time after which a process knows by itself which versions served of late. */
+const RETENTION_MS: Millis = 60_000;
+
+const V1 = { service: "pool", softwareVersion: "v1" };
+
+function endpoint(id: string, softwareVersion: string): EndpointRecord {
+  return {
+    id,
+    service: "pool",
+    address: "10.0.0.1:80",
+    failureDomain: "a",
+    state: "ready",
+    incarnation: 1,
+    softwareVersion,
+  };
+}
+
+describe("a stream that a caller takes up", () => {
+  let state: DirectState;
+
+  beforeEach(() => {
+    state = createDirectState({
+      nodeId: "n",
+      failureDomain: "a",
+      retryRatio: 0.2,
+      retryExtra: 10,
+      loadMultiple: 2,
+      maxDirectoryAgeMs: 3000,
+    });
+    reduceDirect(state, {
+      type: "config_received",
+      nowMs: 0,
+      source: "test",
+      config: poolConfig({ resumable: true, maxAttempts: 2 }),
+    });
+  });
+
+  function setVersions(nowMs: Millis, ...versions: string[]): DirectEffect[] {
+    return reduceDirect(state, {
+      type: "endpoints_changed",
+      nowMs,
+      source: "test",
+      change: {
+        upserts: versions.map((version, i) => endpoint(`e${i}`, version)),
+        removedIds: [],
+        isSnapshot: true,
+      },
+    });
+  }
+
+  function takeUp(nowMs: Millis, key = 1): DirectEffect[] {
+    return reduceDirect(state, {
+      type: "call_received",
+      nowMs,
+      key,
+      call: poolCall({
+        callId: "again",
+        lastEventId: "4",
+        continuedCallId: "first",
+      }),
+    });
+  }
+
+  function answerOfPeers(nowMs: Millis): DirectEffect[] {
+    return reduceDirect(state, {
+      type: "stream_origin_answered",
+      nowMs,
+      key: 1,
+      origin: undefined,
+    });
+  }
+
+  function read(
+    nowMs: Millis,
+    records: Extract<DirectEvent, { type: "stream_records_read" }>["records"],
+  ): DirectEffect[] {
+    return reduceDirect(state, {
+      type: "stream_records_read",
+      nowMs,
+      ...(records ? { records } : {}),
+    });
+  }
+
+  const types = (effects: readonly DirectEffect[]) =>
+    effects.map(({ type }) => type);
+
+  const refusalOf = (effects: readonly DirectEffect[]) =>
+    effects.find((effect) => effect.type === "refuse")?.refusal.reason;
+
+  const startedAt = (effects: readonly DirectEffect[]) =>
+    effects.find((effect) => effect.type === "start_attempt")?.endpointId;
+
+  describe("at a process that has just started", () => {
+    // Guards against a wait for routers that know as little.
+    it("waits for the routers and the store at once", () => {
+      setVersions(0, "v1", "v2");
+      const effects = types(takeUp(100));
+      expect(effects).toContain("find_stream_origin");
+      expect(effects).toContain("read_stream_records");
+    });
+
+    // Guards against a sound stream that is refused.
+    it("goes on at the version that the store names", () => {
+      setVersions(0, "v2", "v1");
+      takeUp(100);
+      const effects = read(110, {
+        versions: [],
+        streams: [{ callId: "first", origin: V1 }],
+      });
+      expect(startedAt(effects)).toBe("e1");
+    });
+
+    // Guards against a stream of a version that left with the routers.
+    it("is refused if another version served of late", () => {
+      setVersions(0, "v2");
+      takeUp(100);
+      expect(answerOfPeers(105)).toEqual([]);
+      const effects = read(110, {
+        versions: [{ service: "pool", versions: ["v1"] }],
+        streams: [],
+      });
+      expect(refusalOf(effects)).toBe("stream_version_unknown");
+    });
+
+    // Guards against a guess.
+    it("is refused if the store cannot be read", () => {
+      setVersions(0, "v2");
+      takeUp(100);
+      answerOfPeers(105);
+      expect(refusalOf(read(110, undefined))).toBe("stream_version_unknown");
+    });
+
+    // Guards against sound streams that are refused for want of records.
+    it("goes on if the store names no other version", () => {
+      setVersions(0, "v1");
+      takeUp(100);
+      read(110, {
+        versions: [{ service: "pool", versions: ["v1"] }],
+        streams: [],
+      });
+      expect(startedAt(answerOfPeers(120))).toBe("e0");
+    });
+
+    // Guards against calls that wait for an answer that never comes.
+    it("does not wait longer than the time for the question", () => {
+      setVersions(0, "v1");
+      takeUp(100);
+      const effects = reduceDirect(state, {
+        type: "timer_fired",
+        nowMs: 500,
+        key: 1,
+        timer: "attempt",
+      });
+      expect(refusalOf(effects)).toBe("stream_version_unknown");
+    });
+  });
+
+  describe("at a process that has run for long", () => {
+    // Guards against calls to the store that tell nothing new.
+    it("goes on at the only version without a call to the store", () => {
+      setVersions(0, "v1");
+      expect(types(takeUp(RETENTION_MS))).not.toContain("read_stream_records");
+      expect(startedAt(answerOfPeers(RETENTION_MS + 5))).toBe("e0");
+    });
+
+    // Guards against streams that are refused though the store knows them.
+    it("looks in the store if the other routers do not know it", () => {
+      setVersions(0, "v1", "v2");
+      expect(types(takeUp(RETENTION_MS))).not.toContain("read_stream_records");
+      expect(types(answerOfPeers(RETENTION_MS + 5))).toEqual([
+        "read_stream_records",
+      ]);
+      const effects = read(RETENTION_MS + 10, {
+        versions: [],
+        streams: [{ callId: "first", origin: V1 }],
+      });
+      expect(startedAt(effects)).toBe("e0");
+    });
+  });
+
+  describe("after it began at this router", () => {
+    function begin(nowMs: Millis): DirectEffect[] {
+      const [attempt] = reduceDirect(state, {
+        type: "call_received",
+        nowMs,
+        key: 7,
+        call: poolCall({ callId: "first" }),
+      }).filter((effect) => effect.type === "start_attempt");
+      const fields = { nowMs, key: 7, attemptNumber: attempt!.attemptNumber };
+      reduceDirect(state, {
+        type: "attempt_head",
+        ...fields,
+        head: { ...ACCEPTED_HEAD, callId: "first" },
+      });
+      return reduceDirect(state, { type: "attempt_progress", ...fields });
+    }
+
+    const stored = (effects: readonly DirectEffect[]) =>
+      effects.flatMap((effect) =>
+        effect.type === "store_stream_records" ? effect.records : []
+      );
+
+    // Guards against writes to the store all day.
+    it("is not stored while one version serves", () => {
+      setVersions(0, "v1");
+      expect(stored(begin(100))).toEqual([]);
+    });
+
+    // Guards against streams that are lost with all routers.
+    it("is stored while several versions serve", () => {
+      setVersions(0, "v1", "v2");
+      expect(stored(begin(100)).map(({ callId }) => callId)).toEqual([
+        "first",
+      ]);
+    });
+
+    // Guards against streams that began before the second version came.
+    it("is stored when a second version appears", () => {
+      setVersions(0, "v1");
+      begin(100);
+      expect(stored(setVersions(200, "v1", "v2"))).toEqual([
+        { callId: "first", origin: V1 },
+      ]);
+      expect(stored(setVersions(300, "v1", "v2"))).toEqual([]);
+    });
+
+    // Guards against streams that broke off before the second version was seen.
+    it("is stored if it broke off just before", () => {
+      setVersions(0, "v1");
+      begin(100);
+      reduceDirect(state, {
+        type: "attempt_failed",
+        nowMs: 150,
+        key: 7,
+        attemptNumber: 1,
+        failure: { kind: "reset", sent: true },
+        canResume: false,
+      });
+      expect(stored(setVersions(200, "v1", "v2"))).toEqual([
+        { callId: "first", origin: V1 },
+      ]);
+    });
+  });
+});
--- a/packages/core/src/direct/version_history.ts
+++ b/packages/core/src/direct/version_history.ts
@@ -2,6 +2,9 @@
 import type { EndpointRecord } from "./routing_config.js";
 import { ORIGIN_RETENTION_MS } from "./stream_origins.js";
 
+/** Time within which nearly all streams end, the calls that take them up included. */
+const USUAL_LIFETIME_MS: Millis = 20_000;
+
 /** Software versions of the endpoints of a service. */
 export interface ServiceVersions {
   readonly service: string;
@@ -40,16 +43,23 @@
   }
 
   /** Versions of a service that serve or served of late. */
-  servedOfLate(service: string, nowMs: Millis): readonly string[] {
+  servedOfLate(
+    service: string,
+    nowMs: Millis,
+    retentionMs: Millis = ORIGIN_RETENTION_MS,
+  ): readonly string[] {
     const versions = this.#services.get(service) ?? new Map<string, Millis>();
     return [...versions.keys()].filter((version) =>
-      nowMs - versions.get(version)! < ORIGIN_RETENTION_MS
+      nowMs - versions.get(version)! < retentionMs
     ).sort();
   }
 
-  /** Whether streams of a service may be of different versions. */
+  /**
+   * Whether streams of a service that are taken up may be of different versions,
+   * but for rare ones that last long.
+   */
   hasSeveral(service: string, nowMs: Millis): boolean {
-    return this.servedOfLate(service, nowMs).length > 1;
+    return this.servedOfLate(service, nowMs, USUAL_LIFETIME_MS).length > 1;
   }
 
   /** Versions of all services that serve or served of late. */
--- a/packages/daemon/src/direct/stream_record_persistence.ts
+++ b/packages/daemon/src/direct/stream_record_persistence.ts
@@ -18,7 +18,7 @@
  * Records are written in turn to this many documents of a writer. The oldest is
  * overwritten when all streams in it have ended.
  */
-const DOCUMENT_COUNT = 64;
+const DOCUMENT_COUNT = 100;
 
 /** Maximum number of streams in a document; it must fit into one object. */
 const MAX_STREAMS_PER_DOCUMENT = 5000;
@@ -27,7 +27,13 @@
 const MAX_PENDING = 20_000;
 
 /** Delay for which records are collected before they go to the writer. */
-const RELAY_DELAY_MS: Millis = 50;
+const RELAY_DELAY_MS: Millis = 20;
+
+/**
+ * Minimum time between two writes, since the platform charges for each. What is
+ * not written when all routers are lost is unknown afterwards.
+ */
+const WRITE_INTERVAL_MS: Millis = 200;
 
 /**
  * A router without connections to others is the writer only after this time, since
@@ -73,14 +79,15 @@
  * several of a service, which of them began each stream. Routers that all restart
  * at once read it when a caller takes a stream up.
  *
- * One router writes for those that are connected to it, once a tick at most, so
- * the number of calls does not grow with the fleet.
+ * One router writes for those that are connected to it, so the number of calls
+ * does not grow with the fleet.
  */
 export class StreamRecordPersistence implements Disposable {
   readonly #options: StreamRecordPersistenceOptions;
   readonly #startedMs: Millis;
   #pending: StreamRecord[] = [];
-  #relayTimer: NodeJS.Timeout | undefined;
+  #timer: NodeJS.Timeout | undefined;
+  #lastWriteMs: Millis = Number.NEGATIVE_INFINITY;
   #isReading = false;
   /** Names for the next documents, the one to be written first at the front. */
   #names: string[] | undefined;
@@ -97,10 +104,7 @@
   /** Sees to it that the records are stored, by this router or another one. */
   record(records: readonly StreamRecord[]): void {
     this.#pending = [...this.#pending, ...records].slice(-MAX_PENDING);
-    this.#relayTimer ??= setTimeout(() => {
-      this.#relayTimer = undefined;
-      this.#relay();
-    }, RELAY_DELAY_MS);
+    this.#schedule();
   }
 
   /** Reads what is stored; the result is an event `stream_records_read`. */
@@ -110,10 +114,13 @@
     }
   }
 
-  /** Writes what is due if this router is the writer. Call periodically. */
+  /**
+   * Sends records on or, if this router is the writer, writes what has changed.
+   * Call periodically; records need not wait for that.
+   */
   tick(): void {
     this.#relay();
-    if (!this.#isWriter || this.#isWriting) {
+    if (!this.#isWriter || this.#isWriting || this.#untilWriteMs() > 0) {
       return;
     }
     if (this.#names === undefined) {
@@ -127,7 +134,20 @@
   }
 
   dispose(): void {
-    clearTimeout(this.#relayTimer);
+    clearTimeout(this.#timer);
+  }
+
+  #schedule(): void {
+    const delayMs = Math.max(RELAY_DELAY_MS, this.#untilWriteMs());
+    this.#timer ??= setTimeout(() => {
+      this.#timer = undefined;
+      this.tick();
+    }, delayMs);
+  }
+
+  /** Time until this router may write again; not positive if it may now. */
+  #untilWriteMs(): Millis {
+    return this.#lastWriteMs + WRITE_INTERVAL_MS - this.#options.clock.nowMs();
   }
 
   get #isWriter(): boolean {
@@ -169,12 +189,13 @@
 
   async #write(names: string[], versions: string): Promise<void> {
     this.#isWriting = true;
+    this.#lastWriteMs = this.#options.clock.nowMs();
     try {
       if (versions !== this.#storedVersions) {
         await this.#writeDocument(VERSIONS_NAME, JSON.parse(versions));
         this.#storedVersions = versions;
       }
-      while (this.#pending.length > 0) {
+      if (this.#pending.length > 0) {
         const written = this.#pending.slice(0, MAX_STREAMS_PER_DOCUMENT);
         const name = names.shift()!;
         names.push(name);
@@ -188,6 +209,9 @@
     } finally {
       this.#isWriting = false;
     }
+    if (this.#pending.length > 0) {
+      this.#schedule();
+    }
   }
 
   async #writeDocument(name: string, value: unknown): Promise<void> {
--- /dev/null
+++ b/packages/daemon/src/direct/stream_record_persistence_test.ts
@@ -0,0 +1,297 @@
+import type {
+  DirectEvent,
+  ServiceVersions,
+  StreamRecord,
+} from "@anvildeal/core";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { ManualClock } from "../manual_clock_fixture.js";
+import { DocumentFolder, type StoredDocument } from "./document_folder.js";
+import { StreamRecordPersistence } from "./stream_record_persistence.js";
+
+const TICK_MS = 400;
+const WRITES_PER_S = 5;
+
+/** Routers that a router of a large fleet dials. */
+const DIALED_COUNT = 32;
+
+/** Largest fleet in which all routers are connected. */
+const MAX_FULLY_CONNECTED = 33;
+
+const VERSIONS: ServiceVersions[] = [
+  { service: "pool", versions: ["v1", "v2"] },
+];
+
+class MemoryFolder extends DocumentFolder {
+  readonly documents = new Map<string, StoredDocument>();
+  /** Names of the written documents and `list`, in order. */
+  readonly calls: string[] = [];
+  isDown = false;
+  #revision = 0;
+
+  list(): Promise<readonly StoredDocument[]> {
+    return this.#call("list", () => [...this.documents.values()]);
+  }
+
+  write(name: string, value: unknown): Promise<void> {
+    return this.#call(name, () => {
+      this.documents.set(name, { name, revision: ++this.#revision, value });
+    });
+  }
+
+  get streamCount(): number {
+    return [...this.documents.values()].reduce(
+      (count, { value }) =>
+        count + ((value as { origins?: { callIds: string[] }[] }).origins ?? [])
+          .reduce((sum, { callIds }) => sum + callIds.length, 0),
+      0,
+    );
+  }
+
+  #call<T>(name: string, action: () => T): Promise<T> {
+    this.calls.push(name);
+    return this.isDown
+      ? Promise.reject(new Error("the directory does not answer"))
+      : Promise.resolve(action());
+  }
+}
+
+interface FleetRouter {
+  readonly id: string;
+  readonly peerIds: Set<string>;
+  readonly events: DirectEvent[];
+  persistence: StreamRecordPersistence;
+}
+
+/** Routers that are connected as in a fleet of their number. */
+class Fleet {
+  readonly folder = new MemoryFolder();
+  readonly clock = new ManualClock();
+  readonly routers = new Map<string, FleetRouter>();
+  readonly logged: string[] = [];
+  versions = VERSIONS;
+  #callNumber = 0;
+
+  constructor(size: number) {
+    const ids = Array.from(
+      { length: size },
+      (_, i) => `edge-${String(i).padStart(3, "0")}`,
+    );
+    for (const id of ids) {
+      this.routers.set(id, {
+        id,
+        peerIds: new Set(),
+        events: [],
+        persistence: this.#createPersistence(id),
+      });
+    }
+    const generator = xoroshiro128plus(5);
+    for (const id of ids) {
+      const dialed = size <= MAX_FULLY_CONNECTED ? ids : Array.from(
+        { length: DIALED_COUNT },
+        () => ids[uniformInt(generator, 0, size - 1)]!,
+      );
+      dialed.filter((peer) => peer !== id)
+        .forEach((peer) => this.#connect(id, peer));
+    }
+  }
+
+  get list(): FleetRouter[] {
+    return [...this.routers.values()];
+  }
+
+  /** Starts a router again with the same id and connections. */
+  restart(router: FleetRouter): void {
+    router.persistence.dispose();
+    router.persistence = this.#createPersistence(router.id);
+  }
+
+  remove(router: FleetRouter): void {
+    router.persistence.dispose();
+    this.routers.delete(router.id);
+    this.list.forEach(({ peerIds }) => peerIds.delete(router.id));
+  }
+
+  /** Begins streams at a steady rate and lets the routers run. */
+  async run(durationMs: number, streamsPerS: number): Promise<void> {
+    const routers = this.list;
+    let due = 0;
+    for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 50) {
+      due += streamsPerS * 0.05;
+      for (; due >= 1; due--) {
+        const number = this.#callNumber++;
+        routers[number % routers.length]!.persistence
+          .record([recordOf(`call-${number}`)]);
+      }
+      this.clock.timeMs += 50;
+      await vi.advanceTimersByTimeAsync(50);
+      if (elapsedMs % TICK_MS === 0) {
+        routers.forEach(({ persistence }) => persistence.tick());
+        await vi.advanceTimersByTimeAsync(0);
+      }
+    }
+  }
+
+  dispose(): void {
+    this.list.forEach(({ persistence }) => persistence.dispose());
+  }
+
+  #connect(a: string, b: string): void {
+    this.routers.get(a)!.peerIds.add(b);
+    this.routers.get(b)!.peerIds.add(a);
+  }
+
+  #createPersistence(id: string): StreamRecordPersistence {
+    const peerIds = () => [...this.routers.get(id)?.peerIds ?? []];
+    return new StreamRecordPersistence({
+      folder: this.folder,
+      logger: { log: (event) => this.logged.push(event) },
+      clock: this.clock,
+      namePrefix: id,
+      hasLowestConnectedId: () => peerIds().every((peer) => id < peer),
+      connectedCount: () => peerIds().length,
+      relay: (records) => {
+        const [lowest] = peerIds().sort();
+        this.routers.get(lowest!)?.persistence.record(records);
+      },
+      versions: () => this.versions,
+      push: (event) => this.routers.get(id)?.events.push(event),
+    });
+  }
+}
+
+function recordOf(callId: string): StreamRecord {
+  return { callId, origin: { service: "pool", softwareVersion: "v1" } };
+}
+
+describe("StreamRecordPersistence", () => {
+  let fleet: Fleet;
+
+  beforeEach(() => {
+    vi.useFakeTimers();
+  });
+
+  afterEach(() => {
+    fleet.dispose();
+    vi.useRealTimers();
+  });
+
+  describe.each([
+    { size: 4, streamsPerS: 40, maxWriters: 1 },
+    { size: 25, streamsPerS: 200, maxWriters: 1 },
+    { size: 68, streamsPerS: 480, maxWriters: 4 },
+    { size: 390, streamsPerS: 2000, maxWriters: 16 },
+  ])("in a fleet of $size", ({ maxWriters, size, streamsPerS }) => {
+    beforeEach(() => {
+      fleet = new Fleet(size);
+    });
+
+    // Guards against calls that grow with the number of routers.
+    it("has few writers, which write five times a second", async () => {
+      await fleet.run(10_000, streamsPerS);
+      expect(fleet.folder.calls.length)
+        .toBeLessThanOrEqual(maxWriters * (10 * WRITES_PER_S + 2));
+    });
+
+    // Guards against streams that are in no object.
+    it("stores every stream within a second", async () => {
+      await fleet.run(10_000, streamsPerS);
+      await fleet.run(1000, 0);
+      expect(fleet.folder.streamCount).toBe(10 * streamsPerS);
+    });
+
+    // Guards against calls when nothing changes.
+    it("makes no call while no stream is recorded", async () => {
+      await fleet.run(2000, 0);
+      const before = fleet.folder.calls.length;
+      await fleet.run(20_000, 0);
+      expect(fleet.folder.calls.length).toBe(before);
+    });
+  });
+
+  describe("in a fleet of four", () => {
+    beforeEach(() => {
+      fleet = new Fleet(4);
+    });
+
+    // Guards against a writer that overwrites the records of its predecessor.
+    it("keeps what a writer stored that is lost", async () => {
+      await fleet.run(4000, 40);
+      await fleet.run(1000, 0);
+      fleet.remove(fleet.list[0]!);
+      await fleet.run(4000, 40);
+      await fleet.run(1000, 0);
+      expect(fleet.folder.streamCount).toBe(320);
+    });
+
+    // Guards against a process that overwrites the newest records first.
+    it("overwrites the oldest records after a restart", async () => {
+      await fleet.run(8000, 40);
+      await fleet.run(1000, 0);
+      fleet.list.forEach((router) => fleet.restart(router));
+      const before = fleet.folder.streamCount;
+      await fleet.run(2000, 40);
+      await fleet.run(1000, 0);
+      expect(fleet.folder.streamCount).toBe(before + 80);
+    });
+
+    // Guards against an outage after which records are missing.
+    it("stores what was recorded during an outage", async () => {
+      await fleet.run(1000, 40);
+      fleet.folder.isDown = true;
+      await fleet.run(4000, 40);
+      expect(fleet.logged).toContain("directory_call_failed");
+      fleet.folder.isDown = false;
+      await fleet.run(1000, 0);
+      expect(fleet.folder.streamCount).toBe(200);
+    });
+
+    // Guards against versions that a new process does not see.
+    it("stores the versions when they change", async () => {
+      await fleet.run(2000, 0);
+      fleet.versions = [{ service: "pool", versions: ["v2"] }];
+      await fleet.run(2000, 0);
+      expect(fleet.folder.documents.get("versions")?.value).toEqual({
+        services: [{ service: "pool", versions: ["v2"] }],
+      });
+      expect(fleet.folder.calls.filter((name) => name === "versions"))
+        .toHaveLength(2);
+    });
+
+    // Guards against one bad object that hides all the others.
+    it("reads the other documents if one cannot be decoded", async () => {
+      await fleet.run(2000, 40);
+      await fleet.folder.write("bad-1", { origins: "?" });
+      await fleet.folder.write("bad-2", null);
+      const router = fleet.list[3]!;
+      router.persistence.read();
+      await vi.advanceTimersByTimeAsync(0);
+      const event = router.events.at(-1);
+      expect(event?.type === "stream_records_read" && event.records)
+        .toMatchObject({ versions: VERSIONS });
+      expect(fleet.logged).toContain("record_ignored");
+    });
+
+    // Guards against requests that wait for an answer that never comes.
+    it("reports a failed read", async () => {
+      fleet.folder.isDown = true;
+      const router = fleet.list[3]!;
+      router.persistence.read();
+      await vi.advanceTimersByTimeAsync(0);
+      expect(router.events.at(-1)).toMatchObject({
+        type: "stream_records_read",
+      });
+      expect(router.events.at(-1)).not.toHaveProperty("records");
+    });
+  });
+
+  // Guards against reads of every router that is not connected yet.
+  it("makes no call at a router alone that has just started", async () => {
+    fleet = new Fleet(1);
+    await fleet.run(1200, 0);
+    expect(fleet.folder.calls).toEqual([]);
+    await fleet.run(1200, 0);
+    expect(fleet.folder.calls).toEqual(["list", "versions"]);
+  });
+});
