--- a/packages/core/src/wire/field_codes.ts
+++ b/packages/core/src/wire/field_codes.ts
@@ -149,6 +149,7 @@
   "blockedAgeMs",
   "ranMs",
   "isRetry",
+  "toStore",
 ] as const;
 
 /** Code of each name, for the key map of the CBOR codec. */
