--- a/packages/core/src/direct/crashing_part_fleet_test.ts
+++ b/packages/core/src/direct/crashing_part_fleet_test.ts
@@ -22,6 +22,13 @@
     soundPerS: 100,
     crashingPerS: 5,
   },
+  {
+    cause: "prompt_part",
+    routers: 68,
+    endpoints: 82,
+    soundPerS: 200,
+    crashingPerS: 8,
+  },
   {
     cause: "prompt_part",
     routers: 390,
--- a/packages/core/src/direct/crashing_request_fleet_test.ts
+++ b/packages/core/src/direct/crashing_request_fleet_test.ts
@@ -22,6 +22,13 @@
     soundPerS: 80,
     crashingPerS: 4,
   },
+  {
+    cause: "content",
+    routers: 68,
+    endpoints: 12,
+    soundPerS: 100,
+    crashingPerS: 5,
+  },
   {
     cause: "content",
     routers: 390,
--- a/packages/core/src/direct/named_limit_fleet_test.ts
+++ b/packages/core/src/direct/named_limit_fleet_test.ts
@@ -347,6 +347,7 @@
 const SIZES = [
   { routers: 4, endpoints: 18, requestsPerS: 80 },
   { routers: 25, endpoints: 32, requestsPerS: 150 },
+  { routers: 68, endpoints: 82, requestsPerS: 400 },
   { routers: 390, endpoints: 150, requestsPerS: 700 },
 ];
 
--- a/packages/core/src/direct/retry_fleet_test.ts
+++ b/packages/core/src/direct/retry_fleet_test.ts
@@ -226,6 +226,7 @@
 const SIZES = [
   { routers: 4, requestsPerS: 83, additionalRetries: 52 },
   { routers: 25, requestsPerS: 300, additionalRetries: 90 },
+  { routers: 68, requestsPerS: 640, additionalRetries: 176 },
   { routers: 390, requestsPerS: 2000, additionalRetries: 820 },
 ];
 
