Read the stored origins of streams at most every three seconds

Each unknown stream read all of them, up to 400 objects, when the one before was answered: all callers return at once after a loss, when processor time is short. A router that has read them learns hardly anything new from another read.

--- a/packages/daemon/src/direct/stream_record_persistence.ts
+++ b/packages/daemon/src/direct/stream_record_persistence.ts
@@ -41,6 +41,14 @@
  */
 const ALONE_AFTER_MS: Millis = 1500;
 
+/**
+ * A read within this time after another one would tell hardly anything new: the
+ * other routers know what was written since.
+ */
+const MIN_READ_INTERVAL_MS: Millis = 3000;
+
+const NO_RECORDS: StoredStreams = { streams: [], versions: [] };
+
 const LABEL = "streams";
 
 const StreamsSchema = z.object({
@@ -89,6 +97,7 @@
   #timer: NodeJS.Timeout | undefined;
   #lastWriteMs: Millis = Number.NEGATIVE_INFINITY;
   #isReading = false;
+  #lastReadMs: Millis = Number.NEGATIVE_INFINITY;
   /** Names for the next documents, the one to be written first at the front. */
   #names: string[] | undefined;
   readonly #existingNames = new Set<string>();
@@ -109,7 +118,10 @@
 
   /** Reads what is stored; the result is an event `stream_records_read`. */
   read(): void {
-    if (!this.#isReading) {
+    const sinceReadMs = this.#options.clock.nowMs() - this.#lastReadMs;
+    if (sinceReadMs < MIN_READ_INTERVAL_MS) {
+      this.#pushRead(NO_RECORDS);
+    } else if (!this.#isReading) {
       void this.#read();
     }
   }
@@ -175,11 +187,16 @@
       const documents = await this.#options.folder.list();
       records = this.#decode(documents);
       this.#noteNames(documents);
+      this.#lastReadMs = this.#options.clock.nowMs();
     } catch (error) {
       this.#logFailure("read", error);
     } finally {
       this.#isReading = false;
     }
+    this.#pushRead(records);
+  }
+
+  #pushRead(records: StoredStreams | undefined): void {
     this.#options.push({
       type: "stream_records_read",
       nowMs: this.#options.clock.nowMs(),
--- a/packages/daemon/src/direct/stream_record_persistence_test.ts
+++ b/packages/daemon/src/direct/stream_record_persistence_test.ts
@@ -273,6 +273,20 @@
       expect(fleet.logged).toContain("record_ignored");
     });
 
+    // Guards against routers that are kept busy by callers who all return at once.
+    it("reads again only after a time, and answers each question", async () => {
+      await fleet.run(2000, 40);
+      const router = fleet.list[3]!;
+      const before = fleet.folder.calls.length;
+      for (let i = 0; i < 20; i++) {
+        router.persistence.read();
+        await vi.advanceTimersByTimeAsync(0);
+      }
+      expect(fleet.folder.calls.length).toBe(before + 1);
+      expect(router.events).toHaveLength(20);
+      expect(router.events.every((event) => "records" in event)).toBe(true);
+    });
+
     // Guards against requests that wait for an answer that never comes.
     it("reports a failed read", async () => {
       fleet.folder.isDown = true;
