--- a/packages/daemon/src/direct/stream_record_persistence.ts
+++ b/packages/daemon/src/direct/stream_record_persistence.ts
@@ -4,6 +4,7 @@
   Millis,
   ServiceVersions,
   StoredStreams,
+  StreamOrigin,
   StreamRecord,
 } from "@anvildeal/core";
 import { z } from "zod";
@@ -49,13 +50,17 @@
 
 const NO_RECORDS: StoredStreams = { streams: [], versions: [] };
 
+/** No header of HTTP has this character, so no call id has it. */
+const CALL_ID_SEPARATOR = "\n";
+
 const LABEL = "streams";
 
 const StreamsSchema = z.object({
   origins: z.array(z.object({
     service: z.string(),
     softwareVersion: z.string().optional(),
-    callIds: z.array(z.string()),
+    /** Joined by line ends, since one text is checked faster than many. */
+    callIds: z.string(),
   })),
 });
 
@@ -251,7 +256,7 @@
         this.#parse(StreamsSchema, document)?.origins ?? []
       )
       .flatMap(({ callIds, service, softwareVersion }) =>
-        callIds.map((callId) => ({
+        callIds.split(CALL_ID_SEPARATOR).map((callId) => ({
           callId,
           origin: { service, softwareVersion },
         }))
@@ -309,14 +314,18 @@
 ): z.infer<typeof StreamsSchema> {
   const groups = new Map<
     string,
-    z.infer<typeof StreamsSchema>["origins"][number]
+    { readonly origin: StreamOrigin; readonly callIds: string[] }
   >();
-  for (const { callId, origin: { service, softwareVersion } } of records) {
-    const key = `${service} ${softwareVersion ?? ""}`;
-    const group = groups.get(key) ??
-      { service, softwareVersion, callIds: [] };
+  for (const { callId, origin } of records) {
+    const key = `${origin.service} ${origin.softwareVersion ?? ""}`;
+    const group = groups.get(key) ?? { origin, callIds: [] };
     groups.set(key, group);
     group.callIds.push(callId);
   }
-  return { origins: [...groups.values()] };
+  return {
+    origins: [...groups.values()].map(({ callIds, origin }) => ({
+      ...origin,
+      callIds: callIds.join(CALL_ID_SEPARATOR),
+    })),
+  };
 }
--- a/packages/daemon/src/direct/stream_record_persistence_test.ts
+++ b/packages/daemon/src/direct/stream_record_persistence_test.ts
@@ -43,8 +43,8 @@
   get streamCount(): number {
     return [...this.documents.values()].reduce(
       (count, { value }) =>
-        count + ((value as { origins?: { callIds: string[] }[] }).origins ?? [])
-          .reduce((sum, { callIds }) => sum + callIds.length, 0),
+        count + ((value as { origins?: { callIds: string }[] }).origins ?? [])
+          .reduce((sum, { callIds }) => sum + callIds.split("\n").length, 0),
       0,
     );
   }
