Store versions again after a restore, and bound reads of stream records that fail

Found in reading the change: after the store came back from an older copy, the object with the versions stayed at what the copy had; while the store is down, each take-up of an unknown stream and each tick of the writer made a call. Both have a test. Records that were lost with a restore are not written again; their streams are refused if all routers are lost, too.

--- a/packages/core/src/direct/direct_attempt.ts
+++ b/packages/core/src/direct/direct_attempt.ts
@@ -375,7 +375,7 @@
     request,
     nowMs,
     retryAllowed ? "retry_budget_spent" : reason,
-    shortageOf(state, request, nowMs)?.retryAfterMs,
+    mayHaveRun ? undefined : shortageOf(state, request, nowMs)?.retryAfterMs,
   );
 }
 
--- a/packages/core/src/direct/direct_streams.ts
+++ b/packages/core/src/direct/direct_streams.ts
@@ -34,14 +34,14 @@
     return placeRequest(state, request, nowMs);
   }
   const callId = continuedCallIdOf(request);
-  const origin = callId && state.streamOrigins.get(callId);
+  const origin = knownOriginOf(state, request);
   const lookup = {
     awaitsPeers: callId !== undefined,
     awaitsRecords: !knowsVersions(state, nowMs),
     hasReadRecords: false,
   };
   if (origin || !lookup.awaitsPeers && !lookup.awaitsRecords) {
-    return placeAtOrigin(state, request, origin || undefined, nowMs);
+    return placeAtOrigin(state, request, origin, nowMs);
   }
   request.originLookup = lookup;
   const { key } = request;
@@ -100,10 +100,7 @@
     }
     lookup.awaitsRecords = false;
     lookup.hasReadRecords = true;
-    const callId = continuedCallIdOf(request);
-    const origin = callId === undefined
-      ? undefined
-      : state.streamOrigins.get(callId);
+    const origin = knownOriginOf(state, request);
     return origin || !lookup.awaitsPeers
       ? endOriginLookup(state, request, origin, nowMs)
       : [];
@@ -126,7 +123,7 @@
 
 /**
  * Notes the versions that serve. When a service gets a second one, the streams
- * that have begun are stored, since their version is no longer plain.
+ * that have begun are stored, since the directory alone no longer tells theirs.
  */
 export function updateVersions(
   state: DirectState,
@@ -286,6 +283,15 @@
     : continuedCallIdOf(request);
 }
 
+/** Origin of the stream that the request continues, as far as this router knows. */
+function knownOriginOf(
+  state: DirectState,
+  request: ActiveRequest,
+): StreamOrigin | undefined {
+  const callId = continuedCallIdOf(request);
+  return callId === undefined ? undefined : state.streamOrigins.get(callId);
+}
+
 function continuedCallIdOf({ call }: ActiveRequest): string | undefined {
   return keptCallId(call.continuedCallId);
 }
--- a/packages/daemon/src/direct/direct_router_host.ts
+++ b/packages/daemon/src/direct/direct_router_host.ts
@@ -388,6 +388,7 @@
       case "store_documents":
         this.#promptCachePersistence.markChanged();
         this.#suspectPersistence.markChanged();
+        this.#directorySync.storeStreamRecordsAgain();
         break;
       case "share_limits":
         this.#directorySync.shareLimits(effect.limits);
--- a/packages/daemon/src/direct/directory_sync.ts
+++ b/packages/daemon/src/direct/directory_sync.ts
@@ -324,6 +324,11 @@
     this.#streamRecords.record(records);
   }
 
+  /** Stores what is kept of versions again. */
+  storeStreamRecordsAgain(): void {
+    this.#streamRecords.storeAgain();
+  }
+
   /** Reads what is stored; the answer is an event `stream_records_read`. */
   readStreamRecords(): void {
     this.#streamRecords.read();
--- a/packages/daemon/src/direct/stream_record_persistence.ts
+++ b/packages/daemon/src/direct/stream_record_persistence.ts
@@ -48,6 +48,9 @@
  */
 const MIN_READ_INTERVAL_MS: Millis = 3000;
 
+/** Time after a failed read in which no other one is made. */
+const READ_RETRY_MS: Millis = 1000;
+
 const NO_RECORDS: StoredStreams = { streams: [], versions: [] };
 
 /** No header of HTTP has this character, so no call id has it. */
@@ -103,6 +106,7 @@
   #lastWriteMs: Millis = Number.NEGATIVE_INFINITY;
   #isReading = false;
   #lastReadMs: Millis = Number.NEGATIVE_INFINITY;
+  #lastFailedReadMs: Millis = Number.NEGATIVE_INFINITY;
   /** Names for the next documents, the one to be written first at the front. */
   #names: string[] | undefined;
   readonly #existingNames = new Set<string>();
@@ -123,9 +127,11 @@
 
   /** Reads what is stored; the result is an event `stream_records_read`. */
   read(): void {
-    const sinceReadMs = this.#options.clock.nowMs() - this.#lastReadMs;
-    if (sinceReadMs < MIN_READ_INTERVAL_MS) {
+    const nowMs = this.#options.clock.nowMs();
+    if (nowMs - this.#lastReadMs < MIN_READ_INTERVAL_MS) {
       this.#pushRead(NO_RECORDS);
+    } else if (nowMs - this.#lastFailedReadMs < READ_RETRY_MS) {
+      this.#pushRead(undefined);
     } else if (!this.#isReading) {
       void this.#read();
     }
@@ -150,6 +156,11 @@
     }
   }
 
+  /** Stores the versions again after the directory was restored from a copy. */
+  storeAgain(): void {
+    this.#storedVersions = "";
+  }
+
   dispose(): void {
     clearTimeout(this.#timer);
   }
@@ -194,6 +205,7 @@
       this.#noteNames(documents);
       this.#lastReadMs = this.#options.clock.nowMs();
     } catch (error) {
+      this.#lastFailedReadMs = this.#options.clock.nowMs();
       this.#logFailure("read", error);
     } finally {
       this.#isReading = false;
@@ -218,13 +230,13 @@
         this.#storedVersions = versions;
       }
       if (this.#pending.length > 0) {
-        const written = this.#pending.slice(0, MAX_STREAMS_PER_DOCUMENT);
+        const written = new Set(
+          this.#pending.slice(0, MAX_STREAMS_PER_DOCUMENT),
+        );
         const name = names.shift()!;
         names.push(name);
-        await this.#writeDocument(name, encodeStreams(written));
-        this.#pending = this.#pending.filter((record) =>
-          !written.includes(record)
-        );
+        await this.#writeDocument(name, encodeStreams([...written]));
+        this.#pending = this.#pending.filter((record) => !written.has(record));
       }
     } catch (error) {
       this.#logFailure("write", error);
--- a/packages/daemon/src/direct/stream_record_persistence_test.ts
+++ b/packages/daemon/src/direct/stream_record_persistence_test.ts
@@ -259,6 +259,22 @@
         .toHaveLength(2);
     });
 
+    // Guards against versions that a restore of the directory has undone.
+    it("stores the versions again when asked", async () => {
+      await fleet.run(2000, 0);
+      fleet.folder.documents.clear();
+      fleet.list[0]!.persistence.storeAgain();
+      await fleet.run(1000, 0);
+      expect(fleet.folder.documents.has("versions")).toBe(true);
+    });
+
+    // Guards against a flood of calls to a directory that is down.
+    it("waits a second after a failed read", async () => {
+      fleet.folder.isDown = true;
+      await fleet.run(4000, 40);
+      expect(fleet.folder.calls.length).toBeLessThanOrEqual(5);
+    });
+
     // Guards against one bad object that hides all the others.
     it("reads the other documents if one cannot be decoded", async () => {
       await fleet.run(2000, 40);
