--- a/packages/core/src/direct/direct_streams.ts
+++ b/packages/core/src/direct/direct_streams.ts
@@ -237,18 +237,7 @@
   if (!request.origin) {
     request.snapshot =
       transitionRequest(request.snapshot, { type: "no_endpoint" }).snapshot;
-    // What the records do not tell nobody will, so a caller that returns soon
-    // only waits in vain.
-    const retryAfterMs = knowsVersions(state, nowMs)
-      ? ORIGIN_RETENTION_MS
-      : undefined;
-    return refuse(
-      state,
-      request,
-      nowMs,
-      "stream_version_unknown",
-      retryAfterMs,
-    );
+    return refuse(state, request, nowMs, "stream_version_unknown");
   }
   const { service } = request.origin;
   if (route.targets.some((target) => target.service === service)) {
