Write the origins of streams up to ten times a second

The streams that LOST counted on rejoined were those that had begun less than 0.33 s before the loss; their records waited up to 0.2 s for the next write.

--- a/packages/daemon/src/direct/stream_record_persistence.ts
+++ b/packages/daemon/src/direct/stream_record_persistence.ts
@@ -19,7 +19,7 @@
  * Records are written in turn to this many documents of a writer. The oldest is
  * overwritten when all streams in it have ended.
  */
-const DOCUMENT_COUNT = 100;
+const DOCUMENT_COUNT = 120;
 
 /** Maximum number of streams in a document; it must fit into one object. */
 const MAX_STREAMS_PER_DOCUMENT = 5000;
@@ -28,13 +28,13 @@
 const MAX_PENDING = 20_000;
 
 /** Delay for which records are collected before they go to the writer. */
-const RELAY_DELAY_MS: Millis = 20;
+const RELAY_DELAY_MS: Millis = 10;
 
 /**
  * Minimum time between two writes, since the platform charges for each. What is
  * not written when all routers are lost is unknown afterwards.
  */
-const WRITE_INTERVAL_MS: Millis = 200;
+const WRITE_INTERVAL_MS: Millis = 100;
 
 /**
  * A router without connections to others is the writer only after this time, since
