--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -16,8 +16,14 @@
 /** One router is stopped as planned, the other one is killed. */
 const SIGNALS = ["SIGTERM", "SIGKILL"];
 
-const CALLS_PER_ROUTER = 5;
-const STOP_AFTER_MS = 1000;
+const CALLS_PER_ROUTER = 80;
+const STOP_AFTER_MS = 1500;
+
+/**
+ * One of the two replicas leaves the length out of one answer in twenty: the
+ * share of replicas and of answers that the site has for it.
+ */
+const ANSWERS_PER_UNFRAMED = 20;
 
 /** Answers last for 12 s, within the time limit of the route. */
 const EVENTS = 60;
@@ -40,14 +46,28 @@
       ],
     }),
   );
-  for (const endpoint of platform.poolEndpoints) {
-    endpoint.behaviour = async (request, response) => {
-      record.note(
-        `${endpoint.id} runs ${request.headers["anvildeal-attempt-id"]}`,
-      );
-      await answerWithoutLength(request, response);
-    };
-  }
+  const [faulty, sound] = platform.poolEndpoints;
+  const counts = new Map();
+  const unframedIds = new Set();
+  faulty.behaviour = async (request, response) => {
+    const id = request.headers["anvildeal-attempt-id"];
+    const router = id.replace(/-\d+$/, "");
+    const count = (counts.get(router) ?? 0) + 1;
+    counts.set(router, count);
+    // The last answer of each twenty, so that the share is never above that.
+    const isUnframed = count % ANSWERS_PER_UNFRAMED === 0;
+    if (isUnframed) {
+      unframedIds.add(id);
+    }
+    record.note(
+      `${faulty.id} runs ${id}${isUnframed ? ", answer without length" : ""}`,
+    );
+    await answer(request, response, isUnframed);
+  };
+  sound.behaviour = async (request, response) => {
+    record.note(`${sound.id} runs ${request.headers["anvildeal-attempt-id"]}`);
+    await answer(request, response, false);
+  };
 
   const routers = [];
   for (const signal of SIGNALS) {
@@ -62,6 +82,13 @@
   const results = await Promise.all(
     routers.map((each) => stopDuringAnswers(record, each)),
   );
+  if (unframedIds.size === 0) {
+    throw new Error("no answer without a length was given");
+  }
+  const runs = [...counts.values()].reduce((sum, count) => sum + count, 0);
+  record.note(
+    `${faulty.id} gave ${unframedIds.size} of ${runs} without length`,
+  );
   return results.flat();
 });
 
@@ -100,13 +127,13 @@
     );
 }
 
-/** The end of the connection is the end of the answer. */
-async function answerWithoutLength(request, response) {
-  response.useChunkedEncodingByDefault = false;
+/** Without a length, the end of the connection is the end of the answer. */
+async function answer(request, response, isUnframed) {
+  response.useChunkedEncodingByDefault = !isUnframed;
   response.writeHead(200, {
     ...answerHeaders(request),
     "Content-Type": "text/event-stream",
-    "Connection": "close",
+    ...(isUnframed ? { "Connection": "close" } : {}),
   });
   for (let id = 1; id <= EVENTS; id++) {
     response.write(`id: ${id}\ndata: event ${id}\n\n`);
