Close callers' connections at a stop only after an answer that says so

Callers saw requests on kept connections end without an answer at a planned stop, writes that had run among them. Cause: after an answer that began before the stop the router ended its sending side only; a request that crossed it was parsed, passed on and run, and whether it had crossed was guessed by one turn of the event loop. An answer could also close the connection of a pipelined request that was at an endpoint.

Now the next answer tells the caller, and only the answer to the last request that has arrived; what arrives after its head is dropped. Nothing is closed on which no answer is due. The product's own deployment uses the same class.

--- a/packages/daemon/src/direct/answer_writer.ts
+++ b/packages/daemon/src/direct/answer_writer.ts
@@ -6,8 +6,6 @@
 export interface AnswerFraming {
   /** Forward only complete server-sent events; buffer partial ones. */
   readonly bufferEvents: boolean;
-  /** Send `Connection: close` to the caller. */
-  readonly close: boolean;
   /**
    * The end of the connection marks the end of the body in the endpoint's
    * answer. The router cannot tell a complete body from one that a crash
@@ -27,13 +25,20 @@
   #lastEventId: string | undefined;
   #eventTracker: SseEventTracker | undefined;
   #closeDelimited = false;
+  readonly #announceClose: () => boolean;
 
+  /**
+   * @param announceClose Called before the head of the answer is written; returns
+   *   whether it must ask the caller to close its connection.
+   */
   constructor(
     request: IncomingMessage,
     response: ServerResponse,
     body: Buffer,
     lastEventId: string | undefined,
+    announceClose: () => boolean,
   ) {
+    this.#announceClose = announceClose;
     this.request = request;
     this.response = response;
     this.body = body;
@@ -62,7 +67,7 @@
   begin(
     status: number,
     headers: RawHeaders,
-    { close, bufferEvents, closeDelimited, eventStream }: AnswerFraming,
+    { bufferEvents, closeDelimited, eventStream }: AnswerFraming,
   ): void {
     if (this.response.headersSent) {
       return;
@@ -81,7 +86,7 @@
     if (closeDelimited) {
       this.response.useChunkedEncodingByDefault = false;
     }
-    if (close || closeDelimited) {
+    if (this.#announceClose() || closeDelimited) {
       answerHeaders.push("Connection", "close");
     }
     this.response.sendDate = false;
--- a/packages/daemon/src/direct/direct_router_host.ts
+++ b/packages/daemon/src/direct/direct_router_host.ts
@@ -48,6 +48,9 @@
 /** New callers may still connect this long after the readiness check fails. */
 const STOP_LISTENING_AFTER_MS: Millis = 3000;
 
+/** Time for the first request of a connection that was opened last. */
+const LAST_REQUESTS_MS: Millis = 100;
+
 /** A stopping process ends this long before the platform would kill it. */
 const STOP_MARGIN_MS: Millis = 300;
 
@@ -222,8 +225,10 @@
 
   /**
    * Completes the requests in flight. The router keeps listening until callers
-   * have had time to notice that the readiness check fails. Resolves when callers
-   * have all their answers, or shortly before the grace time is over.
+   * have had time to notice that the readiness check fails. Each caller is told
+   * with its next answer that its connection ends; connections on which none was
+   * due are closed at the end. Resolves when callers have all their answers, or
+   * shortly before the grace time is over.
    */
   async drain(): Promise<void> {
     const startedMs = this.#clock.nowMs();
@@ -236,13 +241,17 @@
     while (elapsedMs() < limitMs) {
       if (listening && elapsedMs() >= STOP_LISTENING_AFTER_MS) {
         listening = false;
-        this.#edge.closeIdle();
+        this.#edge.stopListening();
       }
-      if (!listening && !this.#edge.hasOpenAnswers) {
-        return;
+      if (
+        elapsedMs() >= STOP_LISTENING_AFTER_MS + LAST_REQUESTS_MS &&
+        !this.#edge.hasOpenAnswers
+      ) {
+        break;
       }
       await new Promise((resolve) => setTimeout(resolve, STOP_POLL_MS));
     }
+    this.#edge.closeIdle();
   }
 
   dispose(): void {
@@ -293,6 +302,7 @@
       response,
       body,
       this.#dialect.lastEventIdOf(request),
+      () => this.#edge.announceClose(response),
     );
     this.#writers.set(key, writer);
     this.#queue.push({
@@ -495,7 +505,7 @@
     const writer = this.#writers.get(key);
     const running = this.#attempts.get(attemptKey(key, attemptNumber));
     if (writer && running) {
-      running.relay(writer, this.#edge.closing);
+      running.relay(writer);
     }
   }
 
@@ -510,7 +520,7 @@
     if (refusal.retryAfterMs !== undefined) {
       headers["Retry-After"] = String(refusal.retryAfterMs / 1000);
     }
-    if (this.#edge.closing) {
+    if (this.#edge.announceClose(writer.response)) {
       headers["Connection"] = "close";
     }
     const body = `${refusal.reason}\n`;
--- a/packages/daemon/src/direct/edge_server.ts
+++ b/packages/daemon/src/direct/edge_server.ts
@@ -4,8 +4,9 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { Server as NetServer, Socket } from "node:net";
+import { Server as NetServer, type Socket } from "node:net";
 import type { CallerLimits, Millis } from "@anvildeal/core";
+import { ConnectionCloser } from "../connection_closer.js";
 import { listen } from "../listen.js";
 import { type Disposable, Emitter } from "../net/index.js";
 
@@ -66,9 +67,9 @@
   readonly #onCallerError = new Emitter<EdgeCallerError>();
   /** Number of answers in progress, by connection. */
   readonly #openAnswers = new Map<Socket, number>();
+  readonly #closer = new ConnectionCloser();
   #maxBodyBytes = DEFAULT_MAX_BODY_BYTES;
   #nextKey = 1;
-  #closing = false;
 
   readonly onCall = this.#onCall.event;
   /** Fires with the request's key if a caller disconnects before its answer ends. */
@@ -97,11 +98,6 @@
     return this.#openAnswers.size > 0;
   }
 
-  /** Whether answers must ask callers to close their connection. */
-  get closing(): boolean {
-    return this.#closing;
-  }
-
   listen(host: string, port: number): Promise<number> {
     return listen(this.#server, host, port);
   }
@@ -128,14 +124,30 @@
       limits.idleTimeoutMs;
   }
 
-  /** Closes each connection after its current or next answer. */
+  /**
+   * Closes each connection after the next answer whose head is not yet written,
+   * which tells its caller so.
+   */
   stopKeepAlive(): void {
-    this.#closing = true;
+    this.#closer.stop();
+  }
+
+  /**
+   * Whether the answer whose head is written next must ask its caller to close
+   * the connection; see {@link ConnectionCloser.announce}.
+   */
+  announceClose(response: ServerResponse): boolean {
+    return this.#closer.announce(response);
+  }
+
+  /** Stops listening; connections stay open, also those without a request. */
+  stopListening(): void {
+    // The method of the HTTP server would close idle connections as well.
+    NetServer.prototype.close.call(this.#server);
   }
 
-  /** Stops listening and closes the connections without a request. */
+  /** Closes the connections without a request. */
   closeIdle(): void {
-    this.#server.close();
     this.#server.closeIdleConnections();
   }
 
@@ -148,16 +160,12 @@
   }
 
   #handleRequest(request: IncomingMessage, response: ServerResponse): void {
+    if (!this.#closer.accept(request, response)) {
+      return;
+    }
     const key = this.#nextKey++;
     const { socket } = request;
     this.#openAnswers.set(socket, (this.#openAnswers.get(socket) ?? 0) + 1);
-    response.once("finish", () => {
-      // An answer that began before stopKeepAlive() did not ask the caller to
-      // close the connection.
-      if (this.#closing) {
-        socket.end();
-      }
-    });
     let callEmitted = false;
     response.once("close", () => {
       this.#removeOpenAnswer(socket);
@@ -173,6 +181,7 @@
         chunks.push(chunk);
       } else if (!response.headersSent) {
         chunks.length = 0;
+        this.#closer.close(response);
         response.writeHead(413, { "connection": "close" }).end();
       }
     });
--- a/packages/daemon/src/direct/endpoint_attempt.ts
+++ b/packages/daemon/src/direct/endpoint_attempt.ts
@@ -151,10 +151,8 @@
   /**
    * Starts to forward the answer to the caller. Must be called after
    * {@link AttemptListener.head}.
-   *
-   * @param close Whether to ask the caller to close its connection.
    */
-  relay(writer: AnswerWriter, close: boolean): void {
+  relay(writer: AnswerWriter): void {
     if (this.#mode !== "pending") {
       return;
     }
@@ -165,7 +163,6 @@
       [...this.#headers, "Anvildeal-Endpoint", this.effect.endpointId],
       {
         bufferEvents: this.effect.resumable && canBeContinued(this.#head),
-        close,
         closeDelimited: this.#closeDelimited,
         eventStream: isEventStream(this.#head) && this.#head.status < 300,
       },
--- a/packages/daemon/src/router/caller_server.ts
+++ b/packages/daemon/src/router/caller_server.ts
@@ -12,6 +12,7 @@
   Millis,
   PrefixHasher,
 } from "@anvildeal/core";
+import { ConnectionCloser } from "../connection_closer.js";
 import { type Disposable, Emitter } from "../net/index.js";
 import { CallerError } from "./caller_error.js";
 import {
@@ -67,7 +68,7 @@
   readonly #onRequest = new Emitter<CallerRequest>();
   readonly #onDisconnected = new Emitter<string>();
   readonly #onBackpressure = new Emitter<Backpressure>();
-  #stopping = false;
+  readonly #closer = new ConnectionCloser();
 
   /** Fires for each valid request; the host must respond to it. */
   readonly onRequest = this.#onRequest.event;
@@ -100,7 +101,7 @@
    * that start from now on.
    */
   stopKeepAlive(): void {
-    this.#stopping = true;
+    this.#closer.stop();
     this.#server.closeIdleConnections();
   }
 
@@ -192,6 +193,9 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    if (!this.#closer.accept(request, response)) {
+      return;
+    }
     const head: RequestHead = {
       requestId: randomBytes(REQUEST_ID_BYTES).toString("base64url"),
       method: request.method ?? "GET",
@@ -222,6 +226,7 @@
       return this.#parseRequest(head, body);
     } catch (error) {
       if (error instanceof CallerError) {
+        this.#closer.close(response);
         response.setHeader("connection", "close");
         this.sendError(head.requestId, error.answer);
       } else {
@@ -313,7 +318,7 @@
   }
 
   #setConnectionHeader(response: ServerResponse): void {
-    if (this.#stopping && !response.headersSent) {
+    if (!response.headersSent && this.#closer.announce(response)) {
       response.setHeader("connection", "close");
     }
   }
