Let a stream of unknown origin go on only with evidence newer than its call

Callers got streams joined from two software versions at a router that was cut off while the second version joined. Cause: that a single version serves, and that the stored records were read, was used however old it was.

Now such a stream goes on only if all known routers are connected, none is ahead and none of those asked knows it, or if the directory has answered a list call made after the call arrived. Otherwise the call is refused as not run. The lookup of origins is now a module of its own.

--- a/packages/core/src/direct/direct_admission.ts
+++ b/packages/core/src/direct/direct_admission.ts
@@ -7,7 +7,7 @@
 } from "./direct_event.js";
 import { refusalOf } from "./direct_finish.js";
 import { affinityPartIdOf } from "./direct_place.js";
-import { placeNewRequest } from "./direct_streams.js";
+import { placeNewRequest } from "./origin_lookup.js";
 import {
   type ActiveRequest,
   canServe,
--- a/packages/core/src/direct/direct_event.ts
+++ b/packages/core/src/direct/direct_event.ts
@@ -349,6 +349,19 @@
     readonly key: number;
     /** Undefined if no router that was asked knows the stream. */
     readonly origin: StreamOrigin | undefined;
+    /**
+     * Whether this router is connected to all that it knows, and none of them
+     * knows a later state of the directory.
+     */
+    readonly isFleetConnected: boolean;
+  }
+  /** Result of the effect `check_versions`. */
+  | {
+    readonly type: "versions_checked";
+    readonly nowMs: Millis;
+    readonly key: number;
+    /** Versions that the directory lists; undefined if it did not answer. */
+    readonly services?: readonly ServiceVersions[];
   }
   | { readonly type: "tick"; readonly nowMs: Millis }
   | { readonly type: "stopping"; readonly nowMs: Millis };
@@ -536,6 +549,8 @@
   }
   /** Read what routers stored of streams and versions. */
   | { readonly type: "read_stream_records" }
+  /** Read from the directory which versions serve at this moment. */
+  | { readonly type: "check_versions"; readonly key: number }
   /** Ask other routers which version began a stream. */
   | {
     readonly type: "find_stream_origin";
--- a/packages/core/src/direct/direct_state.ts
+++ b/packages/core/src/direct/direct_state.ts
@@ -92,12 +92,22 @@
   hasHead: boolean;
 }
 
+/** State of a question to the directory. */
+export type DirectoryQuestion = "not_asked" | "awaited" | "answered" | "failed";
+
 /** Where a request looks for the origin of the stream that it continues. */
 export interface OriginLookup {
   awaitsPeers: boolean;
-  awaitsRecords: boolean;
-  /** Whether the stored records were read for this request. */
-  hasReadRecords: boolean;
+  /** What routers stored of streams. */
+  records: DirectoryQuestion;
+  /** Which versions serve now. */
+  versions: DirectoryQuestion;
+  /**
+   * Whether all known routers are connected, none is ahead, and none of those that
+   * were asked knows the stream. What this router knows of the versions is then
+   * all that any router knew when it began streams.
+   */
+  isFleetConnected: boolean;
 }
 
 /** A request that the router has accepted and that has not ended. */
--- a/packages/core/src/direct/reduce_direct.ts
+++ b/packages/core/src/direct/reduce_direct.ts
@@ -31,13 +31,13 @@
   applyPromptCacheEntries,
   removeLapsedEndpoints,
 } from "./direct_updates.js";
+import { applyStreamOrigins, updateVersions } from "./direct_streams.js";
 import {
-  applyStreamOrigins,
   applyStreamRecords,
-  endOriginLookup,
+  applyVersionCheck,
+  handleLookupTimeout,
   handleOriginAnswer,
-  updateVersions,
-} from "./direct_streams.js";
+} from "./origin_lookup.js";
 import { handleAttemptTimeout, handleStalls } from "./direct_stalls.js";
 import {
   type ActiveRequest,
@@ -109,7 +109,7 @@
             return handleDeadline(state, request, event.nowMs);
           }
           return request.originLookup
-            ? endOriginLookup(state, request, undefined, event.nowMs)
+            ? handleLookupTimeout(state, request, event.nowMs)
             : handleAttemptTimeout(state, request, event.nowMs);
         },
       );
@@ -149,8 +149,13 @@
       return ifActiveRequest(
         state,
         event.key,
-        (request) =>
-          handleOriginAnswer(state, request, event.origin, event.nowMs),
+        (request) => handleOriginAnswer(state, request, event),
+      );
+    case "versions_checked":
+      return ifActiveRequest(
+        state,
+        event.key,
+        (request) => applyVersionCheck(state, request, event),
       );
     case "prompt_cache_entries_received":
       applyPromptCacheEntries(state, event);
--- a/packages/core/src/direct/stream_lookup_test.ts
+++ b/packages/core/src/direct/stream_lookup_test.ts
@@ -69,12 +69,40 @@
     });
   }
 
-  function answerOfPeers(nowMs: Millis): DirectEffect[] {
+  function answerOfPeers(
+    nowMs: Millis,
+    isFleetConnected = true,
+  ): DirectEffect[] {
     return reduceDirect(state, {
       type: "stream_origin_answered",
       nowMs,
       key: 1,
       origin: undefined,
+      isFleetConnected,
+    });
+  }
+
+  /** The directory answers which versions serve, or not at all. */
+  function answerOfDirectory(
+    nowMs: Millis,
+    ...versions: string[]
+  ): DirectEffect[] {
+    return reduceDirect(state, {
+      type: "versions_checked",
+      nowMs,
+      key: 1,
+      ...(versions.length > 0
+        ? { services: [{ service: "pool", versions }] }
+        : {}),
+    });
+  }
+
+  function passTime(nowMs: Millis): DirectEffect[] {
+    return reduceDirect(state, {
+      type: "timer_fired",
+      nowMs,
+      key: 1,
+      timer: "attempt",
     });
   }
 
@@ -153,13 +181,7 @@
     it("does not wait longer than the time for the question", () => {
       setVersions(0, "v1");
       takeUp(100);
-      const effects = reduceDirect(state, {
-        type: "timer_fired",
-        nowMs: 500,
-        key: 1,
-        timer: "attempt",
-      });
-      expect(refusalOf(effects)).toBe("stream_version_unknown");
+      expect(refusalOf(passTime(500))).toBe("stream_version_unknown");
     });
   });
 
@@ -186,6 +208,63 @@
     });
   });
 
+  describe("at a process that may be cut off from others", () => {
+    beforeEach(() => {
+      setVersions(0, "v1");
+      takeUp(RETENTION_MS);
+    });
+
+    // Guards against a version that came while the router was cut off: its streams
+    // went on at the only version that the router knew of.
+    it("waits until the directory tells which versions serve", () => {
+      expect(types(answerOfPeers(RETENTION_MS + 5, false)))
+        .toContain("check_versions");
+      expect(startedAt(answerOfDirectory(RETENTION_MS + 10, "v1"))).toBe("e0");
+    });
+
+    it("asks the directory if the other routers are silent", () => {
+      expect(types(passTime(RETENTION_MS + 400))).toContain("check_versions");
+      expect(startedAt(answerOfDirectory(RETENTION_MS + 410, "v1"))).toBe("e0");
+    });
+
+    it("is refused if the directory lists another version", () => {
+      answerOfPeers(RETENTION_MS + 5, false);
+      expect(types(answerOfDirectory(RETENTION_MS + 10, "v1", "v2")))
+        .toContain("read_stream_records");
+      const effects = read(RETENTION_MS + 20, { versions: [], streams: [] });
+      expect(refusalOf(effects)).toBe("stream_version_unknown");
+    });
+
+    it("goes on at the version that another router tells late", () => {
+      passTime(RETENTION_MS + 400);
+      const effects = reduceDirect(state, {
+        type: "stream_origin_answered",
+        nowMs: RETENTION_MS + 410,
+        key: 1,
+        origin: V1,
+        isFleetConnected: false,
+      });
+      expect(startedAt(effects)).toBe("e0");
+    });
+
+    // Guards against a guess.
+    it.each([
+      ["does not answer", answerOfDirectory],
+      ["is silent", passTime],
+    ])("is refused as not run if the directory %s", (_what, end) => {
+      passTime(RETENTION_MS + 400);
+      expect(end(RETENTION_MS + 800)).toContainEqual(
+        expect.objectContaining({
+          type: "refuse",
+          refusal: expect.objectContaining({
+            reason: "stream_version_unknown",
+            outcome: "not-run",
+          }),
+        }),
+      );
+    });
+  });
+
   describe("after it began at this router", () => {
     function begin(nowMs: Millis): DirectEffect[] {
       const [attempt] = reduceDirect(state, {
--- a/packages/daemon/src/direct/direct_router_host.ts
+++ b/packages/daemon/src/direct/direct_router_host.ts
@@ -383,6 +383,9 @@
       case "read_stream_records":
         this.#directorySync.readStreamRecords();
         break;
+      case "check_versions":
+        this.#directorySync.checkVersions(effect.key);
+        break;
       case "find_stream_origin":
         this.#directorySync.findStreamOrigin(effect.key, effect.callId);
         break;
--- a/packages/daemon/src/direct/directory_sync.ts
+++ b/packages/daemon/src/direct/directory_sync.ts
@@ -34,6 +34,7 @@
 import { SharedRecordExchange } from "./shared_record_exchange.js";
 import { StreamOriginExchange } from "./stream_origin_exchange.js";
 import { StreamRecordPersistence } from "./stream_record_persistence.js";
+import { VersionCheck } from "./version_check.js";
 import { WatchDuty } from "./watch_duty.js";
 
 /**
@@ -111,6 +112,7 @@
   readonly #streamRecords: StreamRecordPersistence;
   readonly #suspects: SharedRecordExchange<SuspectReport>;
   readonly #limits: SharedRecordExchange<LimitReport>;
+  readonly #versionCheck: VersionCheck;
   readonly #catchUp: PeerCatchUp;
   readonly #health: DirectoryHealth;
   #inFlightByEndpoint: Readonly<Record<string, number>> = {};
@@ -121,6 +123,7 @@
     this.#options = options;
     const { clock, settings } = options;
     this.#catchUp = new PeerCatchUp(clock);
+    this.#versionCheck = new VersionCheck(options);
     this.#health = new DirectoryHealth({
       ...options,
       labels: [options.configs.label, options.endpoints.label],
@@ -152,6 +155,9 @@
       originOf: options.streamOriginOf,
       connectedIds: () => this.#mesh.connectedIds,
       sendTo: (nodeId, message) => this.#mesh.sendTo(nodeId, message),
+      isFleetConnected: () =>
+        this.#mesh.connectedCount === this.#mesh.knownIds.length &&
+        !this.#catchUp.isBehind(this.#knownContent()),
     });
     this.#streamRecords = new StreamRecordPersistence({
       ...options,
@@ -351,6 +357,11 @@
     this.#streamRecords.read();
   }
 
+  /** Reads which versions serve; the answer is an event `versions_checked`. */
+  checkVersions(key: number): void {
+    this.#versionCheck.check(key);
+  }
+
   /** Asks other routers; the answer is an event `stream_origin_answered`. */
   findStreamOrigin(key: number, callId: string): void {
     this.#streamOrigins.find(key, callId);
@@ -362,6 +373,7 @@
     this.#promptCacheBroadcaster.dispose();
     this.#streamOrigins.dispose();
     this.#streamRecords.dispose();
+    this.#versionCheck.dispose();
     this.#suspects.dispose();
     this.#limits.dispose();
     this.#mesh.dispose();
@@ -414,6 +426,13 @@
     }
   }
 
+  #knownContent(): KnownContent {
+    return {
+      configVersion: this.#configVersion(),
+      directory: this.#endpoints.position,
+    };
+  }
+
   #configVersion(): number {
     return this.#options.configInForce()?.version ?? 0;
   }
@@ -610,10 +629,7 @@
     if (peer.directoryRevision > 0) {
       this.#observeEpoch(peer.directoryEpoch);
     }
-    const own = {
-      configVersion: this.#configVersion(),
-      directory: this.#endpoints.position,
-    };
+    const own = this.#knownContent();
     if (peer.configVersion > own.configVersion) {
       this.#options.push({
         type: "config_announced",
--- a/packages/daemon/src/direct/peer_catch_up.ts
+++ b/packages/daemon/src/direct/peer_catch_up.ts
@@ -84,6 +84,11 @@
     return true;
   }
 
+  /** Whether a peer was seen that knows more than this router does by now. */
+  isBehind(own: KnownContent): boolean {
+    return this.#behind !== undefined && isAhead(this.#behind.target, own);
+  }
+
   /** Records that a query was sent to a peer. */
   recordQuery(nodeId: string): void {
     this.#pending.delete(nodeId);
--- a/packages/daemon/src/direct/stream_origin_exchange.ts
+++ b/packages/daemon/src/direct/stream_origin_exchange.ts
@@ -48,6 +48,8 @@
   /** Ids of the routers that this one is connected to. */
   readonly connectedIds: () => readonly string[];
   readonly sendTo: (nodeId: string, message: Message) => void;
+  /** Whether all known routers are connected, and none is ahead of this one. */
+  readonly isFleetConnected: () => boolean;
   readonly push: (event: DirectEvent) => void;
   /** Origin that this router knows. */
   readonly originOf: (callId: string) => StreamOrigin | undefined;
@@ -178,6 +180,7 @@
         nowMs: this.#options.clock.nowMs(),
         key,
         origin,
+        isFleetConnected: this.#options.isFleetConnected(),
       });
     }
   }
--- a/packages/daemon/src/direct/stream_origin_exchange_test.ts
+++ b/packages/daemon/src/direct/stream_origin_exchange_test.ts
@@ -28,6 +28,7 @@
       clock,
       connectedIds: () => connectedIds,
       sendTo: (nodeId, message) => sent.push({ nodeId, message }),
+      isFleetConnected: () => true,
       push: (event) => events.push(event),
       originOf: (callId) => callId === "known" ? V1 : undefined,
     });
