Send bodies without a length to callers in chunks

Callers got a part of an answer as a complete 200 when the router was stopped or killed in the middle of an answer that ends with its connection. Cause: the caller's answer had no framing either, so every end of the router looked like the end of the body.

The last chunk is written only when the endpoint has ended in order; a reset and an end inside an event break the answer off as before, and their tests stay. Callers of HTTP/1.0 still get the end of the connection.

--- a/packages/daemon/src/direct/answer_writer.ts
+++ b/packages/daemon/src/direct/answer_writer.ts
@@ -6,12 +6,6 @@
 export interface AnswerFraming {
   /** Forward only complete server-sent events; buffer partial ones. */
   readonly bufferEvents: boolean;
-  /**
-   * The end of the connection marks the end of the body in the endpoint's
-   * answer. The router cannot tell a complete body from one that a crash
-   * truncated, so it must not add framing that marks the body as complete.
-   */
-  readonly closeDelimited: boolean;
   /** The body is a stream of server-sent events. */
   readonly eventStream: boolean;
 }
@@ -24,6 +18,10 @@
   #eventBuffer: SseEventBuffer | undefined;
   #lastEventId: string | undefined;
   #eventTracker: SseEventTracker | undefined;
+  /**
+   * The end of the caller's connection marks the end of the body, since HTTP/1.0
+   * has no other mark for a body of unknown length.
+   */
   #closeDelimited = false;
   readonly #announceClose: () => boolean;
 
@@ -63,11 +61,14 @@
   /**
    * Sends status and headers to the caller. Does nothing if they were sent: an
    * answer that another endpoint continues keeps the headers of the first one.
+   *
+   * A body without a length is sent in chunks, whose last one only {@link end}
+   * writes: if the router ends first, the answer is visibly incomplete.
    */
   begin(
     status: number,
     headers: RawHeaders,
-    { bufferEvents, closeDelimited, eventStream }: AnswerFraming,
+    { bufferEvents, eventStream }: AnswerFraming,
   ): void {
     if (this.response.headersSent) {
       return;
@@ -82,13 +83,11 @@
     for (let i = 0; i + 1 < headers.length; i += 2) {
       answerHeaders.push(headers[i]!, headers[i + 1]!);
     }
-    this.#closeDelimited = closeDelimited;
-    if (closeDelimited) {
-      this.response.useChunkedEncodingByDefault = false;
-    }
-    if (this.#announceClose() || closeDelimited) {
+    if (this.#announceClose()) {
       answerHeaders.push("Connection", "close");
     }
+    this.#closeDelimited = !this.response.useChunkedEncodingByDefault &&
+      !hasContentLength(headers);
     this.response.sendDate = false;
     this.response.writeHead(status, answerHeaders);
     this.response.flushHeaders();
@@ -135,3 +134,9 @@
     this.response.destroy();
   }
 }
+
+function hasContentLength(headers: RawHeaders): boolean {
+  return headers.some((name, i) =>
+    i % 2 === 0 && name.toLowerCase() === "content-length"
+  );
+}
--- a/packages/daemon/src/direct/endpoint_attempt.ts
+++ b/packages/daemon/src/direct/endpoint_attempt.ts
@@ -70,7 +70,6 @@
   #head: StreamHead = { status: 0 };
   #headers: RawHeaders = [];
   #endpointClosesConnection = false;
-  #closeDelimited = false;
   #discardedBytes = 0;
   #hasReceivedBody = false;
   #lastReceivedMs: Millis;
@@ -163,7 +162,6 @@
       [...this.#headers, "Anvildeal-Endpoint", this.effect.endpointId],
       {
         bufferEvents: this.effect.resumable && canBeContinued(this.#head),
-        closeDelimited: this.#closeDelimited,
         eventStream: isEventStream(this.#head) && this.#head.status < 300,
       },
     );
@@ -313,10 +311,10 @@
     headers: Readonly<Record<string, string | string[] | undefined>>,
   ): void {
     const connection = String(headers["connection"] ?? "").toLowerCase();
-    this.#closeDelimited = headers["content-length"] === undefined &&
+    const endsWithConnection = headers["content-length"] === undefined &&
       headers["transfer-encoding"] === undefined;
     this.#endpointClosesConnection = connection.includes("close") ||
-      this.#closeDelimited;
+      endsWithConnection;
     const timeout = /timeout=(\d+)/.exec(String(headers["keep-alive"] ?? ""));
     if (timeout) {
       this.#connection.applyIdleTimeout(Number(timeout[1]) * 1000);
