Take requests at a stop only if they can end in time, and answer what is left

Callers got no answer when a router with a short grace time stopped: requests were taken for 2.7 s after the signal whatever the grace time, passed on, and closed with the process. Cause: fixed times stood where the grace time and the time limits of the requests decide.

A request is taken if its time limit ends before the stop does or, if it may be repeated or is a stream, if its route usually ends in time. What is left 0.3 s before the end is answered as not run or as unknown, or broken off visibly. Calls that wait for the start are refused when the stop begins.

--- a/packages/core/src/direct/backoff_fleet_test.ts
+++ b/packages/core/src/direct/backoff_fleet_test.ts
@@ -127,6 +127,7 @@
       retryExtra: 2 * endpoints + 12,
       loadMultiple: 2,
       maxDirectoryAgeMs: 3000,
+      stopGraceMs: 8000,
     });
     const events: DirectEvent[] = [
       {
--- a/packages/core/src/direct/blocked_requests_test.ts
+++ b/packages/core/src/direct/blocked_requests_test.ts
@@ -30,6 +30,7 @@
       retryExtra: 10,
       loadMultiple: 1.5,
       maxDirectoryAgeMs: 3000,
+      stopGraceMs: 8000,
     });
     dispatch({ type: "config_received", nowMs, config: CONFIG, source: "t" });
     dispatch({
--- a/packages/core/src/direct/crash_fleet_fixture.ts
+++ b/packages/core/src/direct/crash_fleet_fixture.ts
@@ -230,6 +230,7 @@
       retryExtra: 50,
       loadMultiple: 1.6,
       maxDirectoryAgeMs: CONTACT_MS,
+      stopGraceMs: 8000,
       awaitsSuspects: true,
     });
   }
--- a/packages/core/src/direct/direct_admission.ts
+++ b/packages/core/src/direct/direct_admission.ts
@@ -5,14 +5,14 @@
   DirectEffect,
   DirectRefusalReason,
 } from "./direct_event.js";
-import { refusalOf } from "./direct_finish.js";
+import { rejectCall } from "./direct_finish.js";
 import { affinityPartIdOf } from "./direct_place.js";
 import { placeNewRequest } from "./origin_lookup.js";
+import { canEndBeforeStop } from "./planned_stop.js";
 import {
   type ActiveRequest,
   canServe,
   type DeferredCall,
-  directoryAgeMs,
   type DirectState,
   isConfigOutdated,
   retryBalanceOf,
@@ -44,15 +44,6 @@
  */
 const MAX_DEFERRAL_FRACTION = 0.4;
 
-/**
- * A stopping router accepts requests for this long, because callers may still
- * open connections to it. After that it refuses them, because the end of the
- * process could interrupt them. The platform expects every request to be
- * completed that is sent later than 3 s after the signal, which may reach a busy
- * process with a delay.
- */
-const ADMIT_WHILE_STOPPING_MS: Millis = 2700;
-
 /**
  * Maximum time for which a call is deferred that an outdated configuration does
  * not allow.
@@ -66,11 +57,6 @@
   call: DirectCall,
   nowMs: Millis,
 ): DirectEffect[] {
-  if (
-    state.stopping && nowMs - state.stoppingSinceMs > ADMIT_WHILE_STOPPING_MS
-  ) {
-    return rejectCall(state, key, call, nowMs, "stopping");
-  }
   return canServe(state) || state.stopping
     ? startRequest(state, key, { call, receivedMs: nowMs }, nowMs, "received")
     : deferCall(state, key, { call, receivedMs: nowMs }, MAX_DEFERRAL_MS);
@@ -194,6 +180,9 @@
     return rejectOrDefer(state, key, deferred, nowMs, "unknown_key", phase);
   }
   const request = createRequest(key, call, route, account, receivedMs);
+  if (state.stopping && !canEndBeforeStop(state, request, nowMs)) {
+    return rejectCall(state, key, call, nowMs, "stopping");
+  }
   state.requests.set(key, request);
   retryBalanceOf(state, request.service).recordRequest(retryLimitsOf(state));
   return [
@@ -264,38 +253,3 @@
     : configIndex.accountOf(call.apiKey);
   return account ?? (route.open ? undefined : "unknown");
 }
-
-/** Refuses a call for which no request was created. */
-function rejectCall(
-  state: DirectState,
-  key: number,
-  call: DirectCall,
-  nowMs: Millis,
-  reason: DirectRefusalReason,
-): DirectEffect[] {
-  const refusal = refusalOf(reason, false);
-  return [
-    { type: "refuse", key, refusal },
-    { type: "remove_request", key },
-    {
-      type: "log",
-      event: "direct_call_rejected",
-      fields: {
-        request_id: call.callId,
-        host: call.host,
-        reason,
-        status: refusal.status,
-        config_version: state.configIndex?.version,
-        directory_age_ms: directoryAgeMs(state, nowMs),
-      },
-    },
-    {
-      type: "measure",
-      measurement: {
-        metric: "direct_rejections_total",
-        value: 1,
-        labels: { reason },
-      },
-    },
-  ];
-}
--- a/packages/core/src/direct/direct_event.ts
+++ b/packages/core/src/direct/direct_event.ts
@@ -364,7 +364,10 @@
     readonly services?: readonly ServiceVersions[];
   }
   | { readonly type: "tick"; readonly nowMs: Millis }
-  | { readonly type: "stopping"; readonly nowMs: Millis };
+  /** The process was told to stop. */
+  | { readonly type: "stopping"; readonly nowMs: Millis }
+  /** The process is about to end; what has not ended must be answered now. */
+  | { readonly type: "stop_time_over"; readonly nowMs: Millis };
 
 /** Reason for refusing a request or for aborting its answer. */
 export type DirectRefusalReason =
--- a/packages/core/src/direct/direct_finish.ts
+++ b/packages/core/src/direct/direct_finish.ts
@@ -1,11 +1,17 @@
 import type { Millis } from "../clock.js";
+import { transitionRequest } from "../router/request_machine.js";
 import type { LogFields } from "../log_events.js";
 import type {
+  DirectCall,
   DirectEffect,
   DirectRefusalReason,
   Refusal,
 } from "./direct_event.js";
-import type { ActiveRequest, DirectState } from "./direct_state.js";
+import {
+  type ActiveRequest,
+  directoryAgeMs,
+  type DirectState,
+} from "./direct_state.js";
 
 /**
  * Time after which the caller of a refused request may send the request again.
@@ -79,6 +85,74 @@
   ];
 }
 
+/** Refuses a call for which no request was created. */
+export function rejectCall(
+  state: DirectState,
+  key: number,
+  call: DirectCall,
+  nowMs: Millis,
+  reason: DirectRefusalReason,
+): DirectEffect[] {
+  const refusal = refusalOf(reason, false);
+  return [
+    { type: "refuse", key, refusal },
+    { type: "remove_request", key },
+    {
+      type: "log",
+      event: "direct_call_rejected",
+      fields: {
+        request_id: call.callId,
+        host: call.host,
+        reason,
+        status: refusal.status,
+        config_version: state.configIndex?.version,
+        directory_age_ms: directoryAgeMs(state, nowMs),
+      },
+    },
+    {
+      type: "measure",
+      measurement: {
+        metric: "direct_rejections_total",
+        value: 1,
+        labels: { reason },
+      },
+    },
+  ];
+}
+
+/**
+ * Ends a request that has run out of time: its attempt is given up, and its caller
+ * is told whether it may have run.
+ */
+export function endAttemptEarly(
+  state: DirectState,
+  request: ActiveRequest,
+  nowMs: Millis,
+  reason: DirectRefusalReason,
+): DirectEffect[] {
+  const { attempt, key, route } = request;
+  request.snapshot =
+    transitionRequest(request.snapshot, { type: "deadline_passed" }).snapshot;
+  const effects: DirectEffect[] = [];
+  if (attempt) {
+    request.possibleExecutions++;
+    effects.push({
+      type: "discard_attempt",
+      key,
+      attemptNumber: attempt.number,
+      // A non-idempotent request is left to run; its connection is reused
+      // later.
+      closeConnection: route.callKind !== "non_idempotent",
+    });
+  }
+  return [
+    ...effects,
+    ...request.answerStarted
+      ? finishRequest(state, request, nowMs, "broken_off", reason)
+      : refuse(state, request, nowMs, reason),
+  ];
+}
+
 /**
  * How a request ended. `not-run` and `unknown` are error answers of the router;
  * `broken_off` is an answer that was aborted after it had begun.
@@ -103,6 +177,9 @@
 ): DirectEffect[] {
   const { call, key, route } = request;
   const endpointId = request.attempt?.endpoint.id;
+  if (outcome === "answered") {
+    state.routeDurations.record(route.name, nowMs - request.receivedMs);
+  }
   closeAttempt(request);
   state.requests.delete(key);
   const effects: DirectEffect[] = [];
--- a/packages/core/src/direct/direct_state.ts
+++ b/packages/core/src/direct/direct_state.ts
@@ -17,6 +17,7 @@
 import { PrefillRate } from "./prefill_rate.js";
 import { RecentStreams } from "./recent_streams.js";
 import type { RequestTrait } from "./request_trait.js";
+import { RouteDurations } from "./route_durations.js";
 import type { RoutingConfigIndex } from "./routing_config_index.js";
 import { PromptCacheIndex } from "./prompt_cache_index.js";
 import type { StreamHead } from "../stream_continuation.js";
@@ -69,6 +70,8 @@
   readonly loadMultiple: number;
   /** Longest time for which the fleet may act on an outdated view. */
   readonly maxDirectoryAgeMs: Millis;
+  /** Time between the signal to stop and the kill of the process. */
+  readonly stopGraceMs: Millis;
   /**
    * Whether the router serves only after it learned which requests the fleet has
    * blocked, or has waited for that in vain.
@@ -205,6 +208,7 @@
    * answer, by name of the route.
    */
   readonly typicalTimeToHeadMs: Map<string, Millis>;
+  readonly routeDurations: RouteDurations;
   /**
    * Deferred calls by key. They wait for the first configuration and endpoints,
    * or for a confirmed view.
@@ -264,6 +268,7 @@
     isFirstRouter: false,
     prefillRates: new Map(),
     typicalTimeToHeadMs: new Map(),
+    routeDurations: new RouteDurations(),
     deferredCalls: new Map(),
     configIndex: undefined,
     announcedConfigVersion: 0,
--- a/packages/core/src/direct/index.ts
+++ b/packages/core/src/direct/index.ts
@@ -16,6 +16,7 @@
   type SuspectReport,
   SuspectReportSchema,
 } from "./suspect_report.js";
+export { STOP_MARGIN_MS } from "./planned_stop.js";
 export * from "./reduce_direct.js";
 export * from "./fleet_size.js";
 export * from "./retry_balance.js";
--- a/packages/core/src/direct/named_limit_fleet_test.ts
+++ b/packages/core/src/direct/named_limit_fleet_test.ts
@@ -171,6 +171,7 @@
       retryExtra: 50,
       loadMultiple: 1.6,
       maxDirectoryAgeMs: CONTACT_MS,
+      stopGraceMs: 8000,
     });
   }
 
--- a/packages/core/src/direct/reduce_direct.ts
+++ b/packages/core/src/direct/reduce_direct.ts
@@ -18,7 +18,7 @@
 import type { DirectEffect, DirectEvent } from "./direct_event.js";
 import { observeDiscardedHead } from "./endpoint_answer.js";
 import { applyLimitReports } from "./endpoint_limits.js";
-import { finishRequest, refuse } from "./direct_finish.js";
+import { endAttemptEarly, finishRequest } from "./direct_finish.js";
 import {
   avoidCrashedEndpoints,
   handleEndpointCheck,
@@ -38,6 +38,7 @@
   handleLookupTimeout,
   handleOriginAnswer,
 } from "./origin_lookup.js";
+import { beginStop, endStop } from "./planned_stop.js";
 import { handleAttemptTimeout, handleStalls } from "./direct_stalls.js";
 import {
   type ActiveRequest,
@@ -191,9 +192,9 @@
         ...endWaitForSuspects(state, event.nowMs),
       ];
     case "stopping":
-      state.stopping = true;
-      state.stoppingSinceMs = event.nowMs;
-      return [];
+      return beginStop(state, event.nowMs);
+    case "stop_time_over":
+      return endStop(state, event.nowMs);
   }
 }
 
@@ -261,24 +262,7 @@
   request: ActiveRequest,
   nowMs: Millis,
 ): DirectEffect[] {
-  const { attempt, key, route } = request;
-  request.snapshot =
-    transitionRequest(request.snapshot, { type: "deadline_passed" }).snapshot;
-  const effects: DirectEffect[] = [];
-  if (attempt) {
-    request.possibleExecutions++;
-    attempt.endpoint.failureRate.record(nowMs, !attempt.hasHead);
-    effects.push({
-      type: "discard_attempt",
-      key,
-      attemptNumber: attempt.number,
-      closeConnection: route.callKind !== "non_idempotent",
-    });
-  }
-  return [
-    ...effects,
-    ...request.answerStarted
-      ? finishRequest(state, request, nowMs, "broken_off", "deadline_passed")
-      : refuse(state, request, nowMs, "deadline_passed"),
-  ];
+  const { attempt } = request;
+  attempt?.endpoint.failureRate.record(nowMs, !attempt.hasHead);
+  return endAttemptEarly(state, request, nowMs, "deadline_passed");
 }
--- a/packages/core/src/direct/reduce_direct_property_test.ts
+++ b/packages/core/src/direct/reduce_direct_property_test.ts
@@ -168,6 +168,7 @@
       retryExtra: 20,
       loadMultiple: 1.5,
       maxDirectoryAgeMs: 3000,
+      stopGraceMs: 8000,
     });
     this.apply(reduceDirect(this.state, {
       type: "config_received",
--- a/packages/core/src/direct/reduce_direct_test.ts
+++ b/packages/core/src/direct/reduce_direct_test.ts
@@ -16,6 +16,7 @@
   retryExtra: 10,
   loadMultiple: 1.5,
   maxDirectoryAgeMs: 3000,
+  stopGraceMs: 8000,
 };
 
 const ROUTE = {
--- a/packages/core/src/direct/retry_fleet_test.ts
+++ b/packages/core/src/direct/retry_fleet_test.ts
@@ -113,6 +113,7 @@
       retryExtra: this.#scenario.additionalRetries,
       loadMultiple: 1.6,
       maxDirectoryAgeMs: 3000,
+      stopGraceMs: 8000,
     });
     reduceDirect(state, {
       type: "config_received",
--- a/packages/core/src/direct/stream_lookup_test.ts
+++ b/packages/core/src/direct/stream_lookup_test.ts
@@ -34,6 +34,7 @@
       retryExtra: 10,
       loadMultiple: 2,
       maxDirectoryAgeMs: 3000,
+      stopGraceMs: 8000,
     });
     reduceDirect(state, {
       type: "config_received",
--- a/packages/daemon/src/direct/direct_router_host.ts
+++ b/packages/daemon/src/direct/direct_router_host.ts
@@ -14,6 +14,7 @@
   reduceDirect,
   type RoutingConfig,
   type StartAttempt,
+  STOP_MARGIN_MS,
 } from "@anvildeal/core";
 import { EventQueue } from "../event_queue.js";
 import { listen } from "../listen.js";
@@ -51,8 +52,8 @@
 /** Time for the first request of a connection that was opened last. */
 const LAST_REQUESTS_MS: Millis = 100;
 
-/** A stopping process ends this long before the platform would kill it. */
-const STOP_MARGIN_MS: Millis = 300;
+/** Time for callers' connections to take the answers that are written last. */
+const LAST_ANSWERS_MS: Millis = 150;
 
 const STOP_POLL_MS: Millis = 50;
 
@@ -227,8 +228,8 @@
    * Completes the requests in flight. The router keeps listening until callers
    * have had time to notice that the readiness check fails. Each caller is told
    * with its next answer that its connection ends; connections on which none was
-   * due are closed at the end. Resolves when callers have all their answers, or
-   * shortly before the grace time is over.
+   * due are closed at the end. What has not ended shortly before the grace time
+   * is over is answered or broken off then.
    */
   async drain(): Promise<void> {
     const startedMs = this.#clock.nowMs();
@@ -237,21 +238,28 @@
     this.#edge.stopKeepAlive();
     this.#logReadinessChange();
     const limitMs = this.#settings.stopGraceMs - STOP_MARGIN_MS;
-    let listening = true;
-    while (elapsedMs() < limitMs) {
-      if (listening && elapsedMs() >= STOP_LISTENING_AFTER_MS) {
-        listening = false;
-        this.#edge.stopListening();
-      }
-      if (
-        elapsedMs() >= STOP_LISTENING_AFTER_MS + LAST_REQUESTS_MS &&
+    const stopListeningMs = Math.min(
+      STOP_LISTENING_AFTER_MS,
+      limitMs - LAST_REQUESTS_MS,
+    );
+    await this.#waitUntil(() => elapsedMs() >= stopListeningMs);
+    this.#edge.stopListening();
+    await this.#waitUntil(() =>
+      elapsedMs() >= limitMs ||
+      elapsedMs() >= stopListeningMs + LAST_REQUESTS_MS &&
         !this.#edge.hasOpenAnswers
-      ) {
-        break;
-      }
+    );
+    this.#queue.push({ type: "stop_time_over", nowMs: this.#clock.nowMs() });
+    await this.#waitUntil(() =>
+      elapsedMs() >= limitMs + LAST_ANSWERS_MS || !this.#edge.hasOpenAnswers
+    );
+    this.#edge.closeIdle();
+  }
+
+  async #waitUntil(condition: () => boolean): Promise<void> {
+    while (!condition()) {
       await new Promise((resolve) => setTimeout(resolve, STOP_POLL_MS));
     }
-    this.#edge.closeIdle();
   }
 
   dispose(): void {
