Limit what sidecars read of an endpoint before they parse it

A sidecar ran out of memory, and all calls at it ended, when its endpoint wrote an event of a chat stream, the answer to an order or cache events without end. Cause: texts that are needed whole before they are parsed had no limit; the event parser keeps a line that does not end.

Such a text now has a limit, beyond which the connection is closed and the call fails. The instance list is read in the same way.

Three new cases of engine_client_test.ts end the test process of with an exhausted heap; they pass now. The routers without sidecars were not found to keep such bytes.

--- a/packages/daemon/src/config_sync/instance_list_client.ts
+++ b/packages/daemon/src/config_sync/instance_list_client.ts
@@ -6,8 +6,12 @@
 import { Agent, request } from "undici";
 import { z } from "zod";
 import { InstanceListError } from "./instance_list_error.js";
+import { readText } from "../read_text.js";
 import type { Timers } from "./timers.js";
 
+/** Limit of a list, which has some 200 bytes for each instance. */
+const MAX_LIST_BYTES = 8 * 1024 * 1024;
+
 /** Body of `GET /instances`. Its rows are decoded one by one. */
 const InstanceListSchema = z.object({
   version: z.number(),
@@ -104,7 +108,8 @@
         `instance list responded with status ${response.statusCode}, expected 200 or 304`,
       );
     }
-    const list = parseInstanceList(await response.body.json());
+    const text = await readText(response.body, MAX_LIST_BYTES);
+    const list = parseInstanceList(JSON.parse(text));
     const { etag } = response.headers;
     this.#etag = typeof etag === "string" ? etag : undefined;
     return list;
--- a/packages/daemon/src/engine/chat_event_reader.ts
+++ b/packages/daemon/src/engine/chat_event_reader.ts
@@ -1,5 +1,9 @@
 import { estimateTokens, type TokenUsage } from "@anvildeal/core";
 import { createParser, type EventSourceParser } from "eventsource-parser";
+import { EngineError } from "./engine_error.js";
+
+/** Limit of one event; a faulty engine may write without ever ending it. */
+const MAX_EVENT_BYTES = 1024 * 1024;
 
 interface ChatEvent {
   readonly choices?: readonly {
@@ -29,6 +33,8 @@
   #completedText = "";
   #outputTokens = 0;
   #eventCount = 0;
+  /** Bytes since the last event. */
+  #partialBytes = 0;
   #usage: TokenUsage | undefined;
   #done = false;
 
@@ -57,10 +63,17 @@
 
   /**
    * Parses the next chunk of the stream. Throws `SyntaxError` when an event is
-   * not valid JSON.
+   * not valid JSON, and {@link EngineError} when one is too large.
    */
   push(bytes: Uint8Array): CompletedEvents {
+    this.#partialBytes += bytes.length;
     this.#parser.feed(this.#decoder.decode(bytes, { stream: true }));
+    if (this.#partialBytes > MAX_EVENT_BYTES) {
+      throw new EngineError(
+        `an event of the stream exceeds ${MAX_EVENT_BYTES} bytes`,
+        true,
+      );
+    }
     const read = {
       data: this.#encoder.encode(this.#completedText),
       outputTokens: this.#outputTokens,
@@ -73,10 +86,12 @@
   /** Must be called before a resumed stream is read. */
   discardPartialEvent(): void {
     this.#parser.reset();
+    this.#partialBytes = 0;
   }
 
   #handleEvent(data: string): void {
     this.#eventCount++;
+    this.#partialBytes = 0;
     if (data === "[DONE]") {
       this.#done = true;
       this.#completedText += `data: ${data}\n\n`;
--- a/packages/daemon/src/engine/engine_client.ts
+++ b/packages/daemon/src/engine/engine_client.ts
@@ -11,6 +11,7 @@
 } from "@anvildeal/core";
 import { Agent, type Dispatcher } from "undici";
 import type { Disposable } from "../net/index.js";
+import { readText } from "../read_text.js";
 import { ChatEventReader, usageOf } from "./chat_event_reader.js";
 import { EngineError } from "./engine_error.js";
 
@@ -26,6 +27,12 @@
  */
 const MAX_USAGE_BODY_BYTES = 1024 * 1024;
 
+/** Limit of the answer to an order. */
+const MAX_ORDER_ANSWER_BYTES = 64 * 1024;
+
+/** Limit of a list of cache events, which has some 100 bytes for each. */
+const MAX_CACHE_EVENTS_BYTES = 8 * 1024 * 1024;
+
 const HOP_BY_HOP_HEADERS = new Set([
   "connection",
   "content-length",
@@ -169,7 +176,7 @@
           fencing_number: order.fencingNumber,
         }),
       });
-      const reason = await body.text();
+      const reason = await readText(body, MAX_ORDER_ANSWER_BYTES);
       return { accepted: statusCode < 300, reason: reason.slice(0, 200) };
     } catch (error) {
       return { accepted: false, reason: String(error).slice(0, 200) };
@@ -191,7 +198,8 @@
         await body.dump();
         return undefined;
       }
-      return await body.json() as CacheEvents;
+      const text = await readText(body, MAX_CACHE_EVENTS_BYTES);
+      return JSON.parse(text) as CacheEvents;
     } catch {
       return undefined;
     }
@@ -327,7 +335,7 @@
       }
       return !stalled;
     } catch (error) {
-      if (call.controller.signal.aborted) {
+      if (call.controller.signal.aborted || error instanceof EngineError) {
         throw error;
       }
       return !stalled;
--- a/packages/daemon/src/engine/engine_client_test.ts
+++ b/packages/daemon/src/engine/engine_client_test.ts
@@ -1,4 +1,8 @@
-import { PlainDialect, type SubmitMessage } from "@anvildeal/core";
+import {
+  OpenAiDialect,
+  PlainDialect,
+  type SubmitMessage,
+} from "@anvildeal/core";
 import { once } from "node:events";
 import { createServer, type Server, type Socket } from "node:net";
 import type { AddressInfo } from "node:net";
@@ -128,4 +132,70 @@
       expect(await run(path)).toBe(`200 ${path} call_ended`);
     }
   });
+
+  // Guards against a process that keeps what a faulty endpoint writes until it runs
+  // out of memory.
+  describe("closes the connection of an endpoint that writes without end", () => {
+    const ENDLESS_PART = "x".repeat(64 * 1024);
+    let isClosed: boolean;
+
+    /** Answers with a head and then with bytes until the connection closes. */
+    function answerEndlessly(contentType: string, start: string): void {
+      isClosed = false;
+      answer = async (socket) => {
+        socket.once("close", () => {
+          isClosed = true;
+        });
+        socket.write(
+          `HTTP/1.1 200 OK\r\nContent-Type: ${contentType}\r\n\r\n${start}`,
+        );
+        while (!socket.destroyed) {
+          if (!socket.write(ENDLESS_PART)) {
+            await Promise.race([once(socket, "drain"), once(socket, "close")])
+              .catch(() => {});
+          }
+        }
+      };
+    }
+
+    async function untilClosed(): Promise<void> {
+      while (!isClosed) {
+        await sleep(2);
+      }
+    }
+
+    it("in an event of a chat stream", async () => {
+      answerEndlessly("text/event-stream", "data: ");
+      client.setDialect(new OpenAiDialect());
+      client.start("a", {
+        ...submit("/v1/chat/completions"),
+        kind: "chat",
+        body: new TextEncoder().encode('{"stream":true}'),
+      });
+      while (!reported.includes("call_failed")) {
+        await sleep(2);
+      }
+      expect(reported).toEqual(["200", "call_failed"]);
+      await untilClosed();
+    });
+
+    it("in the answer to an order", async () => {
+      answerEndlessly("application/json", "");
+      const result = await client.runOrder({
+        type: "order",
+        orderId: "o",
+        kind: "drain",
+        parameters: {},
+        fencingNumber: 1,
+      });
+      expect(result.accepted).toBe(false);
+      await untilClosed();
+    });
+
+    it("in its cache events", async () => {
+      answerEndlessly("application/json", "");
+      expect(await client.readCacheEvents(0)).toBeUndefined();
+      await untilClosed();
+    });
+  });
 });
