Doubt the origins of streams that began before their process had an entry

An endpoint started again under its id as another version and served before its entry was written. Streams that it began then were recorded with the version of the entry before, and were continued at that version within one answer when it crashed.

When the directory names another process of another version under an id, the origins of streams that began there since 1.5 s before the last confirmation of the list become uncertain, here, at other routers and in the store.

--- a/packages/core/src/direct/direct_endpoint.ts
+++ b/packages/core/src/direct/direct_endpoint.ts
@@ -17,7 +17,7 @@
 const CRASHED_ENTRY_MS: Millis = 5000;
 
 /** A process that starts has written its entry within this time. */
-const ENTRY_DELAY_MS: Millis = 1500;
+export const ENTRY_DELAY_MS: Millis = 1500;
 
 /** Load reports of endpoints and peers that are older than this are ignored. */
 const REPORT_MAX_AGE_MS: Millis = 1500;
--- a/packages/core/src/direct/direct_streams.ts
+++ b/packages/core/src/direct/direct_streams.ts
@@ -2,6 +2,7 @@
 // versions do not fit together.
 
 import type { Millis } from "../clock.js";
+import { ENTRY_DELAY_MS } from "./direct_endpoint.js";
 import type { DirectEffect, DirectEvent } from "./direct_event.js";
 import {
   type ActiveAttempt,
@@ -9,6 +10,7 @@
   type DirectState,
   hasUncertainVersion,
 } from "./direct_state.js";
+import type { EndpointTransition } from "./endpoint_directory.js";
 import type { StreamOrigin } from "./stream_origins.js";
 
 /** Maximum length of a call id that is remembered and sent to other routers. */
@@ -117,7 +119,7 @@
   }
   const record = { callId, origin };
   state.streamOrigins.record(nowMs, callId, origin);
-  state.recentStreams.add(nowMs, record);
+  state.recentStreams.add(nowMs, record, endpoint.id);
   return [
     { type: "announce_stream_origin", callId, origin },
     ...(state.versionHistory.hasSeveral(service, nowMs)
@@ -129,6 +131,36 @@
   ];
 }
 
+/**
+ * Makes the origins of streams uncertain that may have begun at the process which
+ * the directory names only now: it began to serve before its entry was known.
+ */
+export function doubtStreams(
+  state: DirectState,
+  transitions: readonly EndpointTransition[],
+  nowMs: Millis,
+): DirectEffect[] {
+  const sinceMs = (state.directoryConfirmedMs ?? nowMs) - ENTRY_DELAY_MS;
+  const doubted = transitions.filter(({ change }) => change === "restarted")
+    .flatMap(({ endpointId }) => {
+      const { record } = state.directory.get(endpointId)!;
+      return state.recentStreams.doubt(endpointId, sinceMs, record);
+    });
+  const originsByPrevious = new Map(
+    doubted.map(({ previousOrigin, record }) =>
+      [previousOrigin, record.origin] as const
+    ),
+  );
+  for (const request of state.requests.values()) {
+    request.origin = request.origin &&
+      (originsByPrevious.get(request.origin) ?? request.origin);
+  }
+  return doubted.map(({ record: { callId, origin } }) => {
+    state.streamOrigins.record(nowMs, callId, origin);
+    return { type: "announce_stream_origin", callId, origin };
+  });
+}
+
 /** Records origins that other routers announced. */
 export function applyStreamOrigins(
   state: DirectState,
--- a/packages/core/src/direct/direct_updates.ts
+++ b/packages/core/src/direct/direct_updates.ts
@@ -8,7 +8,7 @@
   isDirectoryUnreliable,
   prefillRateOf,
 } from "./direct_state.js";
-import { storeStreamsAgain } from "./direct_streams.js";
+import { doubtStreams, storeStreamsAgain } from "./direct_streams.js";
 import type { EndpointTransition } from "./endpoint_directory.js";
 import { RoutingConfigIndex } from "./routing_config_index.js";
 import { sumTokens } from "./prompt_cache_index.js";
@@ -64,7 +64,10 @@
     mayBeOutdated: event.nowMs < state.directoryOutdatedUntilMs,
   });
   removeStalePromptCaches(state, transitions);
-  return logTransitions(transitions, event.source);
+  return [
+    ...doubtStreams(state, transitions, event.nowMs),
+    ...logTransitions(transitions, event.source),
+  ];
 }
 
 /** Removes lapsed endpoints that the directory did not list again in time. */
@@ -77,7 +80,10 @@
     transitions.push(...state.directory.applyDeferredRecords());
   }
   removeStalePromptCaches(state, transitions);
-  return logTransitions(transitions, "lapse");
+  return [
+    ...doubtStreams(state, transitions, nowMs),
+    ...logTransitions(transitions, "lapse"),
+  ];
 }
 
 /** Records whether the directory is available; logs each change. */
--- a/packages/core/src/direct/replaced_process_test.ts
+++ b/packages/core/src/direct/replaced_process_test.ts
@@ -217,4 +217,74 @@
     });
     expect(refusalOf(again)?.reason).toBe("stream_version_unknown");
   });
+
+  // Guards against the version of the process before: a process that starts again
+  // serves before the directory has its entry.
+  describe("whose entry is written after it began to serve", () => {
+    const BEGUN_MS: Millis = LOST_AT_MS + 500;
+
+    /** Begins a stream at `e0`, the only endpoint. */
+    function begin(callId: string, nowMs: Millis): void {
+      receive(nowMs, nowMs, { callId });
+      const fields = { nowMs, key: nowMs, attemptNumber: 1 };
+      reduceDirect(state, {
+        type: "attempt_head",
+        ...fields,
+        head: { ...ACCEPTED_HEAD, callId },
+      });
+      reduceDirect(state, { type: "attempt_progress", ...fields });
+    }
+
+    /** The directory names the process that has started, and other endpoints. */
+    function writeEntry(softwareVersion: string): DirectEffect[] {
+      return reduceDirect(state, {
+        type: "endpoints_changed",
+        nowMs: BEGUN_MS + 500,
+        source: "test",
+        change: {
+          upserts: ["e0", "e1"].map((id, i) => ({
+            id,
+            service: "pool",
+            address: `10.0.0.${i}:80`,
+            failureDomain: "a",
+            state: "ready" as const,
+            incarnation: 2,
+            softwareVersion: i === 0 ? softwareVersion : "v1",
+          })),
+          removedIds: [],
+          isSnapshot: true,
+        },
+      });
+    }
+
+    const announcedIds = (effects: readonly DirectEffect[]) =>
+      effects.flatMap((effect) =>
+        effect.type === "announce_stream_origin" && effect.origin.isUncertain
+          ? [effect.callId]
+          : []
+      );
+
+    beforeEach(() => {
+      list("v1");
+      begin("old", LOST_AT_MS - 5000);
+      begin("new", BEGUN_MS);
+    });
+
+    it("leaves the streams that it may have begun without a version", () => {
+      expect(announcedIds(writeEntry("v2"))).toEqual(["new"]);
+      const effects = reduceDirect(state, {
+        type: "attempt_failed",
+        nowMs: BEGUN_MS + 600,
+        key: BEGUN_MS,
+        attemptNumber: 1,
+        failure: { kind: "reset", sent: true },
+        canResume: true,
+      });
+      expect(startedAt(effects)).toBeUndefined();
+    });
+
+    it("goes on with its streams if its version is the same", () => {
+      expect(announcedIds(writeEntry("v1"))).toEqual([]);
+    });
+  });
 });
