Refuse fewer streams while a process behind an entry is in doubt

A stream now becomes uncertain only if a closed port or closed connections show that the process has ended, and not if it began before they were closed. If the version is known and only the processes are in doubt, the reason is endpoints_unreachable.

--- a/packages/core/src/direct/direct_endpoint.ts
+++ b/packages/core/src/direct/direct_endpoint.ts
@@ -66,7 +66,7 @@
   #suspicionCount = 0;
   #suspectedUntilMs: Millis = 0;
   #crashedUntilMs: Millis = Number.NEGATIVE_INFINITY;
-  /** When the process last was seen to have ended. */
+  /** When this router last found that the process had ended. */
   #endedMs: Millis = Number.NEGATIVE_INFINITY;
   /** When it last closed the only connection of this router that was left. */
   #connectionsLostMs: Millis = Number.NEGATIVE_INFINITY;
@@ -119,7 +119,6 @@
    * @returns The time for which it is avoided; undefined if it was so already.
    */
   markCrashed(crashedMs: Millis): Millis | undefined {
-    this.#endedMs = Math.max(this.#endedMs, crashedMs);
     const untilMs = crashedMs + CRASHED_ENTRY_MS;
     const isNews = this.#crashedUntilMs < crashedMs;
     this.#crashedUntilMs = Math.max(this.#crashedUntilMs, untilMs);
@@ -127,6 +126,11 @@
     return isNews ? CRASHED_ENTRY_MS : undefined;
   }
 
+  /** Records that nothing listens on the endpoint's port. */
+  recordPortClosed(nowMs: Millis): void {
+    this.#endedMs = nowMs;
+  }
+
   /** Records that an answer has arrived, so that a connection is open. */
   recordConnected(nowMs: Millis): void {
     this.#connectedSinceMs ??= nowMs;
--- a/packages/core/src/direct/direct_place.ts
+++ b/packages/core/src/direct/direct_place.ts
@@ -111,10 +111,14 @@
   if (!origin) {
     return "no_endpoint";
   }
+  if (origin.isUncertain) {
+    return "stream_version_unknown";
+  }
+  // The list has endpoints of the version, whose processes may have ended.
   return directory.ofService(service).some(({ isReady, record }) =>
       isReady && record.softwareVersion === origin.softwareVersion
     )
-    ? "stream_version_unknown"
+    ? "endpoints_unreachable"
     : "stream_version_gone";
 }
 
--- a/packages/core/src/direct/direct_state.ts
+++ b/packages/core/src/direct/direct_state.ts
@@ -367,37 +367,42 @@
   return origin === undefined || origin.service !== service ||
     !origin.isUncertain &&
       endpoint.record.softwareVersion === origin.softwareVersion &&
-      !hasUncertainVersion(state, endpoint, nowMs) &&
-      !mayHaveEnded(state, endpoint, nowMs);
+      isProcessKnown(state, endpoint, nowMs);
 }
 
 /**
- * Whether the process behind an endpoint may be of another software version than
- * its entry, which may be outdated. While versions change, only a directory that
- * was confirmed of late or a connection from before shows that it is not.
+ * Whether the process behind an endpoint is that of its entry, as far as this
+ * router can know. While versions change, closed connections count as a sign that
+ * it has ended, and an old list needs a connection from before.
  */
-export function hasUncertainVersion(
+function isProcessKnown(
   state: DirectState,
   endpoint: DirectEndpoint,
   nowMs: Millis,
 ): boolean {
   const confirmedMs = state.directoryConfirmedMs ?? 0;
-  return endpoint.isReplaced(confirmedMs) ||
-    hasSeveralVersions(state, endpoint, nowMs) && isOutdated(state, nowMs) &&
-      !endpoint.isConnectedToProcess(confirmedMs);
+  if (endpoint.isReplaced(confirmedMs)) {
+    return false;
+  }
+  return !hasSeveralVersions(state, endpoint, nowMs) ||
+    !endpoint.hasClosedConnectionsSince(confirmedMs) &&
+      (!isOutdated(state, nowMs) || endpoint.isConnectedToProcess(confirmedMs));
 }
 
 /**
- * Whether the closed connections of an endpoint may show that its process has
- * ended. They have other reasons too, so this counts only while versions change.
+ * Whether a stream that begins at an endpoint may be of another software version
+ * than its entry names. That needs a sign that the process has ended, since no
+ * version continues such a stream.
  */
-function mayHaveEnded(
+export function hasUncertainVersion(
   state: DirectState,
   endpoint: DirectEndpoint,
   nowMs: Millis,
 ): boolean {
-  return endpoint.hasClosedConnectionsSince(state.directoryConfirmedMs ?? 0) &&
-    hasSeveralVersions(state, endpoint, nowMs);
+  const confirmedMs = state.directoryConfirmedMs ?? 0;
+  return endpoint.isReplaced(confirmedMs) ||
+    endpoint.hasClosedConnectionsSince(confirmedMs) &&
+      isOutdated(state, nowMs) && hasSeveralVersions(state, endpoint, nowMs);
 }
 
 function hasSeveralVersions(
--- a/packages/core/src/direct/direct_streams.ts
+++ b/packages/core/src/direct/direct_streams.ts
@@ -119,7 +119,7 @@
   }
   const record = { callId, origin };
   state.streamOrigins.record(nowMs, callId, origin);
-  state.recentStreams.add(nowMs, record, endpoint.id);
+  state.recentStreams.add(nowMs, record, endpoint);
   return [
     { type: "announce_stream_origin", callId, origin },
     ...(state.versionHistory.hasSeveral(service, nowMs)
--- a/packages/core/src/direct/endpoint_crash.ts
+++ b/packages/core/src/direct/endpoint_crash.ts
@@ -89,6 +89,7 @@
   }
   const { attempts, brokenMs, endpoint } = check;
   const { service } = endpoint.record;
+  endpoint.recordPortClosed(nowMs);
   endpoint.markCrashed(nowMs);
   const endpointProcess = endpointProcessOf(endpoint);
   const changed = attempts.flatMap(({ isRetry, ranMs, traits }) =>
--- a/packages/core/src/direct/endpoint_suspicion.ts
+++ b/packages/core/src/direct/endpoint_suspicion.ts
@@ -30,6 +30,7 @@
   endpoint: DirectEndpoint,
   nowMs: Millis,
 ): DirectEffect[] {
+  endpoint.recordPortClosed(nowMs);
   const periodMs = endpoint.markCrashed(nowMs);
   return periodMs === undefined
     ? []
--- a/packages/core/src/direct/recent_streams.ts
+++ b/packages/core/src/direct/recent_streams.ts
@@ -1,4 +1,5 @@
 import type { Millis } from "../clock.js";
+import type { DirectEndpoint } from "./direct_endpoint.js";
 import type { EndpointRecord } from "./routing_config.js";
 import {
   ORIGIN_RETENTION_MS,
@@ -11,7 +12,7 @@
 
 interface BegunStream {
   readonly begunMs: Millis;
-  readonly endpointId: string;
+  readonly endpoint: DirectEndpoint;
   record: StreamRecord;
 }
 
@@ -26,8 +27,8 @@
   #streams: BegunStream[] = [];
   #expiredCount = 0;
 
-  add(nowMs: Millis, record: StreamRecord, endpointId: string): void {
-    this.#streams.push({ begunMs: nowMs, endpointId, record });
+  add(nowMs: Millis, record: StreamRecord, endpoint: DirectEndpoint): void {
+    this.#streams.push({ begunMs: nowMs, endpoint, record });
     this.#removeExpired(nowMs);
   }
 
@@ -42,7 +43,8 @@
 
   /**
    * Makes the origins of streams uncertain that began at an endpoint since a time,
-   * unless they fit the version of the process that the directory names now.
+   * unless they fit the version of the process that the directory names now. Those
+   * that began before the endpoint closed its connections are of the process before.
    */
   doubt(
     endpointId: string,
@@ -50,8 +52,9 @@
     { service, softwareVersion }: EndpointRecord,
   ): DoubtedStream[] {
     const doubted = this.#streams.filter((stream) => {
-      const { origin } = stream.record;
-      return stream.endpointId === endpointId && stream.begunMs >= sinceMs &&
+      const { begunMs, endpoint, record: { origin } } = stream;
+      return endpoint.id === endpointId && begunMs >= sinceMs &&
+        !endpoint.hasClosedConnectionsSince(begunMs) &&
         !origin.isUncertain && origin.service === service &&
         origin.softwareVersion !== softwareVersion;
     });
