--- a/packages/core/src/wire/field_codes.ts
+++ b/packages/core/src/wire/field_codes.ts
@@ -152,6 +152,7 @@
   "toStore",
   "wantsConfirmation",
   "callIds",
+  "isUncertain",
 ] as const;
 
 /** Code of each name, for the key map of the CBOR codec. */
