Store origins of streams that become uncertain

A stream that had begun while its service had several versions was stored with the version of the entry. If that turned out to be another process's entry later, the routers heard of it but the store did not, so that routers which were all lost read the version of before and could continue the stream there.

replaced_process_test.ts, "stores that the version is unknown if several serve": fails without the change ([] instead of ["new"]), passes with it. 383 tests of core/direct and core/wire pass.

--- a/packages/core/src/direct/direct_streams.ts
+++ b/packages/core/src/direct/direct_streams.ts
@@ -11,7 +11,7 @@
   hasUncertainVersion,
 } from "./direct_state.js";
 import type { EndpointTransition } from "./endpoint_directory.js";
-import type { StreamOrigin } from "./stream_origins.js";
+import type { StreamOrigin, StreamRecord } from "./stream_origins.js";
 
 /** Maximum length of a call id that is remembered and sent to other routers. */
 const MAX_CALL_ID_LENGTH = 128;
@@ -122,15 +122,24 @@
   state.recentStreams.add(nowMs, record, endpoint);
   return [
     { type: "announce_stream_origin", callId, origin },
-    ...(state.versionHistory.hasSeveral(service, nowMs)
-      ? [{
-        type: "store_stream_records" as const,
-        records: [record],
-      }]
-      : []),
+    ...storeIfMixed(state, [record], nowMs),
   ];
 }
 
+/** Stores the records of those services whose streams may be of several versions. */
+function storeIfMixed(
+  { versionHistory }: DirectState,
+  all: readonly StreamRecord[],
+  nowMs: Millis,
+): DirectEffect[] {
+  const records = all.filter(({ origin }) =>
+    versionHistory.hasSeveral(origin.service, nowMs)
+  );
+  return records.length === 0
+    ? []
+    : [{ type: "store_stream_records", records }];
+}
+
 /**
  * Makes the origins of streams uncertain that may have begun at the process which
  * the directory names only now: it began to serve before its entry was known.
@@ -155,10 +164,12 @@
     request.origin = request.origin &&
       (originsByPrevious.get(request.origin) ?? request.origin);
   }
-  return doubted.map(({ record: { callId, origin } }) => {
+  const records = doubted.map(({ record }) => record);
+  const announcements = records.map(({ callId, origin }): DirectEffect => {
     state.streamOrigins.record(nowMs, callId, origin);
     return { type: "announce_stream_origin", callId, origin };
   });
+  return [...announcements, ...storeIfMixed(state, records, nowMs)];
 }
 
 /** Records origins that other routers announced. */
--- a/packages/core/src/direct/replaced_process_test.ts
+++ b/packages/core/src/direct/replaced_process_test.ts
@@ -295,6 +295,20 @@
       expect(announcedIds(writeEntry("v2"))).toEqual([]);
     });
 
+    // Guards against routers that all start again and read the origin of before.
+    it("stores that the version is unknown if several serve", () => {
+      const storedIds = (effects: readonly DirectEffect[]) =>
+        effects.flatMap((effect) =>
+          effect.type === "store_stream_records"
+            ? effect.records.flatMap(({ callId, origin }) =>
+              origin.isUncertain ? [callId] : []
+            )
+            : []
+        );
+      list("v1", "v2");
+      expect(storedIds(writeEntry("v2"))).toEqual(["new"]);
+    });
+
     it("goes on with its streams if its version is the same", () => {
       expect(announcedIds(writeEntry("v1"))).toEqual([]);
     });
