Share the set-up of tests of a router with one pool

Four test files built the same state, configuration, list of endpoints and look-ups of effects by hand; pool_fixture.ts has them now.

--- a/packages/core/src/direct/blocked_requests_test.ts
+++ b/packages/core/src/direct/blocked_requests_test.ts
@@ -1,7 +1,16 @@
 import { beforeEach, describe, expect, it } from "vitest";
 import type { DirectEffect, DirectEvent } from "./direct_event.js";
-import { createDirectState, type DirectState } from "./direct_state.js";
-import { ACCEPTED_HEAD, poolCall, poolConfig } from "./pool_fixture.js";
+import type { DirectState } from "./direct_state.js";
+import {
+  ACCEPTED_HEAD,
+  configReceived,
+  endpointsListed,
+  poolCall,
+  poolConfig,
+  poolEndpoint,
+  poolState,
+  startedEndpointId,
+} from "./pool_fixture.js";
 import { contentTraitOf, promptPartTraitsOf } from "./request_trait.js";
 import { SuspectReportSchema } from "./suspect_report.js";
 import { reduceDirect } from "./reduce_direct.js";
@@ -23,33 +32,13 @@
   beforeEach(() => {
     nowMs = 0;
     key = 0;
-    state = createDirectState({
-      nodeId: "n",
-      failureDomain: "a",
-      retryRatio: 0.2,
-      retryExtra: 10,
-      loadMultiple: 1.5,
-      maxDirectoryAgeMs: 3000,
-      stopGraceMs: 8000,
-    });
-    dispatch({ type: "config_received", nowMs, config: CONFIG, source: "t" });
-    dispatch({
-      type: "endpoints_changed",
-      nowMs,
-      change: {
-        upserts: Array.from({ length: ENDPOINT_COUNT }, (_, i) => ({
-          id: `e${i}`,
-          service: "pool",
-          address: "10.0.0.1:80",
-          failureDomain: "a",
-          state: "ready" as const,
-          incarnation: 1,
-        })),
-        removedIds: [],
-        isSnapshot: true,
-      },
-      source: "t",
-    });
+    state = poolState({ loadMultiple: 1.5 });
+    dispatch(configReceived(CONFIG));
+    const records = Array.from(
+      { length: ENDPOINT_COUNT },
+      (_, i) => poolEndpoint(`e${i}`),
+    );
+    dispatch(endpointsListed(nowMs, records));
     setFirstRouter(true);
   });
 
@@ -75,8 +64,7 @@
   }
 
   function endpointOf(effects: readonly DirectEffect[]): string {
-    const started = effects.find(({ type }) => type === "start_attempt");
-    return (started as { endpointId: string }).endpointId;
+    return startedEndpointId(effects)!;
   }
 
   /** Sends a request under which its endpoint crashes. */
@@ -298,25 +286,9 @@
 
   // Guards against calls that are served before the router knows the blocks.
   it("are awaited by a router that has just started, for a second", () => {
-    state = createDirectState({ ...state.options, awaitsSuspects: true });
-    dispatch({ type: "config_received", nowMs, config: CONFIG, source: "t" });
-    dispatch({
-      type: "endpoints_changed",
-      nowMs,
-      change: {
-        upserts: [{
-          id: "e1",
-          service: "pool",
-          address: "10.0.0.1:80",
-          failureDomain: "a",
-          state: "ready",
-          incarnation: 1,
-        }],
-        removedIds: [],
-        isSnapshot: true,
-      },
-      source: "t",
-    });
+    state = poolState({ loadMultiple: 1.5, awaitsSuspects: true });
+    dispatch(configReceived(CONFIG));
+    dispatch(endpointsListed(nowMs, [poolEndpoint("e1")]));
     expect(isSent(send("root", "page"))).toBe(false);
     dispatch({ type: "tick", nowMs });
     nowMs += 1000;
--- a/packages/core/src/direct/planned_stop_test.ts
+++ b/packages/core/src/direct/planned_stop_test.ts
@@ -1,8 +1,16 @@
 import { beforeEach, describe, expect, it } from "vitest";
 import type { Millis } from "../clock.js";
 import type { DirectEffect } from "./direct_event.js";
-import { createDirectState, type DirectState } from "./direct_state.js";
-import { ACCEPTED_HEAD, poolCall, poolConfig } from "./pool_fixture.js";
+import type { DirectState } from "./direct_state.js";
+import {
+  ACCEPTED_HEAD,
+  configReceived,
+  endpointsListed,
+  poolCall,
+  poolConfig,
+  poolEndpoint,
+  poolState,
+} from "./pool_fixture.js";
 import { reduceDirect } from "./reduce_direct.js";
 
 const GRACE_MS: Millis = 3000;
@@ -14,41 +22,15 @@
 
   beforeEach(() => {
     nextKey = 1;
-    state = createDirectState({
-      nodeId: "n",
-      failureDomain: "a",
-      retryRatio: 0.2,
-      retryExtra: 10,
-      loadMultiple: 2,
-      maxDirectoryAgeMs: 3000,
-      stopGraceMs: GRACE_MS,
-    });
+    state = poolState({ stopGraceMs: GRACE_MS });
   });
 
   function serve(): void {
-    reduceDirect(state, {
-      type: "config_received",
-      nowMs: 0,
-      source: "test",
-      config: poolConfig({ resumable: true, maxAttempts: 2 }),
-    });
-    reduceDirect(state, {
-      type: "endpoints_changed",
-      nowMs: 0,
-      source: "test",
-      change: {
-        upserts: [{
-          id: "e0",
-          service: "pool",
-          address: "10.0.0.1:80",
-          failureDomain: "a",
-          state: "ready",
-          incarnation: 1,
-        }],
-        removedIds: [],
-        isSnapshot: true,
-      },
-    });
+    reduceDirect(
+      state,
+      configReceived(poolConfig({ resumable: true, maxAttempts: 2 })),
+    );
+    reduceDirect(state, endpointsListed(0, [poolEndpoint("e0")]));
   }
 
   function receive(nowMs: Millis, deadlineMs: Millis): DirectEffect[] {
--- a/packages/core/src/direct/pool_fixture.ts
+++ b/packages/core/src/direct/pool_fixture.ts
@@ -1,5 +1,20 @@
-import type { AnswerHead, DirectCall } from "./direct_event.js";
-import type { DirectRoute, RoutingConfig } from "./routing_config.js";
+import type { Millis } from "../clock.js";
+import type {
+  AnswerHead,
+  DirectCall,
+  DirectEffect,
+  DirectEvent,
+} from "./direct_event.js";
+import {
+  createDirectState,
+  type DirectOptions,
+  type DirectState,
+} from "./direct_state.js";
+import type {
+  DirectRoute,
+  EndpointRecord,
+  RoutingConfig,
+} from "./routing_config.js";
 
 /** Head of an answer that a router relays. */
 export const ACCEPTED_HEAD: AnswerHead = {
@@ -11,6 +26,64 @@
   load: undefined,
 };
 
+/** Returns the state of a router that has just started. */
+export function poolState(options: Partial<DirectOptions> = {}): DirectState {
+  return createDirectState({
+    nodeId: "n",
+    failureDomain: "a",
+    retryRatio: 0.2,
+    retryExtra: 10,
+    loadMultiple: 2,
+    maxDirectoryAgeMs: 3000,
+    stopGraceMs: 8000,
+    ...options,
+  });
+}
+
+/** Returns an entry of the list of endpoints. */
+export function poolEndpoint(
+  id: string,
+  fields: Partial<EndpointRecord> = {},
+): EndpointRecord {
+  return {
+    id,
+    service: "pool",
+    address: "10.0.0.1:80",
+    failureDomain: "a",
+    state: "ready",
+    incarnation: 1,
+    ...fields,
+  };
+}
+
+export function configReceived(config: RoutingConfig): DirectEvent {
+  return { type: "config_received", nowMs: 0, source: "test", config };
+}
+
+/** The directory lists these endpoints and no others. */
+export function endpointsListed(
+  nowMs: Millis,
+  upserts: EndpointRecord[],
+): DirectEvent {
+  return {
+    type: "endpoints_changed",
+    nowMs,
+    source: "test",
+    change: { upserts, removedIds: [], isSnapshot: true },
+  };
+}
+
+/** Id of the endpoint at which an attempt begins. */
+export function startedEndpointId(
+  effects: readonly DirectEffect[],
+): string | undefined {
+  return effects.find((effect) => effect.type === "start_attempt")?.endpointId;
+}
+
+export function refusalOf(effects: readonly DirectEffect[]) {
+  return effects.find((effect) => effect.type === "refuse")?.refusal;
+}
+
 /** Returns a configuration with one route of streams to the service `pool`. */
 export function poolConfig(
   route: Partial<DirectRoute> = {},
--- a/packages/core/src/direct/replaced_process_test.ts
+++ b/packages/core/src/direct/replaced_process_test.ts
@@ -1,8 +1,18 @@
 import { beforeEach, describe, expect, it } from "vitest";
 import type { Millis } from "../clock.js";
 import type { DirectCall, DirectEffect } from "./direct_event.js";
-import { createDirectState, type DirectState } from "./direct_state.js";
-import { ACCEPTED_HEAD, poolCall, poolConfig } from "./pool_fixture.js";
+import type { DirectState } from "./direct_state.js";
+import {
+  ACCEPTED_HEAD,
+  configReceived,
+  endpointsListed,
+  poolCall,
+  poolConfig,
+  poolEndpoint,
+  poolState,
+  refusalOf,
+  startedEndpointId,
+} from "./pool_fixture.js";
 import { reduceDirect } from "./reduce_direct.js";
 
 const LOST_AT_MS: Millis = 100_000;
@@ -14,43 +24,19 @@
   let state: DirectState;
 
   beforeEach(() => {
-    state = createDirectState({
-      nodeId: "n",
-      failureDomain: "a",
-      retryRatio: 0.2,
-      retryExtra: 10,
-      loadMultiple: 2,
-      maxDirectoryAgeMs: 3000,
-      stopGraceMs: 8000,
-    });
-    reduceDirect(state, {
-      type: "config_received",
-      nowMs: 0,
-      source: "test",
-      config: poolConfig({ resumable: true, maxAttempts: 2 }),
-    });
+    state = poolState();
+    reduceDirect(
+      state,
+      configReceived(poolConfig({ resumable: true, maxAttempts: 2 })),
+    );
   });
 
   /** The directory lists an endpoint for each version, `e0` first. */
   function list(...versions: string[]): void {
-    reduceDirect(state, {
-      type: "endpoints_changed",
-      nowMs: 0,
-      source: "test",
-      change: {
-        upserts: versions.map((softwareVersion, i) => ({
-          id: `e${i}`,
-          service: "pool",
-          address: `10.0.0.${i}:80`,
-          failureDomain: "a",
-          state: "ready" as const,
-          incarnation: 1,
-          softwareVersion,
-        })),
-        removedIds: [],
-        isSnapshot: true,
-      },
-    });
+    const records = versions.map((softwareVersion, i) =>
+      poolEndpoint(`e${i}`, { address: `10.0.0.${i}:80`, softwareVersion })
+    );
+    reduceDirect(state, endpointsListed(0, records));
     confirm(LOST_AT_MS - 1);
   }
 
@@ -108,12 +94,6 @@
     });
   }
 
-  const startedAt = (effects: readonly DirectEffect[]) =>
-    effects.find((effect) => effect.type === "start_attempt")?.endpointId;
-
-  const refusalOf = (effects: readonly DirectEffect[]) =>
-    effects.find((effect) => effect.type === "refuse")?.refusal;
-
   // Guards against streams that go on at a process of another version, which has
   // started again under the id and address that the outdated list names.
   it("gets no stream after it closed all connections while versions change", () => {
@@ -130,14 +110,14 @@
     list("v1", "v2");
     loseConnections();
     confirm(LOST_AT_MS + 1);
-    expect(startedAt(takeUp(LOST_AT_MS + 2))).toBe("e0");
+    expect(startedEndpointId(takeUp(LOST_AT_MS + 2))).toBe("e0");
   });
 
   // Guards against streams that are refused because connections were reset.
   it("gets streams after it closed all connections if one version serves", () => {
     list("v1", "v1");
     loseConnections();
-    expect(startedAt(takeUp(LOST_AT_MS + 10))).toBeDefined();
+    expect(startedEndpointId(takeUp(LOST_AT_MS + 10))).toBeDefined();
   });
 
   it("gets no stream after its port was closed, whatever versions serve", () => {
@@ -146,9 +126,9 @@
     expect(refusalOf(takeUp(LOST_AT_MS + 10))?.reason)
       .toBe("endpoints_unreachable");
     confirm(ENTRY_WRITTEN_MS - 1);
-    expect(startedAt(takeUp(LOST_AT_MS + 20))).toBeUndefined();
+    expect(startedEndpointId(takeUp(LOST_AT_MS + 20))).toBeUndefined();
     confirm(ENTRY_WRITTEN_MS);
-    expect(startedAt(takeUp(ENTRY_WRITTEN_MS + 1))).toBe("e0");
+    expect(startedEndpointId(takeUp(ENTRY_WRITTEN_MS + 1))).toBe("e0");
   });
 
   // Guards against streams that go on at an endpoint to which this router had no
@@ -173,7 +153,7 @@
         head: { ...ACCEPTED_HEAD, callId: "other" },
       });
     }
-    expect(startedAt(takeUp(LOST_AT_MS + 10_000))).toBe("e0");
+    expect(startedEndpointId(takeUp(LOST_AT_MS + 10_000))).toBe("e0");
   });
 
   // Guards against an origin that was read from the entry of an ended process.
@@ -182,7 +162,7 @@
     loseConnections();
     const begunMs = LOST_AT_MS + 2000;
     let key = 1;
-    while (startedAt(receive(begunMs, key, { callId: "new" })) !== "e0") {
+    while (startedEndpointId(receive(begunMs, key, { callId: "new" })) !== "e0") {
       key++;
     }
     const fields = { nowMs: begunMs + 10, key, attemptNumber: 1 };
@@ -237,24 +217,14 @@
 
     /** The directory names the process that has started, and other endpoints. */
     function writeEntry(softwareVersion: string): DirectEffect[] {
-      return reduceDirect(state, {
-        type: "endpoints_changed",
-        nowMs: BEGUN_MS + 500,
-        source: "test",
-        change: {
-          upserts: ["e0", "e1"].map((id, i) => ({
-            id,
-            service: "pool",
-            address: `10.0.0.${i}:80`,
-            failureDomain: "a",
-            state: "ready" as const,
-            incarnation: 2,
-            softwareVersion: i === 0 ? softwareVersion : "v1",
-          })),
-          removedIds: [],
-          isSnapshot: true,
-        },
-      });
+      const records = ["e0", "e1"].map((id, i) =>
+        poolEndpoint(id, {
+          address: `10.0.0.${i}:80`,
+          incarnation: 2,
+          softwareVersion: i === 0 ? softwareVersion : "v1",
+        })
+      );
+      return reduceDirect(state, endpointsListed(BEGUN_MS + 500, records));
     }
 
     const announcedIds = (effects: readonly DirectEffect[]) =>
@@ -280,7 +250,7 @@
         failure: { kind: "reset", sent: true },
         canResume: true,
       });
-      expect(startedAt(effects)).toBeUndefined();
+      expect(startedEndpointId(effects)).toBeUndefined();
     });
 
     // Guards against streams of the process before that are refused.
--- a/packages/core/src/direct/stream_lookup_test.ts
+++ b/packages/core/src/direct/stream_lookup_test.ts
@@ -1,60 +1,41 @@
 import { beforeEach, describe, expect, it } from "vitest";
 import type { Millis } from "../clock.js";
 import type { DirectEffect, DirectEvent } from "./direct_event.js";
-import { createDirectState, type DirectState } from "./direct_state.js";
-import { ACCEPTED_HEAD, poolCall, poolConfig } from "./pool_fixture.js";
+import type { DirectState } from "./direct_state.js";
+import {
+  ACCEPTED_HEAD,
+  configReceived,
+  endpointsListed,
+  poolCall,
+  poolConfig,
+  poolEndpoint,
+  poolState,
+  refusalOf,
+  startedEndpointId,
+} from "./pool_fixture.js";
 import { reduceDirect } from "./reduce_direct.js";
-import type { EndpointRecord } from "./routing_config.js";
 
 /** Time after which a process knows by itself which versions served of late. */
 const RETENTION_MS: Millis = 60_000;
 
 const V1 = { service: "pool", softwareVersion: "v1" };
 
-function endpoint(id: string, softwareVersion: string): EndpointRecord {
-  return {
-    id,
-    service: "pool",
-    address: "10.0.0.1:80",
-    failureDomain: "a",
-    state: "ready",
-    incarnation: 1,
-    softwareVersion,
-  };
-}
-
 describe("a stream that a caller takes up", () => {
   let state: DirectState;
 
   beforeEach(() => {
-    state = createDirectState({
-      nodeId: "n",
-      failureDomain: "a",
-      retryRatio: 0.2,
-      retryExtra: 10,
-      loadMultiple: 2,
-      maxDirectoryAgeMs: 3000,
-      stopGraceMs: 8000,
-    });
-    reduceDirect(state, {
-      type: "config_received",
-      nowMs: 0,
-      source: "test",
-      config: poolConfig({ resumable: true, maxAttempts: 2 }),
-    });
+    state = poolState();
+    reduceDirect(
+      state,
+      configReceived(poolConfig({ resumable: true, maxAttempts: 2 })),
+    );
   });
 
   function setVersions(nowMs: Millis, ...versions: string[]): DirectEffect[] {
-    return reduceDirect(state, {
-      type: "endpoints_changed",
-      nowMs,
-      source: "test",
-      change: {
-        upserts: versions.map((version, i) => endpoint(`e${i}`, version)),
-        removedIds: [],
-        isSnapshot: true,
-      },
-    });
+    const records = versions.map((softwareVersion, i) =>
+      poolEndpoint(`e${i}`, { softwareVersion })
+    );
+    return reduceDirect(state, endpointsListed(nowMs, records));
   }
 
   function takeUp(nowMs: Millis, key = 1): DirectEffect[] {
@@ -121,11 +102,8 @@
   const types = (effects: readonly DirectEffect[]) =>
     effects.map(({ type }) => type);
 
-  const refusalOf = (effects: readonly DirectEffect[]) =>
-    effects.find((effect) => effect.type === "refuse")?.refusal.reason;
-
-  const startedAt = (effects: readonly DirectEffect[]) =>
-    effects.find((effect) => effect.type === "start_attempt")?.endpointId;
+  const reasonOf = (effects: readonly DirectEffect[]) =>
+    refusalOf(effects)?.reason;
 
   describe("at a process that has just started", () => {
     // Guards against a wait for routers that know as little.
@@ -144,7 +122,7 @@
         versions: [],
         streams: [{ callId: "first", origin: V1 }],
       });
-      expect(startedAt(effects)).toBe("e1");
+      expect(startedEndpointId(effects)).toBe("e1");
     });
 
     // Guards against a stream of a version that left with the routers.
@@ -156,7 +134,7 @@
         versions: [{ service: "pool", versions: ["v1"] }],
         streams: [],
       });
-      expect(refusalOf(effects)).toBe("stream_version_unknown");
+      expect(reasonOf(effects)).toBe("stream_version_unknown");
     });
 
     // Guards against a guess.
@@ -164,7 +142,7 @@
       setVersions(0, "v2");
       takeUp(100);
       answerOfPeers(105);
-      expect(refusalOf(read(110, undefined))).toBe("stream_version_unknown");
+      expect(reasonOf(read(110, undefined))).toBe("stream_version_unknown");
     });
 
     // Guards against sound streams that are refused for want of records.
@@ -175,14 +153,14 @@
         versions: [{ service: "pool", versions: ["v1"] }],
         streams: [],
       });
-      expect(startedAt(answerOfPeers(120))).toBe("e0");
+      expect(startedEndpointId(answerOfPeers(120))).toBe("e0");
     });
 
     // Guards against calls that wait for an answer that never comes.
     it("does not wait longer than the time for the question", () => {
       setVersions(0, "v1");
       takeUp(100);
-      expect(refusalOf(passTime(500))).toBe("stream_version_unknown");
+      expect(reasonOf(passTime(500))).toBe("stream_version_unknown");
     });
   });
 
@@ -191,7 +169,7 @@
     it("goes on at the only version without a call to the store", () => {
       setVersions(0, "v1");
       expect(types(takeUp(RETENTION_MS))).not.toContain("read_stream_records");
-      expect(startedAt(answerOfPeers(RETENTION_MS + 5))).toBe("e0");
+      expect(startedEndpointId(answerOfPeers(RETENTION_MS + 5))).toBe("e0");
     });
 
     // Guards against streams that are refused though the store knows them.
@@ -205,7 +183,7 @@
         versions: [],
         streams: [{ callId: "first", origin: V1 }],
       });
-      expect(startedAt(effects)).toBe("e0");
+      expect(startedEndpointId(effects)).toBe("e0");
     });
   });
 
@@ -220,12 +198,12 @@
     it("waits until the directory tells which versions serve", () => {
       expect(types(answerOfPeers(RETENTION_MS + 5, false)))
         .toContain("check_versions");
-      expect(startedAt(answerOfDirectory(RETENTION_MS + 10, "v1"))).toBe("e0");
+      expect(startedEndpointId(answerOfDirectory(RETENTION_MS + 10, "v1"))).toBe("e0");
     });
 
     it("asks the directory if the other routers are silent", () => {
       expect(types(passTime(RETENTION_MS + 400))).toContain("check_versions");
-      expect(startedAt(answerOfDirectory(RETENTION_MS + 410, "v1"))).toBe("e0");
+      expect(startedEndpointId(answerOfDirectory(RETENTION_MS + 410, "v1"))).toBe("e0");
     });
 
     it("is refused if the directory lists another version", () => {
@@ -233,7 +211,7 @@
       expect(types(answerOfDirectory(RETENTION_MS + 10, "v1", "v2")))
         .toContain("read_stream_records");
       const effects = read(RETENTION_MS + 20, { versions: [], streams: [] });
-      expect(refusalOf(effects)).toBe("stream_version_unknown");
+      expect(reasonOf(effects)).toBe("stream_version_unknown");
     });
 
     it("goes on at the version that another router tells late", () => {
@@ -245,7 +223,7 @@
         origin: V1,
         isFleetConnected: false,
       });
-      expect(startedAt(effects)).toBe("e0");
+      expect(startedEndpointId(effects)).toBe("e0");
     });
 
     // Guards against a guess.
