--- a/packages/core/src/direct/replaced_process_test.ts
+++ b/packages/core/src/direct/replaced_process_test.ts
@@ -162,7 +162,9 @@
     loseConnections();
     const begunMs = LOST_AT_MS + 2000;
     let key = 1;
-    while (startedEndpointId(receive(begunMs, key, { callId: "new" })) !== "e0") {
+    while (
+      startedEndpointId(receive(begunMs, key, { callId: "new" })) !== "e0"
+    ) {
       key++;
     }
     const fields = { nowMs: begunMs + 10, key, attemptNumber: 1 };
--- a/packages/core/src/direct/stream_lookup_test.ts
+++ b/packages/core/src/direct/stream_lookup_test.ts
@@ -198,12 +198,14 @@
     it("waits until the directory tells which versions serve", () => {
       expect(types(answerOfPeers(RETENTION_MS + 5, false)))
         .toContain("check_versions");
-      expect(startedEndpointId(answerOfDirectory(RETENTION_MS + 10, "v1"))).toBe("e0");
+      expect(startedEndpointId(answerOfDirectory(RETENTION_MS + 10, "v1")))
+        .toBe("e0");
     });
 
     it("asks the directory if the other routers are silent", () => {
       expect(types(passTime(RETENTION_MS + 400))).toContain("check_versions");
-      expect(startedEndpointId(answerOfDirectory(RETENTION_MS + 410, "v1"))).toBe("e0");
+      expect(startedEndpointId(answerOfDirectory(RETENTION_MS + 410, "v1")))
+        .toBe("e0");
     });
 
     it("is refused if the directory lists another version", () => {
