--- a/packages/daemon/src/direct/sse_event_buffer.ts
+++ b/packages/daemon/src/direct/sse_event_buffer.ts
@@ -2,6 +2,11 @@
 const LF_EVENT_END = Buffer.from("\n\n");
 const CRLF_EVENT_END = Buffer.from("\r\n\r\n");
 
+/** Bytes of an event end that may have arrived without its last one. */
+const MAX_TAIL_BYTES = CRLF_EVENT_END.length - 1;
+
+const NO_BYTES = Buffer.alloc(0);
+
 /** Maximum size of one event. */
 const MAX_EVENT_BYTES = 1024 * 1024;
 
@@ -34,6 +39,8 @@
 export class SseEventBuffer {
   #buffered: Buffer[] = [];
   #bufferedBytes = 0;
+  /** Last bytes of `#buffered`, in which an event end may have begun. */
+  #tail = NO_BYTES;
   #lastEventId: string | undefined;
   /** Whether the next event is the first one of an answer that continues others. */
   #isContinued: boolean;
@@ -54,17 +61,14 @@
    * UnorderedEventError} if an event does not follow the one before it.
    */
   push(chunk: Buffer): Buffer {
-    const bytes = this.#bufferedBytes === 0
-      ? chunk
-      : Buffer.concat([...this.#buffered, chunk]);
-    const end = endOfLastEvent(bytes);
-    const complete = bytes.subarray(0, end);
-    const rest = bytes.subarray(end);
-    this.#buffered = rest.length > 0 ? [rest] : [];
-    this.#bufferedBytes = rest.length;
-    if (rest.length > MAX_EVENT_BYTES) {
-      throw new OversizedEventError();
+    const end = this.#endOfLastEventIn(chunk);
+    if (end === 0) {
+      this.#keep(chunk);
+      return NO_BYTES;
     }
+    const complete = concat(this.#buffered, chunk.subarray(0, end));
+    this.#dropPartial();
+    this.#keep(chunk.subarray(end));
     this.#updateLastEventId(complete);
     return complete;
   }
@@ -82,9 +86,32 @@
     this.#isContinued = this.#lastEventId !== undefined;
   }
 
+  /**
+   * Offset after the last event that ends in the chunk, or 0. Only the new bytes are
+   * searched, so that the time for a large event grows with its size.
+   */
+  #endOfLastEventIn(chunk: Buffer): number {
+    const kept = this.#bufferedBytes === 0 ? [] : [this.#tail];
+    const end = endOfLastEvent(concat(kept, chunk));
+    return Math.max(0, end - this.#tail.length);
+  }
+
+  #keep(rest: Buffer): void {
+    if (rest.length > 0) {
+      this.#buffered.push(rest);
+      this.#bufferedBytes += rest.length;
+      this.#tail = Buffer.concat([this.#tail, rest.subarray(-MAX_TAIL_BYTES)])
+        .subarray(-MAX_TAIL_BYTES);
+    }
+    if (this.#bufferedBytes > MAX_EVENT_BYTES) {
+      throw new OversizedEventError();
+    }
+  }
+
   #dropPartial(): void {
     this.#buffered = [];
     this.#bufferedBytes = 0;
+    this.#tail = NO_BYTES;
   }
 
   #updateLastEventId(events: Buffer): void {
@@ -123,6 +150,11 @@
     Number(id) > Number(lastId);
 }
 
+/** Copies only if there is more than one part. */
+function concat(parts: readonly Buffer[], last: Buffer): Buffer {
+  return parts.length === 0 ? last : Buffer.concat([...parts, last]);
+}
+
 function endOfLastEvent(bytes: Buffer): number {
   const lfIndex = bytes.lastIndexOf(LF_EVENT_END);
   const crlfIndex = bytes.lastIndexOf(CRLF_EVENT_END);
--- a/packages/daemon/src/direct/sse_event_buffer_test.ts
+++ b/packages/daemon/src/direct/sse_event_buffer_test.ts
@@ -35,6 +35,22 @@
     );
   });
 
+  // Guards against an event end that is not seen where two chunks meet.
+  it.each(["\n", "\r\n"])(
+    "finds event ends %j in chunks of one byte",
+    (line) => {
+      const events = [1, 2, 3].map((id) =>
+        `id: ${id}${line}data: x${line}${line}`
+      );
+      const buffer = new SseEventBuffer(undefined);
+      const released = [...events.join("")]
+        .map((byte) => buffer.push(Buffer.from(byte)).toString())
+        .filter((text) => text !== "");
+      expect(released).toEqual(events);
+      expect(buffer.lastEventId).toBe("3");
+    },
+  );
+
   // Guards against memory that grows with an event that never ends.
   it("rejects an event that is too large", () => {
     const buffer = new SseEventBuffer(undefined);
