Log what is open when a stop begins, stops listening and ends

A request was lost around a stop, and the log did not tell whether it was in hand, whether its connection had been accepted, or whether the process was held up: process_stopping and process_stopped had no fields, and the end of listening had no line.

process_stopping names the signal, the grace time, whether the router was ready, and the requests and connections that are open. listening_stopped (1006) and process_stopped give the time since the begin and what is open then, and the latter the longest time by which a wait of the stop was late, which shows a process that gets no processor time.

--- a/packages/core/src/log_events.ts
+++ b/packages/core/src/log_events.ts
@@ -46,6 +46,11 @@
     message:
       "log lines were dropped because of the rate limit or a slow reader",
   },
+  listening_stopped: {
+    code: 1006,
+    level: "info",
+    message: "stopping process accepts no further connections",
+  },
   peer_rejected: {
     code: 1010,
     level: "warn",
--- a/packages/daemon/src/direct/direct_router_host.ts
+++ b/packages/daemon/src/direct/direct_router_host.ts
@@ -105,6 +105,8 @@
   #tickTimer: NodeJS.Timeout | undefined;
   #reviewTimer: NodeJS.Timeout | undefined;
   #loggedReady = false;
+  /** The longest time by which a wait of the stop took longer than it should. */
+  #longestDelayMs: Millis = 0;
 
   constructor(options: DirectRouterOptions) {
     const { clock, dialect, logger, settings } = options;
@@ -238,10 +240,18 @@
    * with its next answer that its connection ends; connections on which none was
    * due are closed at the end. What has not ended shortly before the grace time
    * is over is answered or broken off then.
+   *
+   * @param signal Name of the signal, for the log.
    */
-  async drain(): Promise<void> {
+  async drain(signal?: string): Promise<void> {
     const startedMs = this.#clock.nowMs();
     const elapsedMs = () => this.#clock.nowMs() - startedMs;
+    this.#logger.log("process_stopping", {
+      signal,
+      grace_ms: this.#settings.stopGraceMs,
+      ready: this.#isReady(),
+      ...this.#openCounts(),
+    });
     this.#queue.push({ type: "stopping", nowMs: startedMs });
     this.#edge.stopKeepAlive();
     this.#logReadinessChange();
@@ -252,6 +262,10 @@
     );
     await this.#waitUntil(() => elapsedMs() >= stopListeningMs);
     this.#edge.stopListening();
+    this.#logger.log("listening_stopped", {
+      after_ms: Math.round(elapsedMs()),
+      ...this.#openCounts(),
+    });
     await this.#waitUntil(() =>
       elapsedMs() >= limitMs ||
       elapsedMs() >= stopListeningMs + LAST_REQUESTS_MS &&
@@ -261,15 +275,32 @@
     await this.#waitUntil(() =>
       elapsedMs() >= limitMs + LAST_ANSWERS_MS || !this.#edge.hasOpenAnswers
     );
+    this.#logger.log("process_stopped", {
+      took_ms: Math.round(elapsedMs()),
+      longest_delay_ms: Math.round(this.#longestDelayMs),
+      ...this.#openCounts(),
+    });
     this.#edge.closeIdle();
   }
 
   async #waitUntil(condition: () => boolean): Promise<void> {
     while (!condition()) {
+      const dueMs = this.#clock.nowMs() + STOP_POLL_MS;
       await new Promise((resolve) => setTimeout(resolve, STOP_POLL_MS));
+      this.#longestDelayMs = Math.max(
+        this.#longestDelayMs,
+        this.#clock.nowMs() - dueMs,
+      );
     }
   }
 
+  #openCounts(): { requests: number; connections: number } {
+    return {
+      requests: this.#edge.openAnswerCount,
+      connections: this.#edge.connectionCount,
+    };
+  }
+
   dispose(): void {
     clearInterval(this.#tickTimer);
     clearTimeout(this.#reviewTimer);
--- a/packages/daemon/src/direct/edge_server.ts
+++ b/packages/daemon/src/direct/edge_server.ts
@@ -68,6 +68,7 @@
   /** Number of answers in progress, by connection. */
   readonly #openAnswers = new Map<Socket, number>();
   readonly #closer = new ConnectionCloser();
+  #connectionCount = 0;
   #maxBodyBytes = DEFAULT_MAX_BODY_BYTES;
   #nextKey = 1;
 
@@ -91,6 +92,17 @@
       (error: NodeJS.ErrnoException, socket: Socket) =>
         this.#answerParseError(error, socket),
     );
+    this.#server.on("connection", (socket) => this.#countConnection(socket));
+  }
+
+  /** Number of open connections of callers. */
+  get connectionCount(): number {
+    return this.#connectionCount;
+  }
+
+  /** Number of requests that have arrived whose answer a caller has not taken whole. */
+  get openAnswerCount(): number {
+    return [...this.#openAnswers.values()].reduce((sum, n) => sum + n, 0);
   }
 
   /** Whether a request has arrived whose answer a caller has not taken whole. */
@@ -159,6 +171,11 @@
     this.#onCallerError.dispose();
   }
 
+  #countConnection(socket: Socket): void {
+    this.#connectionCount++;
+    socket.once("close", () => this.#connectionCount--);
+  }
+
   #handleRequest(request: IncomingMessage, response: ServerResponse): void {
     if (!this.#closer.accept(request, response)) {
       return;
