Accept all connections before a stopping router closes its port

Callers that opened a connection in the last moments before a stopping router closes its port, 3 s after the signal, got ECONNRESET after they had sent their requests. The system resets connections that a process has not accepted when it stops to listen. Node.js accepts one connection in each turn of its event loop, and acts on timers before it accepts any, so a process that has been held up closes the port with all that were opened meanwhile.

The router now stops listening when a turn of the event loop has brought no connection, so none waits then; the time for the last first requests begins there. The port still closes after 3 s: a connection that the system refuses is the safer answer for its caller than one which a process must live on to refuse.

--- a/packages/daemon/src/direct/direct_router_host.ts
+++ b/packages/daemon/src/direct/direct_router_host.ts
@@ -49,7 +49,7 @@
 /** New callers may still connect this long after the readiness check fails. */
 const STOP_LISTENING_AFTER_MS: Millis = 3000;
 
-/** Time for the first request of a connection that was opened last. */
+/** Time for the first request of a connection that was accepted last. */
 const LAST_REQUESTS_MS: Millis = 100;
 
 /** Time for callers' connections to take the answers that are written last. */
@@ -236,7 +236,8 @@
 
   /**
    * Completes the requests in flight. The router keeps listening until callers
-   * have had time to notice that the readiness check fails. Each caller is told
+   * have had time to notice that the readiness check fails, and accepts all
+   * connections that were opened until then. Each caller is told
    * with its next answer that its connection ends; connections on which none was
    * due are closed at the end. What has not ended shortly before the grace time
    * is over is answered or broken off then.
@@ -261,14 +262,15 @@
       limitMs - LAST_REQUESTS_MS,
     );
     await this.#waitUntil(() => elapsedMs() >= stopListeningMs);
-    this.#edge.stopListening();
+    await this.#edge.stopListening();
+    const closedMs = elapsedMs();
     this.#logger.log("listening_stopped", {
-      after_ms: Math.round(elapsedMs()),
+      after_ms: Math.round(closedMs),
       ...this.#openCounts(),
     });
     await this.#waitUntil(() =>
       elapsedMs() >= limitMs ||
-      elapsedMs() >= stopListeningMs + LAST_REQUESTS_MS &&
+      elapsedMs() >= closedMs + LAST_REQUESTS_MS &&
         !this.#edge.hasOpenAnswers
     );
     this.#queue.push({ type: "stop_time_over", nowMs: this.#clock.nowMs() });
--- a/packages/daemon/src/direct/edge_server.ts
+++ b/packages/daemon/src/direct/edge_server.ts
@@ -7,8 +7,10 @@
 import { Server as NetServer, type Socket } from "node:net";
 import type { CallerLimits, Millis } from "@anvildeal/core";
 import { ConnectionCloser } from "../connection_closer.js";
+import { ConnectionCounter } from "../connection_counter.js";
 import { listen } from "../listen.js";
 import { type Disposable, Emitter } from "../net/index.js";
+import { afterNextPoll } from "../next_poll.js";
 
 /**
  * Limit of the HTTP parser. It refuses a larger header section before it has
@@ -68,7 +70,7 @@
   /** Number of answers in progress, by connection. */
   readonly #openAnswers = new Map<Socket, number>();
   readonly #closer = new ConnectionCloser();
-  #connectionCount = 0;
+  readonly #connections: ConnectionCounter;
   #maxBodyBytes = DEFAULT_MAX_BODY_BYTES;
   #nextKey = 1;
 
@@ -92,12 +94,12 @@
       (error: NodeJS.ErrnoException, socket: Socket) =>
         this.#answerParseError(error, socket),
     );
-    this.#server.on("connection", (socket) => this.#countConnection(socket));
+    this.#connections = new ConnectionCounter(this.#server);
   }
 
   /** Number of open connections of callers. */
   get connectionCount(): number {
-    return this.#connectionCount;
+    return this.#connections.openCount;
   }
 
   /** Number of requests that have arrived whose answer a caller has not taken whole. */
@@ -152,8 +154,12 @@
     return this.#closer.announce(response);
   }
 
-  /** Stops listening; connections stay open, also those without a request. */
-  stopListening(): void {
+  /**
+   * Stops listening when all connections that callers have opened are accepted.
+   * They stay open, also those without a request.
+   */
+  async stopListening(): Promise<void> {
+    await this.#connections.untilAccepted();
     // The method of the HTTP server would close idle connections as well.
     NetServer.prototype.close.call(this.#server);
   }
@@ -171,11 +177,6 @@
     this.#onCallerError.dispose();
   }
 
-  #countConnection(socket: Socket): void {
-    this.#connectionCount++;
-    socket.once("close", () => this.#connectionCount--);
-  }
-
   #handleRequest(request: IncomingMessage, response: ServerResponse): void {
     if (!this.#closer.accept(request, response)) {
       return;
@@ -249,11 +250,3 @@
     );
   }
 }
-
-/**
- * Calls back after the event loop has read from all sockets once more. An
- * immediate runs after the sockets of the current turn were read.
- */
-function afterNextPoll(callback: () => void): void {
-  setImmediate(() => setImmediate(callback));
-}
