Read what has arrived before the next step of a stop

A process that gets no processor time during a stop runs its overdue timers before it reads its sockets. If the grace time was over by then, it ended at once: requests that callers had sent on kept connections meanwhile got no answer, and a request whose endpoint had answered could be refused as unknown.

The condition of each step of a stop is now judged after the event loop has read from all sockets once more, so requests that have arrived are refused as not run and answers that have arrived are delivered.

platform/src/held_up_stop_test.ts pauses the process after its port has closed until its time is over while 30 callers send on kept connections: before, none got an answer (load 30); now all get 503.

--- a/packages/daemon/src/direct/direct_router_host.ts
+++ b/packages/daemon/src/direct/direct_router_host.ts
@@ -21,6 +21,7 @@
 import { FailureLog, type Logger } from "../logging/index.js";
 import { MetricRegistry } from "../metrics/index.js";
 import { type Disposable, splitAddress } from "../net/index.js";
+import { nextPoll } from "../next_poll.js";
 import { AnswerWriter } from "./answer_writer.js";
 import type { CallDialect } from "./call_dialect.js";
 import type { Collection } from "./collection.js";
@@ -285,8 +286,16 @@
     this.#edge.closeIdle();
   }
 
+  /**
+   * Resolves when the condition holds, which is judged after all that has arrived
+   * is read: timers that are overdue in a process that was held up run first.
+   */
   async #waitUntil(condition: () => boolean): Promise<void> {
-    while (!condition()) {
+    for (;;) {
+      await nextPoll();
+      if (condition()) {
+        return;
+      }
       const dueMs = this.#clock.nowMs() + STOP_POLL_MS;
       await new Promise((resolve) => setTimeout(resolve, STOP_POLL_MS));
       this.#longestDelayMs = Math.max(
