Log why the software version of a stream is not known

Streams that callers take up after the loss of all routers are refused with stream_version_unknown, and the logs do not tell whether their records were never stored, are read late, cannot be read, or call the origin uncertain.

stream_origin_unknown (4055) names the cause and the state of the questions; stream_origin_uncertain (4056) tells when and why an origin becomes uncertain; 4057 that records were not confirmed in time; 4058 how long a read took.

--- a/packages/core/src/direct/direct_streams.ts
+++ b/packages/core/src/direct/direct_streams.ts
@@ -2,7 +2,7 @@
 // versions do not fit together.
 
 import type { Millis } from "../clock.js";
-import { ENTRY_DELAY_MS } from "./direct_endpoint.js";
+import { type DirectEndpoint, ENTRY_DELAY_MS } from "./direct_endpoint.js";
 import type { DirectEffect, DirectEvent } from "./direct_event.js";
 import {
   type ActiveAttempt,
@@ -11,6 +11,7 @@
   hasUncertainVersion,
 } from "./direct_state.js";
 import type { EndpointTransition } from "./endpoint_directory.js";
+import { logUncertainOrigin } from "./origin_log.js";
 import type { StreamOrigin, StreamRecord } from "./stream_origins.js";
 
 /** Maximum length of a call id that is remembered and sent to other routers. */
@@ -122,10 +123,24 @@
   state.recentStreams.add(nowMs, record, endpoint);
   return [
     { type: "announce_stream_origin", callId, origin },
+    ...origin.isUncertain ? [logBegin(state, record, endpoint, nowMs)] : [],
     ...storeIfMixed(state, [record], nowMs),
   ];
 }
 
+/** Logs why the origin of a stream that begins is uncertain. */
+function logBegin(
+  state: DirectState,
+  record: StreamRecord,
+  endpoint: DirectEndpoint,
+  nowMs: Millis,
+): DirectEffect {
+  const cause = endpoint.isReplaced(state.directoryConfirmedMs ?? 0)
+    ? "port_closed"
+    : "connections_closed";
+  return logUncertainOrigin(state, record, endpoint, cause, nowMs);
+}
+
 /** Stores the records of those services whose streams may be of several versions. */
 function storeIfMixed(
   { versionHistory }: DirectState,
@@ -152,8 +167,9 @@
   const sinceMs = (state.directoryConfirmedMs ?? nowMs) - ENTRY_DELAY_MS;
   const doubted = transitions.filter(({ change }) => change === "restarted")
     .flatMap(({ endpointId }) => {
-      const { record } = state.directory.get(endpointId)!;
-      return state.recentStreams.doubt(endpointId, sinceMs, record);
+      const endpoint = state.directory.get(endpointId)!;
+      return state.recentStreams.doubt(endpointId, sinceMs, endpoint.record)
+        .map((stream) => ({ ...stream, endpoint }));
     });
   const originsByPrevious = new Map(
     doubted.map(({ previousOrigin, record }) =>
@@ -169,7 +185,10 @@
     state.streamOrigins.record(nowMs, callId, origin);
     return { type: "announce_stream_origin", callId, origin };
   });
-  return [...announcements, ...storeIfMixed(state, records, nowMs)];
+  const logged = doubted.map(({ endpoint, record }) =>
+    logUncertainOrigin(state, record, endpoint, "process_changed", nowMs)
+  );
+  return [...announcements, ...logged, ...storeIfMixed(state, records, nowMs)];
 }
 
 /** Records origins that other routers announced. */
--- a/packages/core/src/direct/origin_lookup.ts
+++ b/packages/core/src/direct/origin_lookup.ts
@@ -12,6 +12,7 @@
   OriginLookup,
 } from "./direct_state.js";
 import { continuedCallIdOf, knownOriginOf } from "./direct_streams.js";
+import { logUnknownOrigin } from "./origin_log.js";
 import { ORIGIN_RETENTION_MS, type StreamOrigin } from "./stream_origins.js";
 
 /**
@@ -216,10 +217,11 @@
   nowMs: Millis,
 ): DirectEffect[] {
   const origin = knownOrigin ?? onlyOrigin(state, request, nowMs);
+  const { originLookup: lookup } = request;
   request.originLookup = undefined;
   return [
     { type: "clear_timer", key: request.key, timer: "attempt" },
-    ...placeAtOrigin(state, request, origin, nowMs),
+    ...placeAtOrigin(state, request, origin, nowMs, lookup),
   ];
 }
 
@@ -228,13 +230,17 @@
   request: ActiveRequest,
   origin: StreamOrigin | undefined,
   nowMs: Millis,
+  lookup?: OriginLookup,
 ): DirectEffect[] {
   const { route } = request;
   request.origin = origin;
   if (!origin || origin.isUncertain) {
     request.snapshot =
       transitionRequest(request.snapshot, { type: "no_endpoint" }).snapshot;
-    return refuse(state, request, nowMs, "stream_version_unknown");
+    return [
+      logUnknownOrigin(state, request, lookup, origin, nowMs),
+      ...refuse(state, request, nowMs, "stream_version_unknown"),
+    ];
   }
   if (route.targets.some((target) => target.service === origin.service)) {
     request.service = origin.service;
--- a/packages/core/src/direct/stream_lookup_test.ts
+++ b/packages/core/src/direct/stream_lookup_test.ts
@@ -162,6 +162,29 @@
       takeUp(100);
       expect(reasonOf(passTime(500))).toBe("stream_version_unknown");
     });
+
+    // Guards against refusals whose cause no log tells.
+    it.each<[string, () => DirectEffect[]]>([
+      ["records_awaited", () => passTime(500)],
+      ["records_failed", () => [...read(110, undefined), ...passTime(500)]],
+      ["no_record", () => [
+        ...read(110, { versions: [], streams: [] }),
+        ...answerOfPeers(120),
+      ]],
+      ["uncertain", () =>
+        read(110, {
+          versions: [],
+          streams: [{ callId: "first", origin: { ...V1, isUncertain: true } }],
+        })],
+    ])("is refused with the cause %s in the log", (cause, end) => {
+      setVersions(0, "v1", "v2");
+      takeUp(100);
+      answerOfPeers(105);
+      expect(end()).toContainEqual(expect.objectContaining({
+        event: "stream_origin_unknown",
+        fields: expect.objectContaining({ cause, continues: "first" }),
+      }));
+    });
   });
 
   describe("at a process that has run for long", () => {
--- a/packages/core/src/log_events.ts
+++ b/packages/core/src/log_events.ts
@@ -289,6 +289,26 @@
     level: "info",
     message: "endpoint says in an answer that it is draining",
   },
+  stream_origin_unknown: {
+    code: 4055,
+    level: "warn",
+    message: "stream is not continued: which version began it is not known",
+  },
+  stream_origin_uncertain: {
+    code: 4056,
+    level: "info",
+    message: "stream began at an endpoint whose process may have changed",
+  },
+  stream_records_unconfirmed: {
+    code: 4057,
+    level: "info",
+    message: "records of streams were not stored in time; router writes them",
+  },
+  stream_records_read: {
+    code: 4058,
+    level: "info",
+    message: "records of streams were read",
+  },
   store_failed: {
     code: 4020,
     level: "warn",
--- a/packages/daemon/src/direct/own_stream_records.ts
+++ b/packages/daemon/src/direct/own_stream_records.ts
@@ -44,6 +44,16 @@
     records: readonly StreamRecord[],
   ) => Promise<void>;
   readonly onFailure: (error: unknown) => void;
+  /**
+   * Called when records that were not confirmed are written.
+   *
+   * @param unsuccessful Number of writes in a row without success before.
+   */
+  readonly onUnconfirmed: (
+    records: number,
+    oldestMs: Millis,
+    unsuccessful: number,
+  ) => void;
 }
 
 /**
@@ -139,6 +149,12 @@
       return;
     }
     this.#lastWriteMs = nowMs;
+    const [oldest] = this.#unstored.values();
+    this.#options.onUnconfirmed(
+      this.#unstored.size,
+      nowMs - oldest!.sinceMs,
+      this.#unsuccessfulCount,
+    );
     // The write before may still hang on a connection that is silent.
     void this.#write(nowMs);
   }
--- a/packages/daemon/src/direct/stream_record_persistence.ts
+++ b/packages/daemon/src/direct/stream_record_persistence.ts
@@ -160,6 +160,12 @@
           encodeStreams(records),
         ),
       onFailure: (error) => this.#logFailure("write", error),
+      onUnconfirmed: (records, oldestMs, unsuccessful) =>
+        options.logger.log("stream_records_unconfirmed", {
+          records,
+          oldest_ms: Math.round(oldestMs),
+          unsuccessful,
+        }),
     });
   }
 
@@ -293,12 +299,18 @@
 
   async #read(): Promise<void> {
     this.#isReading = true;
+    const startedMs = this.#options.clock.nowMs();
     let records: StoredStreams | undefined;
     try {
       const documents = await this.#options.folder.list();
       records = this.#decode(documents);
       this.#noteNames(documents);
       this.#lastReadMs = this.#options.clock.nowMs();
+      this.#options.logger.log("stream_records_read", {
+        streams: records.streams.length,
+        documents: documents.length,
+        took_ms: Math.round(this.#lastReadMs - startedMs),
+      });
     } catch (error) {
       this.#lastFailedReadMs = this.#options.clock.nowMs();
       this.#logFailure("read", error);
