Stop in order after a SIGTERM that comes while the router is loaded

Callers that had connected to a router which was still being loaded got ECONNRESET when it was told to stop. The port is open before the program handles SIGTERM, so the default action of the signal ended the process, and the system reset the connections.

The first lines of the program now handle SIGTERM and SIGINT as they handle SIGHUP. The router is loaded and started all the same, and its stop begins in the turn in which it is created: it answers what callers have sent, as any stopping router does, and says that the rest did not run.

Failed before: early_listener_test.ts, a request that is sent while the bundle is loaded, SIGTERM 10 ms later (ECONNRESET; now 503, not run), and early_signal_test.ts, SIGTERM after the first lines of the program (ended by the signal; now exit code 0 after an orderly stop). Both files: 7 pass.

--- a/deploy/start.cjs
+++ b/deploy/start.cjs
@@ -8,8 +8,14 @@
 const { join } = require("node:path");
 const { Script } = require("node:vm");
 
-// Until the router handles the signal, it would end the process. The settings
-// are read later.
+// Until the router handles the signals, they would end the process and reset the
+// connections of callers that wait for it. The settings are read later.
+let stopSignal;
+const noteStop = (signal) => {
+  stopSignal = signal;
+};
+process.on("SIGTERM", noteStop);
+process.on("SIGINT", noteStop);
 process.on("SIGHUP", () => {});
 
 const TARGET = join(__dirname, "../target");
@@ -38,7 +44,7 @@
   const bundle = { exports: {} };
   const evaluate = script.runInThisContext();
   evaluate(bundle.exports, createRequire(BUNDLE), bundle, BUNDLE, TARGET);
-  bundle.exports.startRouter(early);
+  bundle.exports.startRouter(early, stopSignal);
 }
 
 function writeCache() {
