Report an engine's answer that is reset as failed

Callers of plain services and of chats without a stream got a 200 with an empty or short body, framed as whole, when the engine wrote the head of an answer without a length and then reset its connection.

Cause: undici takes ECONNRESET, and every end of a socket, for the end of an answer that has neither Content-Length nor chunks. EngineClient reported `call_ended`. EndpointConnection looks at its socket itself; EngineClient had no such look.

HttpSocket, opened by httpConnector, now makes every reset an error that undici does not take for an end, also where the kernel reports an orderly end because the last bytes and the reset are read together. So the call fails with an unknown outcome: callers see a broken answer, or 502 with outcome "unknown" if nothing of the body has arrived.

--- a/packages/daemon/src/engine/engine_client.ts
+++ b/packages/daemon/src/engine/engine_client.ts
@@ -10,7 +10,7 @@
   type TokenUsage,
 } from "@anvildeal/core";
 import { Agent, type Dispatcher } from "undici";
-import type { Disposable } from "../net/index.js";
+import { type Disposable, httpConnector } from "../net/index.js";
 import { readText } from "../read_text.js";
 import { ChatEventReader, usageOf } from "./chat_event_reader.js";
 import { EngineError } from "./engine_error.js";
@@ -21,6 +21,8 @@
  */
 const STALL_TIMEOUT_MS: Millis = 2000;
 
+const CONNECT_TIMEOUT_MS: Millis = 10_000;
+
 /**
  * Limit of the part of a response that is buffered to read the token usage from
  * it.
@@ -71,7 +73,11 @@
    * Opens a connection for each request. On one that is used again, an answer that
    * the endpoint writes twice would be taken for the answer to the next request.
    */
-  readonly #agent = new Agent({ connections: 256, pipelining: 0 });
+  readonly #agent = new Agent({
+    connections: 256,
+    pipelining: 0,
+    connect: httpConnector(CONNECT_TIMEOUT_MS),
+  });
   #dialect: EngineDialect;
 
   constructor(url: string, dialect: EngineDialect, listener: CallListener) {
--- a/packages/daemon/src/engine/engine_client_test.ts
+++ b/packages/daemon/src/engine/engine_client_test.ts
@@ -1,5 +1,6 @@
 import {
   OpenAiDialect,
+  type Order,
   PlainDialect,
   type SubmitMessage,
 } from "@anvildeal/core";
@@ -8,10 +9,19 @@
 import type { AddressInfo } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { CUT_ANSWERS, writeAndReset } from "../net/raw_server_fixture.js";
 import { type CallListener, EngineClient } from "./engine_client.js";
 
 const REFUSAL = "HTTP/1.1 503 Refused\r\nContent-Length: 0\r\n\r\n";
 
+const ORDER: Order = {
+  type: "order",
+  orderId: "o",
+  kind: "drain",
+  parameters: {},
+  fencingNumber: 1,
+};
+
 /** Time for which the endpoint runs a call. */
 const RUN_MS = 20;
 
@@ -85,9 +95,12 @@
   });
 
   /** Runs a call and returns what the client reports of it. */
-  async function run(path: string): Promise<string> {
+  async function run(
+    path: string,
+    changes: Partial<SubmitMessage> = {},
+  ): Promise<string> {
     reported = [];
-    client.start(path, submit(path));
+    client.start(path, { ...submit(path), ...changes });
     while (!/ended|failed/.test(reported.at(-1) ?? "")) {
       await sleep(2);
     }
@@ -133,6 +146,31 @@
     }
   });
 
+  // Guards against a reset that is taken for the end of an answer without a length.
+  describe("reports an answer that is reset as failed", () => {
+    it.each(CUT_ANSWERS)("to a call: %j", async (cut) => {
+      answer = async (socket) => writeAndReset(socket, cut);
+      expect(await run("/a")).toMatch(/^200 .*call_failed$/);
+    });
+
+    it.each(CUT_ANSWERS)("to a chat without a stream: %j", async (cut) => {
+      answer = async (socket) => writeAndReset(socket, cut);
+      client.setDialect(new OpenAiDialect());
+      const chat = {
+        kind: "chat" as const,
+        body: new TextEncoder().encode('{"stream":false}'),
+      };
+      expect(await run("/v1/chat/completions", chat))
+        .toMatch(/^200 .*call_failed$/);
+    });
+
+    it.each(CUT_ANSWERS)("to an order: %j", async (cut) => {
+      answer = async (socket) => writeAndReset(socket, cut);
+      const result = await client.runOrder(ORDER);
+      expect(result.accepted).toBe(false);
+    });
+  });
+
   // Guards against a process that keeps what a faulty endpoint writes until it runs
   // out of memory.
   describe("closes the connection of an endpoint that writes without end", () => {
@@ -172,13 +210,7 @@
 
     it("in the answer to an order", async () => {
       answerEndlessly("application/json", "");
-      const result = await client.runOrder({
-        type: "order",
-        orderId: "o",
-        kind: "drain",
-        parameters: {},
-        fencingNumber: 1,
-      });
+      const result = await client.runOrder(ORDER);
       expect(result.accepted).toBe(false);
       await closed;
     });
--- /dev/null
+++ b/packages/daemon/src/net/http_socket_test.ts
@@ -0,0 +1,48 @@
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { Agent, request } from "undici";
+import { httpConnector } from "./http_socket.js";
+import {
+  CUT_ANSWERS,
+  RawServer,
+  UNFRAMED_HEADS,
+  writeAndReset,
+} from "./raw_server_fixture.js";
+
+const CONNECT_TIMEOUT_MS = 1000;
+
+describe("httpConnector", () => {
+  let server: RawServer;
+  let agent: Agent;
+
+  beforeEach(async () => {
+    server = new RawServer(() => {});
+    await server.listen();
+    agent = new Agent({ connect: httpConnector(CONNECT_TIMEOUT_MS) });
+  });
+  afterEach(async () => {
+    await agent.destroy();
+    server.close();
+  });
+
+  async function read(): Promise<string> {
+    const { body } = await request(server.url, { dispatcher: agent });
+    return body.text();
+  }
+
+  // Guards against a reset that is taken for the end of the answer.
+  it.each(CUT_ANSWERS)("fails an answer that is reset: %j", async (cut) => {
+    server.answer = (socket) => writeAndReset(socket, cut);
+    await expect(read()).rejects.toThrow("reset by the peer");
+  });
+
+  it.each(UNFRAMED_HEADS)("reads to an orderly end after %j", async (head) => {
+    server.answer = (socket) => socket.end(`${head}whole`);
+    expect(await read()).toBe("whole");
+  });
+
+  it("reports a refused connection", async () => {
+    const url = "http://127.0.0.1:1";
+    await expect(request(url, { dispatcher: agent }))
+      .rejects.toMatchObject({ code: "ECONNREFUSED" });
+  });
+});
--- a/packages/daemon/src/net/index.ts
+++ b/packages/daemon/src/net/index.ts
@@ -1,6 +1,7 @@
 export * from "./disposable.js";
 export * from "./emitter.js";
 export * from "./handshake.js";
+export * from "./http_socket.js";
 export * from "./inbound_connections.js";
 export * from "./open_connection.js";
 export * from "./peer_connection.js";
--- a/packages/daemon/src/net/open_connection.ts
+++ b/packages/daemon/src/net/open_connection.ts
@@ -1,15 +1,20 @@
-import { connect, Socket } from "node:net";
+import { Socket } from "node:net";
 
 /**
  * Opens a TCP connection to an address such as `10.0.0.1:8080`. If the address
  * is not valid, the connection fails with an error event, as one does that is
  * refused.
+ *
+ * @param socket Unconnected socket that is used for it.
  */
-export function openConnection(address: string): Socket {
+export function openConnection<S extends Socket = Socket>(
+  address: string,
+  socket = new Socket() as S,
+): S {
   try {
-    return connect(splitAddress(address));
+    return socket.connect(splitAddress(address));
   } catch (error) {
-    return new Socket().destroy(error as Error);
+    return socket.destroy(error as Error);
   }
 }
 
