Use HttpSocket for connections to endpoints

EndpointConnection and EndpointAttempt had their own look at a reset socket beside that of HttpSocket. An answer that is reset now fails in undici, so onResponseEnd means an orderly end everywhere.

--- a/packages/daemon/src/direct/endpoint_attempt.ts
+++ b/packages/daemon/src/direct/endpoint_attempt.ts
@@ -261,13 +261,6 @@
     if (this.#mode === "closed") {
       return;
     }
-    if (this.#connection.failed) {
-      this.onResponseError(
-        undefined,
-        new Error("connection was reset before the end of the answer"),
-      );
-      return;
-    }
     const relayed = this.#mode === "relaying";
     if (relayed && this.#writer?.insideEvent) {
       this.onResponseError(
--- a/packages/daemon/src/direct/endpoint_connection.ts
+++ b/packages/daemon/src/direct/endpoint_connection.ts
@@ -1,7 +1,7 @@
 import type { Socket } from "node:net";
 import type { Millis } from "@anvildeal/core";
 import { Client, type Dispatcher } from "undici";
-import { openConnection } from "../net/index.js";
+import { openHttpSocket } from "../net/index.js";
 
 /**
  * Connecting to another instance normally takes a few milliseconds; after this
@@ -9,9 +9,6 @@
  */
 const CONNECT_TIMEOUT_MS: Millis = 250;
 
-/** Idle time after which the kernel sends TCP keep-alive probes. */
-const TCP_KEEP_ALIVE_MS: Millis = 1000;
-
 /** Idle timeout assumed of an endpoint that announces none. */
 const DEFAULT_IDLE_TIMEOUT_MS: Millis = 4000;
 
@@ -26,7 +23,6 @@
   readonly #client: Client;
   #socket: Socket | undefined;
   #closed = false;
-  #failed = false;
   #wasOpen = false;
   #closedByPeer = false;
   #idleLimitMs: Millis = DEFAULT_IDLE_TIMEOUT_MS - IDLE_MARGIN_MS;
@@ -45,20 +41,10 @@
       keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
       connect: (_options, callback) => {
-        const socket = openSocket(address);
+        const socket = openHttpSocket(address, CONNECT_TIMEOUT_MS);
         this.#socket = socket;
-        // Runs before undici's own listener, which treats a reset as the
-        // regular end of a close-delimited answer.
-        socket.on("error", () => {
-          this.#failed = true;
-        });
-        // An orderly end is also reported when the last bytes and a reset are read
-        // together. A socket that was reset has no peer any more.
-        socket.once("end", () => {
-          this.#failed ||= socket.remoteAddress === undefined;
-        });
         socket.once("close", () => {
-          this.#closedByPeer = this.#wasOpen && (this.#failed || !this.#closed);
+          this.#closedByPeer = this.#wasOpen && !this.#closed;
           this.#closed = true;
           onClosed(this);
         });
@@ -71,17 +57,9 @@
     });
   }
 
-  /** Whether the connection was closed by either side. */
+  /** Whether the connection was closed by either side or has failed. */
   get closed(): boolean {
-    return this.#closed;
-  }
-
-  /**
-   * Whether the connection failed, for example with a reset. An answer that
-   * seemed to end with the connection may then be incomplete.
-   */
-  get failed(): boolean {
-    return this.#failed;
+    return this.#closed || (this.#socket?.destroyed ?? false);
   }
 
   /** Whether the connection was open and the endpoint closed or reset it. */
@@ -92,7 +70,7 @@
   /** Whether another request may be sent after this idle time. */
   isReusable(nowMs: Millis, maxIdleMs: Millis): boolean {
     const limitMs = Math.min(maxIdleMs, this.#idleLimitMs);
-    return !this.#closed && !this.#failed &&
+    return !this.closed &&
       this.#refusedCallIds.size <= MAX_REFUSALS &&
       nowMs - this.idleSinceMs < limitMs;
   }
@@ -132,16 +110,3 @@
     });
   }
 }
-
-function openSocket(address: string): Socket {
-  const socket = openConnection(address);
-  socket.setNoDelay(true);
-  socket.setKeepAlive(true, TCP_KEEP_ALIVE_MS);
-  const timer = setTimeout(() => {
-    socket.destroy(new Error("connection to the endpoint timed out"));
-  }, CONNECT_TIMEOUT_MS);
-  const stop = () => clearTimeout(timer);
-  socket.once("connect", stop);
-  socket.once("close", stop);
-  return socket;
-}
--- a/packages/daemon/src/direct/endpoint_connection_pool.ts
+++ b/packages/daemon/src/direct/endpoint_connection_pool.ts
@@ -128,7 +128,7 @@
     address: string,
     connection: EndpointConnection,
   ): void {
-    if (connection.closed || connection.failed) {
+    if (connection.closed) {
       return;
     }
     connection.idleSinceMs = this.#clock.nowMs();
