Test that no connection waits when the port for callers closes

The test opens 20 connections and sends their requests in the turn in which the server stops to listen, so the event loop has accepted none.

--- a/packages/daemon/src/direct/edge_server_test.ts
+++ b/packages/daemon/src/direct/edge_server_test.ts
@@ -7,16 +7,19 @@
 /** More than the operating system takes for a caller that does not read. */
 const BODY = Buffer.alloc(32 * 1024 * 1024);
 
+const CALLERS = 20;
+
 describe("EdgeServer", () => {
   let server: EdgeServer;
   let caller: Socket;
   let calls: EdgeCall[];
+  let port: number;
 
   beforeEach(async () => {
     server = new EdgeServer();
     calls = [];
     server.onCall((call) => calls.push(call));
-    const port = await server.listen("127.0.0.1", 0);
+    port = await server.listen("127.0.0.1", 0);
     caller = connect(port, "127.0.0.1");
     await once(caller, "connect");
   });
@@ -32,6 +35,20 @@
     }
   }
 
+  // Guards against a stop that resets connections which the process has not accepted.
+  it("reads the requests of connections that wait when it stops listening", async () => {
+    const callers = Array.from(
+      { length: CALLERS },
+      () => connect(port, "127.0.0.1").on("error", () => {}),
+    );
+    callers.forEach((each) => each.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n"));
+    // The connections are opened in the next tick, before the event loop accepts any.
+    await new Promise(process.nextTick);
+    await server.stopListening();
+    await until(() => calls.length === CALLERS);
+    callers.forEach((each) => each.destroy());
+  });
+
   describe("has an open answer", () => {
     // Guards against a stop of the process that cuts off a request which arrives.
     it("from the head of a request on", async () => {
