Accept and read all connections before a router of the own deployment ends

Callers of the product's own routers that had connected, or had sent a request on an idle connection, when the router was told to stop got ECONNRESET: the router closed idle connections at once, without having read them, and its port at its end with connections that it had not accepted.

The router now stops listening when a turn of the event loop has brought no connection, gives the connections that came last 100 ms for their first requests, and refuses these as not run. Idle connections stay open until the end. Sidecars are not changed; they were not tried.

--- a/packages/daemon/src/router/caller_server.ts
+++ b/packages/daemon/src/router/caller_server.ts
@@ -5,7 +5,8 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { Socket } from "node:net";
+import { Server as NetServer, type Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
 import type {
   CallerRequest,
   ErrorAnswer,
@@ -13,7 +14,9 @@
   PrefixHasher,
 } from "@anvildeal/core";
 import { ConnectionCloser } from "../connection_closer.js";
+import { ConnectionCounter } from "../connection_counter.js";
 import { type Disposable, Emitter } from "../net/index.js";
+import { nextPoll } from "../next_poll.js";
 import { CallerError } from "./caller_error.js";
 import {
   keyHashOf,
@@ -34,6 +37,9 @@
 /** A caller that takes longer to read its response loses the end of it at a stop. */
 const MAX_DELIVERY_MS: Millis = 5000;
 
+/** Time for the first request of a connection that was accepted last. */
+const LAST_REQUESTS_MS: Millis = 100;
+
 export interface CallerServerOptions {
   readonly maxBodyBytes: number;
   readonly maxHeaderBytes: number;
@@ -69,6 +75,7 @@
   readonly #onDisconnected = new Emitter<string>();
   readonly #onBackpressure = new Emitter<Backpressure>();
   readonly #closer = new ConnectionCloser();
+  readonly #connections: ConnectionCounter;
 
   /** Fires for each valid request; the host must respond to it. */
   readonly onRequest = this.#onRequest.event;
@@ -90,19 +97,29 @@
       keepAliveTimeout: 60_000,
     }, (request, response) => void this.#handle(request, response));
     this.#server.on("clientError", respondToClientError);
+    this.#connections = new ConnectionCounter(this.#server);
   }
 
   listen(host: string, port: number): Promise<number> {
     return listen(this.#server, host, port);
   }
 
-  /**
-   * Closes idle connections and sends `Connection: close` with all responses
-   * that start from now on.
-   */
+  /** Sends `Connection: close` with all responses that start from now on. */
   stopKeepAlive(): void {
     this.#closer.stop();
-    this.#server.closeIdleConnections();
+  }
+
+  /**
+   * Stops listening when all connections that callers have opened are accepted, and
+   * resolves when they have had time for their first requests. Connections stay
+   * open, also those without a request.
+   */
+  async stopListening(): Promise<void> {
+    await this.#connections.untilAccepted();
+    // The method of the HTTP server would close idle connections as well.
+    NetServer.prototype.close.call(this.#server);
+    await sleep(LAST_REQUESTS_MS);
+    await nextPoll();
   }
 
   /**
--- a/packages/daemon/src/router/caller_server_test.ts
+++ b/packages/daemon/src/router/caller_server_test.ts
@@ -8,10 +8,14 @@
 /** More than the operating system takes for a caller that does not read. */
 const BODY = new Uint8Array(32 * 1024 * 1024);
 
+const CALLERS = 20;
+const REQUEST = "GET /services/app/x HTTP/1.1\r\nHost: h\r\n\r\n";
+
 describe("CallerServer", () => {
   let server: CallerServer;
   let caller: Socket;
   let requestIds: string[];
+  let port: number;
 
   beforeEach(async () => {
     server = new CallerServer({
@@ -24,7 +28,7 @@
     });
     requestIds = [];
     server.onRequest(({ requestId }) => requestIds.push(requestId));
-    const port = await server.listen("127.0.0.1", 0);
+    port = await server.listen("127.0.0.1", 0);
     caller = connect(port, "127.0.0.1");
     await once(caller, "connect");
   });
@@ -43,13 +47,31 @@
   }
 
   async function request(): Promise<string> {
-    caller.write("GET /services/app/x HTTP/1.1\r\nHost: h\r\n\r\n");
+    caller.write(REQUEST);
     while (requestIds.length === 0) {
       await sleep(5);
     }
     return requestIds[0]!;
   }
 
+  // Guards against a stop that resets connections which the process has not accepted,
+  // or has not read.
+  it("reads the requests of connections that wait when it stops listening", async () => {
+    const callers = Array.from(
+      { length: CALLERS },
+      () => connect(port, "127.0.0.1").on("error", () => {}),
+    );
+    for (const each of [caller, ...callers]) {
+      each.write(REQUEST);
+    }
+    // The connections are opened in the next tick, before the event loop accepts any.
+    await new Promise(process.nextTick);
+    server.stopKeepAlive();
+    await server.stopListening();
+    expect(requestIds.length).toBe(CALLERS + 1);
+    callers.forEach((each) => each.destroy());
+  });
+
   // Guards against a stop that cuts off the end of a response which a slow caller
   // has not taken yet.
   it("waits until the caller's connection has taken a response", async () => {
--- a/packages/daemon/src/router/router_host.ts
+++ b/packages/daemon/src/router/router_host.ts
@@ -194,6 +194,7 @@
       this.#onDrained = resolve;
       this.#dispatch({ type: "drain_requested", nowMs: this.#nowMs() });
     });
+    await this.#callerServer.stopListening();
     await this.#callerServer.untilDelivered();
   }
 
