Fail answers of store and instance list that are reset

A router could take an object for absent, or a conflict for one without a current object, although the store had said so only in an answer that it then reset: HttpExchange took the reset for the end of an answer without a length.

A shorter list was not seen: the other cut lists are no JSON and were errors before.

--- a/packages/daemon/src/config_sync/instance_list_client.ts
+++ b/packages/daemon/src/config_sync/instance_list_client.ts
@@ -5,6 +5,7 @@
 } from "@anvildeal/core";
 import { Agent, request } from "undici";
 import { z } from "zod";
+import { httpConnector } from "../net/index.js";
 import { InstanceListError } from "./instance_list_error.js";
 import { readText } from "../read_text.js";
 import type { Timers } from "./timers.js";
@@ -12,6 +13,9 @@
 /** Limit of a list, which has some 200 bytes for each instance. */
 const MAX_LIST_BYTES = 8 * 1024 * 1024;
 
+/** A poll ends sooner by its own time limit. */
+const CONNECT_TIMEOUT_MS: Millis = 10_000;
+
 /** Body of `GET /instances`. Its rows are decoded one by one. */
 const InstanceListSchema = z.object({
   version: z.number(),
@@ -50,6 +54,7 @@
     connections: 1,
     headersTimeout: 0,
     bodyTimeout: 0,
+    connect: httpConnector(CONNECT_TIMEOUT_MS),
   });
   #etag: string | undefined;
 
--- a/packages/daemon/src/store/http_object_store.ts
+++ b/packages/daemon/src/store/http_object_store.ts
@@ -12,6 +12,7 @@
 import { setMaxListeners } from "node:events";
 import { Agent } from "undici";
 import { z } from "zod";
+import { httpConnector } from "../net/index.js";
 import {
   HttpExchange,
   HttpExchangeError,
@@ -263,7 +264,7 @@
     const agent = new Agent({
       headersTimeout: 0,
       bodyTimeout: 0,
-      connect: { timeout: this.#requestTimeoutMs },
+      connect: httpConnector(this.#requestTimeoutMs),
     });
     this.#agents.add(agent);
     return agent;
--- a/packages/daemon/src/store/http_object_store_test.ts
+++ b/packages/daemon/src/store/http_object_store_test.ts
@@ -4,6 +4,11 @@
   StoreUnknownOutcomeError,
 } from "@anvildeal/core";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import {
+  RawServer,
+  UNFRAMED_HEADS,
+  writeAndReset,
+} from "../net/raw_server_fixture.js";
 import { HttpObjectStore, type StoreCall } from "./http_object_store.js";
 import {
   ObjectServer,
@@ -255,3 +260,46 @@
     });
   });
 });
+
+// Guards against a conflict or an absent object that nobody reported: the client
+// took a reset for the end of an answer without a length.
+describe("a store that resets an answer without a length", () => {
+  const RESET_DELAY_MS = 5;
+  let resetting: RawServer;
+  let client: HttpObjectStore;
+
+  beforeEach(async () => {
+    resetting = new RawServer(() => {});
+    await resetting.listen();
+    client = new HttpObjectStore({
+      url: resetting.url,
+      requestTimeoutMs: 1_000,
+    });
+  });
+  afterEach(async () => {
+    await client.dispose();
+    resetting.close();
+  });
+
+  describe.each(UNFRAMED_HEADS)("after the head %j", (ok) => {
+    function resetAfter(status: number, body: string): void {
+      const head = ok.replace("200", String(status));
+      resetting.answer = (socket) =>
+        writeAndReset(socket, { head, body, delayMs: RESET_DELAY_MS });
+    }
+
+    it("is unavailable to reads", async () => {
+      resetAfter(404, "");
+      await expect(client.get(KEY)).rejects.toThrow(StoreUnavailableError);
+      resetAfter(200, '{"items":[');
+      await expect(client.list("", { limit: 1 })).rejects
+        .toThrow(StoreUnavailableError);
+    });
+
+    it("leaves the outcome of writes unknown", async () => {
+      resetAfter(412, "");
+      await expect(client.update(KEY, 1, 1)).rejects
+        .toThrow(StoreUnknownOutcomeError);
+    });
+  });
+});
