Count answers that are reset as broken in load tool and baseline

The load tool counted an answer without a length as whole though its connection was reset, so experiments could hide broken answers, and the baseline passed such an answer on as complete.

Same cause as in EngineClient: undici takes a reset for the end of an answer without a length. LoadClient, callJson, the proxy of the overhead experiment and PassThrough use httpConnector now.

--- a/packages/baseline/src/pass_through.ts
+++ b/packages/baseline/src/pass_through.ts
@@ -21,6 +21,7 @@
   type Collection,
   type DirectSettings,
   endToEndHeaders,
+  httpConnector,
 } from "@anvildeal/daemon";
 import {
   decodeConfig,
@@ -46,6 +47,8 @@
  */
 const MAX_RANKED_ENDPOINTS = 3;
 
+const CONNECT_TIMEOUT_MS: Millis = 10_000;
+
 const DEFAULT_DEADLINE_MS: Millis = 60_000;
 
 /**
@@ -72,7 +75,10 @@
 export class PassThrough {
   readonly #settings: DirectSettings;
   readonly #dialect = new PlatformDialect();
-  readonly #agent = new Agent({ keepAliveTimeout: 5000 });
+  readonly #agent = new Agent({
+    keepAliveTimeout: 5000,
+    connect: httpConnector(CONNECT_TIMEOUT_MS),
+  });
   readonly #configs: Collection<RoutingConfig>;
   readonly #endpoints: Collection<EndpointRecord>;
   readonly #callerServer: Server;
--- a/packages/baseline/src/pass_through_test.ts
+++ b/packages/baseline/src/pass_through_test.ts
@@ -61,6 +61,21 @@
     expect(usedEndpoints).toHaveLength(1);
   });
 
+  // Guards against an answer that looks complete because a reset was taken for
+  // the end of an answer without a length.
+  it("breaks an answer off if the endpoint resets it", async () => {
+    for (const endpoint of platform.appEndpoints) {
+      endpoint.behaviour = (_request, response) => {
+        response.useChunkedEncodingByDefault = false;
+        response.writeHead(200, { "Connection": "close" });
+        response.write("half", () => response.socket?.resetAndDestroy());
+      };
+    }
+    const result = await call(port, "/write/a", { body: "x" })
+      .catch(() => undefined);
+    expect(result?.complete && result.status === 200).toBeFalsy();
+  });
+
   it("answers 404 if no route matches", async () => {
     expect((await call(port, "/nowhere")).status).toBe(404);
   });
--- a/packages/bench/src/fleet/json_client.ts
+++ b/packages/bench/src/fleet/json_client.ts
@@ -1,10 +1,15 @@
+import { httpConnector } from "@anvildeal/daemon";
 import { Agent, request } from "undici";
 import { FleetError } from "./fleet_error.js";
 
 const CALL_TIMEOUT_MS = 5000;
 
 /** Closes idle connections after 1 s, because processes start and end often. */
-const agent = new Agent({ keepAliveTimeout: 1000, connections: 4 });
+const agent = new Agent({
+  keepAliveTimeout: 1000,
+  connections: 4,
+  connect: httpConnector(CALL_TIMEOUT_MS),
+});
 
 export interface JsonCall {
   readonly method?: "GET" | "PUT" | "POST" | "DELETE";
--- a/packages/bench/src/load/load_client.ts
+++ b/packages/bench/src/load/load_client.ts
@@ -1,3 +1,4 @@
+import { httpConnector } from "@anvildeal/daemon";
 import { Agent, type Dispatcher, request } from "undici";
 import { classifyAnswer } from "./classify_answer.js";
 import type {
@@ -13,6 +14,7 @@
  * answer.
  */
 const REQUEST_TIMEOUT_MS = 60_000;
+const CONNECT_TIMEOUT_MS = 2000;
 const CONNECTIONS_PER_ROUTER = 512;
 
 export interface LoadTarget {
@@ -67,7 +69,7 @@
     keepAliveTimeout: 4000,
     headersTimeout: REQUEST_TIMEOUT_MS,
     bodyTimeout: REQUEST_TIMEOUT_MS,
-    connect: { timeout: 2000 },
+    connect: httpConnector(CONNECT_TIMEOUT_MS),
   });
   #nextRouter = 0;
 
--- a/packages/bench/src/pass_through_main.ts
+++ b/packages/bench/src/pass_through_main.ts
@@ -5,6 +5,7 @@
 } from "node:http";
 import { pipeline } from "node:stream/promises";
 import { parseArgs } from "node:util";
+import { httpConnector } from "@anvildeal/daemon";
 import { listenOnLoopback } from "@anvildeal/stand-ins";
 import { Agent, request } from "undici";
 
@@ -17,7 +18,12 @@
   options: { target: { type: "string", multiple: true } },
 });
 const targets = values.target ?? [];
-const agent = new Agent({ connections: 256, pipelining: 1 });
+const CONNECT_TIMEOUT_MS = 10_000;
+const agent = new Agent({
+  connections: 256,
+  pipelining: 1,
+  connect: httpConnector(CONNECT_TIMEOUT_MS),
+});
 let nextTarget = 0;
 
 async function forward(
