Wait for stored origins of streams while they are being read

Callers that took streams up after the loss of all routers were refused with 503 stream_version_unknown by routers that had just started, although the records of these streams were stored and endpoints of their version served.

Cause: a take-up waited 0.4 s for other routers and for the store together. A process that has just started, or a slow store, takes longer to read the records; the read went on and ended well, but its requests were refused by then, and nothing is told to a caller that is refused.

Other routers are still asked for 0.4 s. If a read of the records is in progress then, the request waits for its end, 1.1 s more at most, since the calls of a read end within 1.5 s; the deadline of the request holds as before. No origin is guessed, and a read that fails ends the wait at once.

--- a/packages/core/src/direct/direct_state.ts
+++ b/packages/core/src/direct/direct_state.ts
@@ -111,6 +111,8 @@
    * all that any router knew when it began streams.
    */
   isFleetConnected: boolean;
+  /** Whether the time for the questions is over, and only a read goes on. */
+  awaitsReadOnly: boolean;
 }
 
 /** A request that the router has accepted and that has not ended. */
--- a/packages/core/src/direct/origin_lookup.ts
+++ b/packages/core/src/direct/origin_lookup.ts
@@ -21,6 +21,13 @@
  */
 const ORIGIN_LOOKUP_MS: Millis = 400;
 
+/**
+ * Maximum further time for which it waits for a read of the stored records that
+ * is in progress. A process that has just started reads slowly, and a caller that
+ * is refused may not come back. The calls of a read end within 1.5 s.
+ */
+const RECORDS_READ_MS: Millis = 1100;
+
 /**
  * Places a new request. One that continues a stream goes to the version that
  * began it. If this router does not know it, other routers are asked, and the
@@ -46,6 +53,7 @@
     records: "not_asked",
     versions: "not_asked",
     isFleetConnected: false,
+    awaitsReadOnly: false,
   };
   request.originLookup = lookup;
   const asked = knowsPast(state, nowMs)
@@ -92,9 +100,17 @@
     return [];
   }
   lookup.awaitsPeers = false;
-  return lookup.records === "not_asked" && lookup.versions === "not_asked"
-    ? [setTimer(request), ...advance(state, request, nowMs)]
-    : endLookup(state, request, undefined, nowMs);
+  if (lookup.records === "not_asked" && lookup.versions === "not_asked") {
+    return [setTimer(request), ...advance(state, request, nowMs)];
+  }
+  if (lookup.records === "awaited" && !lookup.awaitsReadOnly) {
+    lookup.awaitsReadOnly = true;
+    return [
+      setTimer(request, RECORDS_READ_MS),
+      ...advance(state, request, nowMs),
+    ];
+  }
+  return endLookup(state, request, undefined, nowMs);
 }
 
 /** Takes over what was stored, and places the requests that waited for it. */
@@ -201,13 +217,11 @@
   return [{ type: "check_versions", key }];
 }
 
-function setTimer({ key }: ActiveRequest): DirectEffect {
-  return {
-    type: "set_timer",
-    key,
-    timer: "attempt",
-    delayMs: ORIGIN_LOOKUP_MS,
-  };
+function setTimer(
+  { key }: ActiveRequest,
+  delayMs: Millis = ORIGIN_LOOKUP_MS,
+): DirectEffect {
+  return { type: "set_timer", key, timer: "attempt", delayMs };
 }
 
 function endLookup(
