Log where streams broke off and which runs they are joined from

The log lines of a stream did not tell apart a piece that is missing or comes twice, runs that are joined, and an end that looks complete: they named neither the last event that was relayed nor the framing and the end of the endpoint's connection.

direct_request_finished, and direct_attempt_failed of a stream that has begun, now have runs (attempt and software version of each answer that was relayed), framing, connection, last_event_id and inside_event. The outcome tells who ended the stream, as before. The fields are found once for a request, from the last two chunks; only streams have them.

--- a/packages/core/src/direct/direct_admission.ts
+++ b/packages/core/src/direct/direct_admission.ts
@@ -229,6 +229,7 @@
     blockedTrait: undefined,
     originLookup: undefined,
     answerStarted: false,
+    runs: [],
     relayedHead: undefined,
     answerStatus: undefined,
     lastFailureReason: undefined,
--- a/packages/core/src/direct/direct_attempt.ts
+++ b/packages/core/src/direct/direct_attempt.ts
@@ -8,6 +8,7 @@
   DirectRefusalReason,
 } from "./direct_event.js";
 import type { DirectEndpoint } from "./direct_endpoint.js";
+import { answerFields } from "./answer_report.js";
 import { closeAttempt, finishRequest, refuse } from "./direct_finish.js";
 import { asksForBackoff, observeEndpoint } from "./endpoint_answer.js";
 import { availableEndpoints, shortageOf } from "./endpoint_availability.js";
@@ -221,6 +222,7 @@
   request.snapshot =
     transitionRequest(request.snapshot, { type: "accepted" }).snapshot;
   request.answerStarted = true;
+  request.runs.push(`${attempt.number}:${attempt.softwareVersion ?? ""}`);
   // Keep the status of the first attempt: when a stream is resumed, the caller
   // has already received that status.
   request.answerStatus ??= head.status;
@@ -448,6 +450,7 @@
         failure: kind,
         sent,
         detail,
+        ...answerFields(request),
         after_ms: Math.round(nowMs - attempt.startedMs),
         prompt_parts: sharedPromptParts(request.call).map(({ id }) => id)
           .join(",") || undefined,
--- a/packages/core/src/direct/direct_event.ts
+++ b/packages/core/src/direct/direct_event.ts
@@ -1,6 +1,7 @@
 import type { Millis } from "../clock.js";
 import type { LogEventName, LogFields } from "../log_events.js";
 import type { Measurement } from "../metric_names.js";
+import type { AnswerReport } from "./answer_report.js";
 import type { EndpointChange } from "./endpoint_directory.js";
 import type { ReportedLoad } from "./direct_endpoint.js";
 import type { RoutingConfig } from "./routing_config.js";
@@ -56,6 +57,8 @@
    * called, so it is called only if an endpoint may have crashed.
    */
   readonly contentDigest: () => string;
+  /** Describes the answer relayed so far, if one has begun. */
+  readonly answerReport?: () => AnswerReport | undefined;
 }
 
 /** Status and headers of an endpoint's answer. */
--- a/packages/core/src/direct/direct_finish.ts
+++ b/packages/core/src/direct/direct_finish.ts
@@ -1,6 +1,7 @@
 import type { Millis } from "../clock.js";
 import { transitionRequest } from "../router/request_machine.js";
 import type { LogFields } from "../log_events.js";
+import { answerFields } from "./answer_report.js";
 import type {
   DirectCall,
   DirectEffect,
@@ -201,6 +202,7 @@
         endpoint: endpointId,
         attempts: request.attemptCount,
         possible_runs: request.possibleExecutions,
+        ...answerFields(request),
         ...blockedTraitFields(request),
         took_ms: Math.round(nowMs - request.receivedMs),
         deadline_ms: Math.round(request.deadlineAtMs - request.receivedMs),
--- a/packages/core/src/direct/direct_state.ts
+++ b/packages/core/src/direct/direct_state.ts
@@ -149,6 +149,8 @@
   originLookup: OriginLookup | undefined;
   /** Whether the head of an answer was relayed to the caller. */
   answerStarted: boolean;
+  /** Attempts whose answers were relayed, each with its software version. */
+  readonly runs: string[];
   /** Head of the answer that was relayed first; others may continue its stream. */
   relayedHead: StreamHead | undefined;
   /** HTTP status that was sent to the caller, if any. */
--- a/packages/core/src/direct/index.ts
+++ b/packages/core/src/direct/index.ts
@@ -1,4 +1,5 @@
 export * from "./choose_endpoint.js";
+export * from "./answer_report.js";
 export * from "./direct_event.js";
 export {
   canServe,
--- a/packages/daemon/src/direct/answer_writer.ts
+++ b/packages/daemon/src/direct/answer_writer.ts
@@ -1,9 +1,20 @@
+import type {
+  AnswerFraming,
+  AnswerReport,
+  ConnectionEnding,
+} from "@anvildeal/core";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { SseEventBuffer } from "./sse_event_buffer.js";
 import { SseEventTracker } from "./sse_event_tracker.js";
 import type { RawHeaders } from "./call_dialect.js";
 
-export interface AnswerFraming {
+/** Where the answer comes from. */
+export interface AnswerSource {
+  readonly framing: AnswerFraming;
+  readonly connectionEnding: ConnectionEnding;
+}
+
+export interface EventFraming {
   /** Forward only complete server-sent events; buffer partial ones. */
   readonly bufferEvents: boolean;
   /** The body is a stream of server-sent events. */
@@ -23,6 +34,9 @@
    * has no other mark for a body of unknown length.
    */
   #closeDelimited = false;
+  #source: AnswerSource | undefined;
+  /** The last two chunks of a stream whose events are not buffered. */
+  #lastChunks: readonly Buffer[] = [];
   readonly #announceClose: () => boolean;
 
   /**
@@ -66,10 +80,12 @@
    * writes: if the router ends first, the answer is visibly incomplete.
    */
   begin(
+    source: AnswerSource,
     status: number,
     headers: RawHeaders,
-    { bufferEvents, eventStream }: AnswerFraming,
+    { bufferEvents, eventStream }: EventFraming,
   ): void {
+    this.#source = source;
     if (this.response.headersSent) {
       return;
     }
@@ -102,6 +118,9 @@
    */
   write(chunk: Buffer): boolean {
     this.#eventTracker?.push(chunk);
+    if (this.#eventTracker && !this.#eventBuffer) {
+      this.#lastChunks = [...this.#lastChunks.slice(-1), chunk];
+    }
     const bytes = this.#eventBuffer ? this.#eventBuffer.push(chunk) : chunk;
     return bytes.length === 0 || this.response.write(bytes);
   }
@@ -114,6 +133,19 @@
     return this.#eventTracker?.insideEvent ?? false;
   }
 
+  /** Describes the answer so far; undefined if none has begun. */
+  get report(): AnswerReport | undefined {
+    const source = this.#source;
+    return source && {
+      framing: source.framing,
+      connection: source.connectionEnding,
+      lastEventId: this.#eventBuffer
+        ? this.#eventBuffer.lastEventId
+        : lastIdIn(this.#lastChunks),
+      isInsideEvent: !this.#eventBuffer && this.insideEvent,
+    };
+  }
+
   end(): void {
     const rest = this.#eventBuffer?.flush();
     this.response.end(rest && rest.length > 0 ? rest : undefined);
@@ -135,6 +167,11 @@
   }
 }
 
+function lastIdIn(chunks: readonly Buffer[]): string | undefined {
+  const text = Buffer.concat(chunks).toString("latin1");
+  return [...text.matchAll(/^id: ?(.*?)\r?$/gm)].at(-1)?.[1];
+}
+
 function hasContentLength(headers: RawHeaders): boolean {
   return headers.some((name, i) =>
     i % 2 === 0 && name.toLowerCase() === "content-length"
--- a/packages/daemon/src/direct/direct_router_host.ts
+++ b/packages/daemon/src/direct/direct_router_host.ts
@@ -370,6 +370,7 @@
       call: {
         ...this.#dialect.readCall(request, body.length),
         contentDigest: lazyContentDigest(request, body),
+        answerReport: () => writer.report,
       },
     });
   }
--- a/packages/daemon/src/direct/endpoint_attempt.ts
+++ b/packages/daemon/src/direct/endpoint_attempt.ts
@@ -1,8 +1,10 @@
 import {
+  type AnswerFraming,
   type AnswerHead,
   type AttemptFailure,
   canBeContinued,
   type Clock,
+  type ConnectionEnding,
   isEventStream,
   type Millis,
   type StartAttempt,
@@ -10,7 +12,7 @@
   streamHeadOf,
 } from "@anvildeal/core";
 import type { Dispatcher } from "undici";
-import type { AnswerWriter } from "./answer_writer.js";
+import type { AnswerSource, AnswerWriter } from "./answer_writer.js";
 import type { CallDialect, RawHeaders } from "./call_dialect.js";
 import type { EndpointConnection } from "./endpoint_connection.js";
 import {
@@ -58,7 +60,8 @@
 type Mode = "pending" | "relaying" | "discarding" | "closed";
 
 /** One request to an endpoint and its answer, on one connection. */
-export class EndpointAttempt implements Dispatcher.DispatchHandler {
+export class EndpointAttempt
+  implements AnswerSource, Dispatcher.DispatchHandler {
   readonly effect: StartAttempt;
   readonly #connection: EndpointConnection;
   readonly #dialect: CallDialect;
@@ -70,6 +73,7 @@
   #head: StreamHead = { status: 0 };
   #headers: RawHeaders = [];
   #endpointClosesConnection = false;
+  #framing: AnswerFraming = "chunks";
   #discardedBytes = 0;
   #hasReceivedBody = false;
   #lastReceivedMs: Millis;
@@ -121,6 +125,14 @@
       !this.#controller?.paused;
   }
 
+  get framing(): AnswerFraming {
+    return this.#framing;
+  }
+
+  get connectionEnding(): ConnectionEnding {
+    return this.#connection.ending;
+  }
+
   /** Whether another attempt can continue the answer that is relayed. */
   get canResume(): boolean {
     return this.#writer?.canResume ?? false;
@@ -158,6 +170,7 @@
     this.#mode = "relaying";
     this.#writer = writer;
     writer.begin(
+      this,
       this.#head.status,
       [...this.#headers, "Anvildeal-Endpoint", this.effect.endpointId],
       {
@@ -304,10 +317,9 @@
     headers: Readonly<Record<string, string | string[] | undefined>>,
   ): void {
     const connection = String(headers["connection"] ?? "").toLowerCase();
-    const endsWithConnection = headers["content-length"] === undefined &&
-      headers["transfer-encoding"] === undefined;
+    this.#framing = framingOf(headers);
     this.#endpointClosesConnection = connection.includes("close") ||
-      endsWithConnection;
+      this.#framing === "connection";
     const timeout = /timeout=(\d+)/.exec(String(headers["keep-alive"] ?? ""));
     if (timeout) {
       this.#connection.applyIdleTimeout(Number(timeout[1]) * 1000);
@@ -324,6 +336,15 @@
   }
 }
 
+function framingOf(
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+): AnswerFraming {
+  if (headers["transfer-encoding"] !== undefined) {
+    return "chunks";
+  }
+  return headers["content-length"] === undefined ? "connection" : "length";
+}
+
 function failureKind(error: Error, sent: boolean): AttemptFailure["kind"] {
   if (!sent) {
     return "connect";
--- a/packages/daemon/src/direct/endpoint_connection.ts
+++ b/packages/daemon/src/direct/endpoint_connection.ts
@@ -1,5 +1,5 @@
 import type { Socket } from "node:net";
-import type { Millis } from "@anvildeal/core";
+import type { ConnectionEnding, Millis } from "@anvildeal/core";
 import { Client, type Dispatcher } from "undici";
 import { openHttpSocket } from "../net/index.js";
 
@@ -25,6 +25,7 @@
   #closed = false;
   #wasOpen = false;
   #closedByPeer = false;
+  #endedByPeer = false;
   #idleLimitMs: Millis = DEFAULT_IDLE_TIMEOUT_MS - IDLE_MARGIN_MS;
   /** Ids of the calls that were refused on this connection. */
   readonly #refusedCallIds = new Set<string>();
@@ -43,6 +44,9 @@
       connect: (_options, callback) => {
         const socket = openHttpSocket(address, CONNECT_TIMEOUT_MS);
         this.#socket = socket;
+        socket.once("end", () => {
+          this.#endedByPeer = true;
+        });
         socket.once("close", () => {
           this.#closedByPeer = this.#wasOpen && !this.#closed;
           this.#closed = true;
@@ -62,6 +66,14 @@
     return this.#closed || (this.#socket?.destroyed ?? false);
   }
 
+  /** Whether the endpoint has ended the connection, and how. */
+  get ending(): ConnectionEnding {
+    if (this.#socket?.errored) {
+      return "reset";
+    }
+    return this.#endedByPeer ? "closed" : "open";
+  }
+
   /** Whether the connection was open and the endpoint closed or reset it. */
   get closedByPeer(): boolean {
     return this.#closedByPeer;
