Count the grace time of a stop from before a hold-up

A router that got no processor time when it was told to stop handled the signal late and counted its grace time from then, so it was killed with requests in hand, before it answered what was left. It also accepted requests for longer than 3 s after the signal.

The periodic timer of the router shows a hold-up: if it is over 0.2 s late, which the margin before the kill does not cover, a signal that is handled within 50 ms after it is dated back to the timer before. process_stopping logs by how much (held_up_ms).

--- a/packages/daemon/src/direct/direct_router_host.ts
+++ b/packages/daemon/src/direct/direct_router_host.ts
@@ -17,6 +17,7 @@
   STOP_MARGIN_MS,
 } from "@anvildeal/core";
 import { EventQueue } from "../event_queue.js";
+import { HoldUpWatch } from "../hold_up_watch.js";
 import { listen } from "../listen.js";
 import { FailureLog, type Logger } from "../logging/index.js";
 import { MetricRegistry } from "../metrics/index.js";
@@ -105,6 +106,7 @@
   readonly #earlyConnections: EarlyConnections | undefined;
   #tickTimer: NodeJS.Timeout | undefined;
   #reviewTimer: NodeJS.Timeout | undefined;
+  readonly #holdUpWatch = new HoldUpWatch(TICK_INTERVAL_MS);
   #loggedReady = false;
   /** The longest time by which a wait of the stop took longer than it should. */
   #longestDelayMs: Millis = 0;
@@ -221,6 +223,7 @@
     if (metricsAddress !== undefined) {
       await this.#metricsServer.listen(metricsAddress);
     }
+    this.#holdUpWatch.tick(this.#clock.nowMs());
     this.#tickTimer = setInterval(() => this.#onTick(), TICK_INTERVAL_MS);
     this.#stallCheck.start();
   }
@@ -246,12 +249,15 @@
    * @param signal Name of the signal, for the log.
    */
   async drain(signal?: string): Promise<void> {
-    const startedMs = this.#clock.nowMs();
+    const nowMs = this.#clock.nowMs();
+    // The process is killed when the grace time since the signal is over.
+    const startedMs = this.#holdUpWatch.earliestMs(nowMs);
     const elapsedMs = () => this.#clock.nowMs() - startedMs;
     this.#logger.log("process_stopping", {
       signal,
       grace_ms: this.#settings.stopGraceMs,
       ready: this.#isReady(),
+      held_up_ms: Math.round(elapsedMs()),
       ...this.#openCounts(),
     });
     this.#queue.push({ type: "stopping", nowMs: startedMs });
@@ -345,6 +351,7 @@
   }
 
   #onTick(): void {
+    this.#holdUpWatch.tick(this.#clock.nowMs());
     this.#queue.push({ type: "tick", nowMs: this.#clock.nowMs() });
     this.#connections.closeExpired();
     this.#directorySync.tick(localInFlightByEndpoint(this.#state));
