Use late answers on the versions that serve after all routers were lost

Cause: the list of endpoints that must be newer than the call was given up after 0.4 s, so that calls on silent connections do not hold up later requests.

A call that is held up for 0.4 s now lets the next one begin and goes on for up to 0.8 s, so two at most are in progress. What may be concluded from an answer is as before.

--- a/packages/daemon/src/direct/version_check.ts
+++ b/packages/daemon/src/direct/version_check.ts
@@ -9,8 +9,17 @@
 import type { Disposable } from "../net/index.js";
 import type { Collection } from "./collection.js";
 
-/** A call without an answer for this long may be on a silent connection. */
-const CALL_TIMEOUT_MS: Millis = 400;
+/**
+ * A call without an answer for this long may be on a silent connection, so that the
+ * next one no longer waits for it.
+ */
+const HELD_UP_MS: Millis = 400;
+
+/**
+ * Time limit of a call. The answer to a process that has just started is late;
+ * more than two calls at a time would take connections that others need.
+ */
+const CALL_TIMEOUT_MS: Millis = 2 * HELD_UP_MS;
 
 export interface VersionCheckOptions {
   readonly endpoints: Collection<EndpointRecord>;
@@ -22,7 +31,7 @@
 /**
  * Reads from the directory which software versions serve. Requests that come
  * while a call is in progress share the next one, since its answer may be older
- * than they are.
+ * than they are. That one begins when the call ends or is held up.
  */
 export class VersionCheck implements Disposable {
   readonly #options: VersionCheckOptions;
@@ -51,20 +60,30 @@
     while (this.#waiting.length > 0) {
       const keys = this.#waiting;
       this.#waiting = [];
-      const services = await this.#read();
-      const nowMs = this.#options.clock.nowMs();
-      for (const key of keys) {
-        this.#options.push({
-          type: "versions_checked",
-          nowMs,
-          key,
-          ...(services ? { services } : {}),
+      await new Promise<void>((resolve) => {
+        const timer = setTimeout(resolve, HELD_UP_MS);
+        void this.#answer(keys).finally(() => {
+          clearTimeout(timer);
+          resolve();
         });
-      }
+      });
     }
     this.#isCalling = false;
   }
 
+  async #answer(keys: readonly number[]): Promise<void> {
+    const services = await this.#read();
+    const nowMs = this.#options.clock.nowMs();
+    for (const key of keys) {
+      this.#options.push({
+        type: "versions_checked",
+        nowMs,
+        key,
+        ...(services ? { services } : {}),
+      });
+    }
+  }
+
   async #read(): Promise<ServiceVersions[] | undefined> {
     const { endpoints, logger } = this.#options;
     try {
