Fire the timers of requests after what has arrived is read

A router that got no processor time for a while answered 504 for a request whose answer had arrived meanwhile, or sent it once more: overdue timers run before sockets are read.

The timers of requests now fire after the event loop has read from all sockets once more, unless they are cleared then.

--- a/packages/daemon/src/direct/request_timers.ts
+++ b/packages/daemon/src/direct/request_timers.ts
@@ -1,7 +1,12 @@
 import type { Millis, RequestTimer } from "@anvildeal/core";
 import type { Disposable } from "../net/index.js";
+import { afterNextPoll } from "../next_poll.js";
 
-/** The timers of the requests of a router; one of each kind for a request. */
+/**
+ * The timers of the requests of a router; one of each kind for a request. They fire
+ * after what has arrived is read, since a process that was held up runs overdue
+ * timers first.
+ */
 export class RequestTimers implements Disposable {
   readonly #onFired: (key: number, timer: RequestTimer) => void;
   readonly #timers = new Map<string, NodeJS.Timeout>();
@@ -14,11 +19,14 @@
   set(key: number, timer: RequestTimer, delayMs: Millis): void {
     this.clear(key, timer);
     const id = timerId(key, timer);
-    const onTimeout = () => {
-      this.#timers.delete(id);
-      this.#onFired(key, timer);
+    const fire = () => {
+      if (this.#timers.get(id) === timeout) {
+        this.#timers.delete(id);
+        this.#onFired(key, timer);
+      }
     };
-    this.#timers.set(id, setTimeout(onTimeout, delayMs));
+    const timeout = setTimeout(() => afterNextPoll(fire), delayMs);
+    this.#timers.set(id, timeout);
   }
 
   clear(key: number, timer: RequestTimer): void {
