Take nothing from the retry budget for requests that no endpoint received

Callers were refused with 503 although three to six engines were up and listed, mostly soon after a router had started or an engine had crashed: a connection to the process that had ended was not made, and the router had no retry left.

The budget bounds what endpoints get beyond the first arrival of each request. An attempt without a connection has sent nothing, so its retry is no further arrival; it is still bounded by the number of retries of a request that did not run. An attempt that an endpoint refused still takes a retry for the next one, also if it is answered 421.

--- a/packages/core/src/direct/direct_attempt.ts
+++ b/packages/core/src/direct/direct_attempt.ts
@@ -361,7 +361,8 @@
 /**
  * Retries the request if the retry budget allows it and the request may run
  * again or cannot have run. Otherwise refuses the request, or aborts its answer
- * if a part of the answer was relayed.
+ * if a part of the answer was relayed. An attempt that reached no endpoint leaves
+ * the budget as it was, since the endpoints get no more requests by its retry.
  */
 function retryOrFail(
   state: DirectState,
@@ -376,7 +377,9 @@
     ? canRetry(state, request, nowMs) && (!request.answerStarted || canResume)
     : request.attemptCount <= MAX_NOT_RUN_RETRIES &&
       hasOtherEndpoint(state, request, nowMs);
-  const willRetry = retryAllowed && tryConsumeRetry(state, request);
+  const hasArrived = reason !== "endpoints_unreachable";
+  const willRetry = retryAllowed &&
+    (!hasArrived || tryConsumeRetry(state, request));
   const event = mayHaveRun
     ? { type: "failed_unknown", mayRetry: willRetry } as const
     : { type: "refused_not_run", mayTryNext: willRetry } as const;
--- a/packages/core/src/direct/reduce_direct_test.ts
+++ b/packages/core/src/direct/reduce_direct_test.ts
@@ -641,6 +641,40 @@
       expect(attempts).toBeGreaterThan(40);
       expect(attempts).toBeLessThanOrEqual(allowed);
     });
+
+    // Guards against requests that are refused although endpoints are free: a
+    // connection that was not established has sent no endpoint a request.
+    it("still sends requests elsewhere that no endpoint received", () => {
+      const state = createServingState();
+      const placed = Array.from({ length: 40 }, (_, i) => {
+        const [first] = startedAttempts(receiveCall(state, "/write/x", i + 1));
+        return startedAttempts(reduceDirect(state, {
+          type: "attempt_failed",
+          nowMs: 1,
+          key: i + 1,
+          attemptNumber: 1,
+          failure: { kind: "connect", sent: false },
+          canResume: true,
+        })).filter(({ endpointId }) => endpointId !== first!.endpointId);
+      });
+      expect(placed.filter((attempts) => attempts.length !== 1)).toEqual([]);
+    });
+
+    it("sends no request elsewhere that an endpoint received", () => {
+      const state = createServingState();
+      const retried = Array.from({ length: 40 }, (_, i) => {
+        receiveCall(state, "/write/x", i + 1);
+        return startedAttempts(reduceDirect(state, {
+          type: "attempt_head",
+          nowMs: 1,
+          key: i + 1,
+          attemptNumber: 1,
+          head: { ...HEAD, status: 421, notRun: true, misdirected: true },
+        }));
+      }).flat();
+      const allowed = 40 * OPTIONS.retryRatio + OPTIONS.retryExtra;
+      expect(retried.length).toBeLessThanOrEqual(allowed);
+    });
   });
 
   // Guards against requests that fail at a crashed endpoint for as long as the
