Read whether a connection is open before giving it up

A process that was held up for longer than the time limit of a connection gave it up although it was open: the timer fires before the event loop reads the sockets.

Seen once at load 38: "no connection to ... within 500 ms" on loopback, as a 503 in pass_through_test.ts. The new test fails without the change.

--- a/packages/daemon/src/net/http_socket.ts
+++ b/packages/daemon/src/net/http_socket.ts
@@ -62,14 +62,21 @@
   const socket = openConnection(address, new HttpSocket());
   socket.setNoDelay(true);
   socket.setKeepAlive(true, TCP_KEEP_ALIVE_MS);
+  let check: NodeJS.Immediate | undefined;
   const timer = setTimeout(() => {
-    socket.destroy(
-      new errors.ConnectTimeoutError(
-        `no connection to ${address} within ${connectTimeoutMs} ms`,
-      ),
-    );
+    // A process that was held up first reads whether the connection is open.
+    check = setImmediate(() => {
+      socket.destroy(
+        new errors.ConnectTimeoutError(
+          `no connection to ${address} within ${connectTimeoutMs} ms`,
+        ),
+      );
+    });
   }, connectTimeoutMs);
-  const stop = () => clearTimeout(timer);
+  const stop = () => {
+    clearTimeout(timer);
+    clearImmediate(check);
+  };
   socket.once("connect", stop);
   socket.once("close", stop);
   return socket;
--- a/packages/daemon/src/net/http_socket_test.ts
+++ b/packages/daemon/src/net/http_socket_test.ts
@@ -1,6 +1,7 @@
+import { once } from "node:events";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { Agent, request } from "undici";
-import { httpConnector } from "./http_socket.js";
+import { httpConnector, openHttpSocket } from "./http_socket.js";
 import {
   CUT_ANSWERS,
   RawServer,
@@ -10,6 +11,8 @@
 
 const CONNECT_TIMEOUT_MS = 1000;
 
+const STEP_MS = 50;
+
 describe("httpConnector", () => {
   let server: RawServer;
   let agent: Agent;
@@ -40,6 +43,18 @@
     expect(await read()).toBe("whole");
   });
 
+  // Guards against a time-out of a connection that opened while the process was held
+  // up for longer than the time limit.
+  it("connects if the process was held up", async () => {
+    const socket = openHttpSocket(new URL(server.url).host, STEP_MS);
+    const untilMs = performance.now() + 2 * STEP_MS;
+    while (performance.now() < untilMs) {
+      // Holds up the event loop.
+    }
+    await once(socket, "connect");
+    socket.destroy();
+  });
+
   it("reports a refused connection", async () => {
     const url = "http://127.0.0.1:1";
     await expect(request(url, { dispatcher: agent }))
