End an answer whose end arrives while it is paused

A caller that read slowly never got the end of an answer without a length: it was held until a time limit, and the process logged an unexpected error ("assert(!this.paused)" of undici 7.30.2).

Cause: undici reads the end of a socket also while its parser is paused, if all bytes have been read, and throws. Nothing ends the answer after that.

HttpSocket holds the end back until undici reads on. It stays half open meanwhile; undici destroys each connection at its end.

That callers of a whole router met it is inferred: this was shown with undici and HttpSocket only.

--- a/packages/daemon/src/net/http_socket.ts
+++ b/packages/daemon/src/net/http_socket.ts
@@ -20,13 +20,40 @@
 }
 
 /**
- * TCP connection of an HTTP client. A reset always fails with
- * {@link ConnectionResetError}.
+ * TCP connection of an undici client. It corrects two faults of undici with
+ * answers that have neither a length nor chunks:
  *
- * undici takes the error code `ECONNRESET`, and any end, for the regular end of
- * an answer that has neither a length nor chunks.
+ * - A reset is taken for the regular end of the answer. Here it always fails with
+ *   {@link ConnectionResetError}.
+ * - An end that arrives while the caller has paused the answer throws, and the
+ *   answer never ends. Here the end is reported when undici reads on.
  */
 export class HttpSocket extends Socket {
+  /** Whether undici's parser is paused: it then puts back what it has not read. */
+  #isPaused = false;
+  #hasHeldEnd = false;
+
+  constructor() {
+    // Without this, the socket closes at its end even if that is held back. undici
+    // destroys each connection at its end.
+    super({ allowHalfOpen: true });
+  }
+
+  override unshift(chunk: Uint8Array): void {
+    this.#isPaused = true;
+    super.unshift(chunk);
+  }
+
+  override read(size?: number): unknown {
+    const chunk: unknown = super.read(size);
+    // Node.js itself reads with a size of 0.
+    if (size === undefined) {
+      this.#isPaused = false;
+      this.#emitHeldEnd();
+    }
+    return chunk;
+  }
+
   override _destroy(
     error: Error | null,
     callback: (error?: Error | null) => void,
@@ -47,8 +74,20 @@
       this.destroy(new ConnectionResetError());
       return false;
     }
+    if (event === "end" && this.#isPaused) {
+      this.#hasHeldEnd = true;
+      return false;
+    }
     return super.emit(event, ...args);
   }
+
+  #emitHeldEnd(): void {
+    if (this.#hasHeldEnd) {
+      this.#hasHeldEnd = false;
+      // undici first parses what it is reading, which may pause it again.
+      setImmediate(() => this.destroyed || this.emit("end"));
+    }
+  }
 }
 
 /**
--- a/packages/daemon/src/net/http_socket_test.ts
+++ b/packages/daemon/src/net/http_socket_test.ts
@@ -11,6 +11,7 @@
 
 const CONNECT_TIMEOUT_MS = 1000;
 
+/** Time between the parts of an answer, and for which it is paused. */
 const STEP_MS = 50;
 
 describe("httpConnector", () => {
@@ -43,6 +44,32 @@
     expect(await read()).toBe("whole");
   });
 
+  // Guards against an answer that never ends because its end arrives while the
+  // caller has paused it, and against an exception at that moment.
+  it("reads an answer whose end arrives while it is paused", async () => {
+    server.answer = (socket) => {
+      socket.write(`${UNFRAMED_HEADS[0]}whole`);
+      setTimeout(() => socket.end(), STEP_MS);
+    };
+    let text = "";
+    await new Promise<void>((resolve, reject) => {
+      agent.dispatch({ origin: server.url, path: "/", method: "GET" }, {
+        onRequestStart: () => {},
+        onResponseStart: () => {},
+        onResponseData: (controller, chunk) => {
+          text += chunk.toString();
+          if (chunk.length > 0) {
+            controller.pause();
+            setTimeout(() => controller.resume(), 2 * STEP_MS);
+          }
+        },
+        onResponseEnd: () => resolve(),
+        onResponseError: (_controller, error) => reject(error),
+      });
+    });
+    expect(text).toBe("whole");
+  });
+
   // Guards against a time-out of a connection that opened while the process was held
   // up for longer than the time limit.
   it("connects if the process was held up", async () => {
