Destroy a connection to an endpoint with an error

unexpected_error "assert(!this.paused)" of undici was logged for a connection that the router destroyed while its answer, which ends with the connection, was paused for a slow caller; the answer got no end and no error.

Cause: undici takes a socket that is destroyed without an error for the end of such an answer. It is destroyed with one now.

The new test times out with an unhandled AssertionError without the change and passes with it.

--- a/packages/daemon/src/direct/endpoint_connection.ts
+++ b/packages/daemon/src/direct/endpoint_connection.ts
@@ -116,7 +116,8 @@
 
   destroy(): void {
     this.#closed = true;
-    this.#socket?.destroy();
+    // Without an error, undici takes this for the end of an answer.
+    this.#socket?.destroy(new Error("connection to the endpoint was closed"));
     void this.#client.destroy().catch(() => {
       // The client is already closed.
     });
