Count time limits from when a request was read

Cause: a request is handled one turn of the event loop after its end was read, so that a close that follows it is seen first. Its time limits began only then. On a busy small router a turn takes long, and so each request was held that much past its route's time limit; requests that were read in the same turn after many others were held longer still.

Change: the time limits begin when the first request was read in the turn in which this one was; its connection had something to read by then. Requests whose time is over when they are handled are refused at once as not run.

--- a/packages/core/src/direct/direct_admission.ts
+++ b/packages/core/src/direct/direct_admission.ts
@@ -54,12 +54,12 @@
 export function admitCall(
   state: DirectState,
   key: number,
-  call: DirectCall,
+  received: DeferredCall,
   nowMs: Millis,
 ): DirectEffect[] {
   return canServe(state) || state.stopping
-    ? startRequest(state, key, { call, receivedMs: nowMs }, nowMs, "received")
-    : deferCall(state, key, { call, receivedMs: nowMs }, MAX_DEFERRAL_MS);
+    ? startRequest(state, key, received, nowMs, "received")
+    : deferCall(state, key, received, MAX_DEFERRAL_MS);
 }
 
 /**
--- a/packages/core/src/direct/direct_event.ts
+++ b/packages/core/src/direct/direct_event.ts
@@ -158,6 +158,8 @@
   | {
     readonly type: "call_received";
     readonly nowMs: Millis;
+    /** When the call was read, if that was earlier; its time limits begin then. */
+    readonly readMs?: Millis;
     readonly key: number;
     readonly call: DirectCall;
   }
--- a/packages/core/src/direct/reduce_direct.ts
+++ b/packages/core/src/direct/reduce_direct.ts
@@ -55,7 +55,12 @@
 ): DirectEffect[] {
   switch (event.type) {
     case "call_received":
-      return admitCall(state, event.key, event.call, event.nowMs);
+      return admitCall(
+        state,
+        event.key,
+        { call: event.call, receivedMs: event.readMs ?? event.nowMs },
+        event.nowMs,
+      );
     case "directory_confirmed":
       state.directoryConfirmedMs = event.confirmedMs;
       return admitDeferredCalls(state, event.nowMs);
--- a/packages/core/src/direct/reduce_direct_test.ts
+++ b/packages/core/src/direct/reduce_direct_test.ts
@@ -462,6 +462,39 @@
     });
   });
 
+  // Guards against requests that are held past their time limits because a busy
+  // process handles them long after it has read them.
+  describe("with a call that was read before it is handled", () => {
+    function handleLate(nowMs: number) {
+      return reduceDirect(createServingState(), {
+        type: "call_received",
+        nowMs,
+        readMs: 0,
+        key: 1,
+        call: callTo("/read/x"),
+      });
+    }
+
+    it("counts the time limit of the route from when it was read", () => {
+      const effects = handleLate(1000);
+      expect(startedAttempts(effects)[0]!.deadlineMs).toBe(1000);
+      expect(effects).toContainEqual({
+        type: "set_timer",
+        key: 1,
+        timer: "deadline",
+        delayMs: 1000,
+      });
+    });
+
+    it("refuses the request as not run if its time is over", () => {
+      const effects = handleLate(2000);
+      expect(startedAttempts(effects)).toEqual([]);
+      expect(refusals(effects)).toMatchObject([
+        { status: 503, reason: "deadline_passed", outcome: "not-run" },
+      ]);
+    });
+  });
+
   // Guards against a final answer of 404 or 401 by a router that knows that its
   // configuration may be older than the caller's.
   describe("with a configuration that may be outdated", () => {
--- a/packages/daemon/src/direct/direct_router_host.ts
+++ b/packages/daemon/src/direct/direct_router_host.ts
@@ -90,7 +90,7 @@
   readonly #state: DirectState;
   readonly #queue: EventQueue<DirectEvent, DirectEffect>;
   readonly #failureLog: FailureLog;
-  readonly #edge = new EdgeServer();
+  readonly #edge: EdgeServer;
   readonly #readinessServer: Server;
   readonly #metrics = new MetricRegistry();
   readonly #metricsServer: MetricsServer;
@@ -118,6 +118,7 @@
     this.#logger = logger;
     this.#clock = clock;
     this.#earlyConnections = options.earlyConnections;
+    this.#edge = new EdgeServer(clock);
     this.#connections = new EndpointConnectionPool(
       clock,
       (event) =>
@@ -361,7 +362,7 @@
     this.#logReadinessChange();
   }
 
-  #handleCall({ body, key, request, response }: EdgeCall): void {
+  #handleCall({ body, key, readMs, request, response }: EdgeCall): void {
     const writer = new AnswerWriter(
       request,
       response,
@@ -373,6 +374,7 @@
     this.#queue.push({
       type: "call_received",
       nowMs: this.#clock.nowMs(),
+      readMs,
       key,
       call: {
         ...this.#dialect.readCall(request, body.length),
--- a/packages/daemon/src/direct/edge_server.ts
+++ b/packages/daemon/src/direct/edge_server.ts
@@ -5,7 +5,7 @@
   type ServerResponse,
 } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
-import type { CallerLimits, Millis } from "@anvildeal/core";
+import type { CallerLimits, Clock, Millis } from "@anvildeal/core";
 import { ConnectionCloser } from "../connection_closer.js";
 import { ConnectionCounter } from "../connection_counter.js";
 import { listen } from "../listen.js";
@@ -46,6 +46,11 @@
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
   readonly body: Buffer;
+  /**
+   * When the first request was read in the turn of the event loop in which this one
+   * was. Its connection had something to read by then.
+   */
+  readonly readMs: Millis;
 }
 
 export interface EdgeCallerError {
@@ -71,8 +76,11 @@
   readonly #openAnswers = new Map<Socket, number>();
   readonly #closer = new ConnectionCloser();
   readonly #connections: ConnectionCounter;
+  readonly #clock: Clock;
   #maxBodyBytes = DEFAULT_MAX_BODY_BYTES;
   #nextKey = 1;
+  /** When the first request of this turn of the event loop was read. */
+  #turnReadMs: Millis | undefined;
 
   readonly onCall = this.#onCall.event;
   /** Fires with the request's key if a caller disconnects before its answer ends. */
@@ -80,7 +88,8 @@
   /** Fires when a caller sent bytes that are not a valid request. */
   readonly onCallerError = this.#onCallerError.event;
 
-  constructor() {
+  constructor(clock: Clock) {
+    this.#clock = clock;
     this.#server = createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
       requestTimeout: 0,
@@ -210,6 +219,7 @@
       if (bytes > this.#maxBodyBytes) {
         return;
       }
+      const readMs = this.#readMs();
       const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
       // A request that waited to be read, while the process was held up, may be
       // followed by the close of its connection, which is read after it.
@@ -218,11 +228,23 @@
           return;
         }
         callEmitted = true;
-        this.#onCall.fire({ key, request, response, body });
+        this.#onCall.fire({ key, request, response, body, readMs });
       });
     });
   }
 
+  /**
+   * Time of the first call of this method in a turn of the event loop: all sockets
+   * that are read in a turn had something to read when it began.
+   */
+  #readMs(): Millis {
+    if (this.#turnReadMs === undefined) {
+      this.#turnReadMs = this.#clock.nowMs();
+      setImmediate(() => this.#turnReadMs = undefined);
+    }
+    return this.#turnReadMs;
+  }
+
   #removeOpenAnswer(socket: Socket): void {
     const remaining = (this.#openAnswers.get(socket) ?? 1) - 1;
     if (remaining > 0) {
--- a/packages/daemon/src/direct/edge_server_test.ts
+++ b/packages/daemon/src/direct/edge_server_test.ts
@@ -2,6 +2,7 @@
 import { connect, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { ManualClock } from "../manual_clock_fixture.js";
 import { type EdgeCall, EdgeServer } from "./edge_server.js";
 
 /** More than the operating system takes for a caller that does not read. */
@@ -9,14 +10,25 @@
 
 const CALLERS = 20;
 
+const GET = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+/** Clock that goes on by a millisecond whenever it is read. */
+class SteppingClock extends ManualClock {
+  override nowMs(): number {
+    return this.timeMs++;
+  }
+}
+
 describe("EdgeServer", () => {
   let server: EdgeServer;
   let caller: Socket;
   let calls: EdgeCall[];
+  let clock: SteppingClock;
   let port: number;
 
   beforeEach(async () => {
-    server = new EdgeServer();
+    clock = new SteppingClock();
+    server = new EdgeServer(clock);
     calls = [];
     server.onCall((call) => calls.push(call));
     port = await server.listen("127.0.0.1", 0);
@@ -41,7 +53,7 @@
       { length: CALLERS },
       () => connect(port, "127.0.0.1").on("error", () => {}),
     );
-    callers.forEach((each) => each.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n"));
+    callers.forEach((each) => each.write(GET));
     // The connections are opened in the next tick, before the event loop accepts any.
     await new Promise(process.nextTick);
     await server.stopListening();
@@ -78,4 +90,41 @@
       await until(() => !server.hasOpenAnswers);
     });
   });
+
+  describe("tells when it read a request", () => {
+    let second: Socket;
+
+    beforeEach(async () => {
+      second = connect(port, "127.0.0.1");
+      await once(second, "connect");
+      await sendOnBoth();
+    });
+
+    afterEach(() => second.destroy());
+
+    /** Sends a request on both connections, and answers once both have arrived. */
+    async function sendOnBoth(): Promise<EdgeCall[]> {
+      const before = calls.length;
+      caller.write(GET);
+      second.write(GET);
+      await until(() => calls.length === before + 2);
+      const arrived = calls.slice(before);
+      arrived.forEach(({ response }) => response.end());
+      await until(() => !server.hasOpenAnswers);
+      return arrived;
+    }
+
+    // Guards against requests that are held past their time limits because a busy
+    // process reads and handles many in a turn of the event loop.
+    it("counts from the first of those that it reads in a turn", async () => {
+      const [first, other] = await sendOnBoth();
+      expect(other!.readMs).toBe(first!.readMs);
+    });
+
+    it("counts each turn by itself", async () => {
+      const [first] = await sendOnBoth();
+      const [next] = await sendOnBoth();
+      expect(next!.readMs).toBeGreaterThan(first!.readMs);
+    });
+  });
 });
