--- a/packages/daemon/src/connection_counter.ts
+++ b/packages/daemon/src/connection_counter.ts
@@ -1,12 +1,7 @@
 import type { Server, Socket } from "node:net";
+import type { Millis } from "@anvildeal/core";
 import { nextPoll } from "./next_poll.js";
 
-/**
- * More connections than the system holds that a process has not accepted: Node.js
- * asks for a queue of 511.
- */
-const MAX_QUEUED_CONNECTIONS = 512;
-
 /** Counts the connections of a server. */
 export class ConnectionCounter {
   #openCount = 0;
@@ -26,18 +21,21 @@
   }
 
   /**
-   * Resolves when no accepted connection has come for a turn of the event loop, in
-   * which one is accepted at least, or when all that waited at the call are
-   * accepted. The system resets those that wait when a server stops to listen,
-   * although their callers may have sent requests.
+   * Resolves when no connection has come for a turn of the event loop, in which one
+   * is accepted at least, or after `maxMs`, so that callers who keep coming do not
+   * hold up a stop. The system resets those that wait when a server stops to
+   * listen, although their callers may have sent requests.
    */
-  async untilAccepted(): Promise<void> {
-    for (let turn = 0; turn < MAX_QUEUED_CONNECTIONS; turn++) {
-      const acceptedCount = this.#acceptedCount;
+  async untilAccepted(maxMs: Millis): Promise<void> {
+    let isOver = false;
+    const timer = setTimeout(() => {
+      isOver = true;
+    }, maxMs);
+    let acceptedCount: number;
+    do {
+      acceptedCount = this.#acceptedCount;
       await nextPoll();
-      if (this.#acceptedCount === acceptedCount) {
-        return;
-      }
-    }
+    } while (!isOver && this.#acceptedCount !== acceptedCount);
+    clearTimeout(timer);
   }
 }
--- a/packages/daemon/src/direct/direct_router_host.ts
+++ b/packages/daemon/src/direct/direct_router_host.ts
@@ -54,6 +54,9 @@
 /** Time for the first request of a connection that was accepted last. */
 const LAST_REQUESTS_MS: Millis = 100;
 
+/** Maximum time for accepting the connections that wait when the port closes. */
+const MAX_ACCEPT_MS: Millis = 1000;
+
 /** Time for callers' connections to take the answers that are written last. */
 const LAST_ANSWERS_MS: Millis = 150;
 
@@ -270,7 +273,12 @@
       limitMs - LAST_REQUESTS_MS,
     );
     await this.#waitUntil(() => elapsedMs() >= stopListeningMs);
-    await this.#edge.stopListening();
+    await this.#edge.stopListening(
+      Math.max(
+        LAST_REQUESTS_MS,
+        Math.min(MAX_ACCEPT_MS, limitMs - elapsedMs()),
+      ),
+    );
     const closedMs = elapsedMs();
     this.#logger.log("listening_stopped", {
       after_ms: Math.round(closedMs),
--- a/packages/daemon/src/direct/edge_server.ts
+++ b/packages/daemon/src/direct/edge_server.ts
@@ -164,11 +164,11 @@
   }
 
   /**
-   * Stops listening when all connections that callers have opened are accepted.
-   * They stay open, also those without a request.
+   * Stops listening when all connections that callers have opened are accepted, or
+   * after `maxMs`. They stay open, also those without a request.
    */
-  async stopListening(): Promise<void> {
-    await this.#connections.untilAccepted();
+  async stopListening(maxMs: Millis): Promise<void> {
+    await this.#connections.untilAccepted(maxMs);
     // The method of the HTTP server would close idle connections as well.
     NetServer.prototype.close.call(this.#server);
   }
--- a/packages/daemon/src/direct/edge_server_test.ts
+++ b/packages/daemon/src/direct/edge_server_test.ts
@@ -10,6 +10,8 @@
 
 const CALLERS = 20;
 
+const MAX_ACCEPT_MS = 1000;
+
 const GET = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 
 /** Clock that goes on by a millisecond whenever it is read. */
@@ -56,7 +58,7 @@
     callers.forEach((each) => each.write(GET));
     // The connections are opened in the next tick, before the event loop accepts any.
     await new Promise(process.nextTick);
-    await server.stopListening();
+    await server.stopListening(MAX_ACCEPT_MS);
     await until(() => calls.length === CALLERS);
     callers.forEach((each) => each.destroy());
   });
--- a/packages/daemon/src/router/caller_server.ts
+++ b/packages/daemon/src/router/caller_server.ts
@@ -37,6 +37,9 @@
 /** A caller that takes longer to read its response loses the end of it at a stop. */
 const MAX_DELIVERY_MS: Millis = 5000;
 
+/** Maximum time for accepting the connections that wait when the port closes. */
+const MAX_ACCEPT_MS: Millis = 1000;
+
 /** Time for the first request of a connection that was accepted last. */
 const LAST_REQUESTS_MS: Millis = 100;
 
@@ -115,7 +118,7 @@
    * open, also those without a request.
    */
   async stopListening(): Promise<void> {
-    await this.#connections.untilAccepted();
+    await this.#connections.untilAccepted(MAX_ACCEPT_MS);
     // The method of the HTTP server would close idle connections as well.
     NetServer.prototype.close.call(this.#server);
     await sleep(LAST_REQUESTS_MS);
