--- a/packages/daemon/src/router/caller_server.ts
+++ b/packages/daemon/src/router/caller_server.ts
@@ -188,7 +188,9 @@
   abort(requestId: string): void {
     const response = this.#responses.get(requestId);
     this.#responses.delete(requestId);
-    response?.destroy();
+    if (response) {
+      breakOff(response);
+    }
   }
 
   /** Sends an error as the response; destroys a response that has started. */
@@ -202,6 +204,7 @@
   }
 
   dispose(): void {
+    this.#responses.forEach(breakOff);
     this.#server.close();
     this.#server.closeAllConnections();
     this.#onRequest.dispose();
@@ -355,7 +358,7 @@
   endpointId?: string,
 ): void {
   if (response.headersSent) {
-    response.destroy();
+    breakOff(response);
     return;
   }
   response.setHeader("anvildeal-request", requestId);
@@ -389,6 +392,17 @@
   response.end(body);
 }
 
+/**
+ * Closes the connection of an answer that is not complete. Without chunks its end may
+ * be marked by an orderly close, so the connection is reset.
+ */
+function breakOff(response: ServerResponse): void {
+  if (response.headersSent && !response.chunkedEncoding) {
+    response.socket?.resetAndDestroy();
+  }
+  response.destroy();
+}
+
 /** Responds to an HTTP request head that is invalid, too large or too slow. */
 function respondToClientError(
   error: Error & { code?: string },
--- a/packages/daemon/src/router/caller_server_test.ts
+++ b/packages/daemon/src/router/caller_server_test.ts
@@ -46,8 +46,8 @@
     ]);
   }
 
-  async function request(): Promise<string> {
-    caller.write(REQUEST);
+  async function request(text = REQUEST): Promise<string> {
+    caller.write(text);
     while (requestIds.length === 0) {
       await sleep(5);
     }
@@ -72,6 +72,22 @@
     callers.forEach((each) => each.destroy());
   });
 
+  // Guards against a broken answer that looks whole to callers of HTTP/1.0, since its
+  // end is marked by the end of the connection.
+  it.each<[string, (id: string) => void]>([
+    ["is aborted", (id) => server.abort(id)],
+    ["is cut by the end of the server", () => server.dispose()],
+  ])("resets an answer without a length that %s", async (_how, end) => {
+    const id = await request(REQUEST.replace("HTTP/1.1", "HTTP/1.0"));
+    server.sendHead(id, 200, {});
+    server.sendData(id, Buffer.from("part"));
+    await once(caller, "data");
+    const error = once(caller, "error");
+    caller.once("end", () => caller.destroy(new Error("orderly end")));
+    end(id);
+    expect((await error)[0]).toMatchObject({ code: "ECONNRESET" });
+  });
+
   // Guards against a stop that cuts off the end of a response which a slow caller
   // has not taken yet.
   it("waits until the caller's connection has taken a response", async () => {
