Bound the retries of requests that no endpoint received

Only requests that cannot have run keep the budget as it was; the number of their retries is bounded. The new test ends after four attempts at most.

--- a/packages/core/src/direct/direct_attempt.ts
+++ b/packages/core/src/direct/direct_attempt.ts
@@ -362,7 +362,8 @@
  * Retries the request if the retry budget allows it and the request may run
  * again or cannot have run. Otherwise refuses the request, or aborts its answer
  * if a part of the answer was relayed. An attempt that reached no endpoint leaves
- * the budget as it was, since the endpoints get no more requests by its retry.
+ * the budget as it was, since the endpoints get no more requests by its retry,
+ * unless an earlier attempt may have run.
  */
 function retryOrFail(
   state: DirectState,
@@ -377,9 +378,10 @@
     ? canRetry(state, request, nowMs) && (!request.answerStarted || canResume)
     : request.attemptCount <= MAX_NOT_RUN_RETRIES &&
       hasOtherEndpoint(state, request, nowMs);
-  const hasArrived = reason !== "endpoints_unreachable";
+  // The number of retries bounds those of requests that cannot have run.
+  const isFree = !mayHaveRun && reason === "endpoints_unreachable";
   const willRetry = retryAllowed &&
-    (!hasArrived || tryConsumeRetry(state, request));
+    (isFree || tryConsumeRetry(state, request));
   const event = mayHaveRun
     ? { type: "failed_unknown", mayRetry: willRetry } as const
     : { type: "refused_not_run", mayTryNext: willRetry } as const;
--- a/packages/core/src/direct/reduce_direct_test.ts
+++ b/packages/core/src/direct/reduce_direct_test.ts
@@ -693,6 +693,24 @@
       expect(placed.filter((attempts) => attempts.length !== 1)).toEqual([]);
     });
 
+    // Guards against retries without end while no connection is made.
+    it("ends a request that no endpoint receives after some attempts", () => {
+      const state = createServingState();
+      receiveCall(state, "/read/x", 1);
+      let attempts = 1;
+      for (let number = 1; number <= 40; number++) {
+        attempts += startedAttempts(reduceDirect(state, {
+          type: "attempt_failed",
+          nowMs: number,
+          key: 1,
+          attemptNumber: number,
+          failure: { kind: "connect", sent: false },
+          canResume: true,
+        })).length;
+      }
+      expect(attempts).toBeLessThanOrEqual(4);
+    });
+
     it("sends no request elsewhere that an endpoint received", () => {
       const state = createServingState();
       const retried = Array.from({ length: 40 }, (_, i) => {
