--- a/packages/daemon/src/direct/index.ts
+++ b/packages/daemon/src/direct/index.ts
@@ -13,4 +13,5 @@
   type HttpResponse,
 } from "../store/http_exchange.js";
 export type { Logger } from "../logging/index.js";
+export { httpConnector } from "../net/http_socket.js";
 export { SystemClock } from "../system_clock.js";
