Count the grace time of a stop from a signal that came while loading

The signal was only noted while the program was loaded, and the grace time counted from the end of the loading: a router that takes seconds to load accepted requests that end after it is killed. Before the signal was noted, such a process ended at once and nothing had run, so requests could be lost that were refused before.

The time of the signal is kept and the stop begins there.

--- a/deploy/start.cjs
+++ b/deploy/start.cjs
@@ -10,9 +10,9 @@
 
 // Until the router handles the signals, they would end the process and reset the
 // connections of callers that wait for it. The settings are read later.
-let stopSignal;
+let earlyStop;
 const noteStop = (signal) => {
-  stopSignal = signal;
+  earlyStop ??= { signal, receivedMs: performance.now() };
 };
 process.on("SIGTERM", noteStop);
 process.on("SIGINT", noteStop);
@@ -44,7 +44,7 @@
   const bundle = { exports: {} };
   const evaluate = script.runInThisContext();
   evaluate(bundle.exports, createRequire(BUNDLE), bundle, BUNDLE, TARGET);
-  bundle.exports.startRouter(early, stopSignal);
+  bundle.exports.startRouter(early, earlyStop);
 }
 
 function writeCache() {
--- a/packages/daemon/src/connection_counter.ts
+++ b/packages/daemon/src/connection_counter.ts
@@ -27,15 +27,11 @@
    * listen, although their callers may have sent requests.
    */
   async untilAccepted(maxMs: Millis): Promise<void> {
-    let isOver = false;
-    const timer = setTimeout(() => {
-      isOver = true;
-    }, maxMs);
+    const limit = AbortSignal.timeout(Math.ceil(maxMs));
     let acceptedCount: number;
     do {
       acceptedCount = this.#acceptedCount;
       await nextPoll();
-    } while (!isOver && this.#acceptedCount !== acceptedCount);
-    clearTimeout(timer);
+    } while (!limit.aborted && this.#acceptedCount !== acceptedCount);
   }
 }
--- a/packages/daemon/src/direct/direct_router_host.ts
+++ b/packages/daemon/src/direct/direct_router_host.ts
@@ -251,11 +251,12 @@
    * is over is answered or broken off then.
    *
    * @param signal Name of the signal, for the log.
+   * @param receivedMs When the signal came, if that was before the router was created.
    */
-  async drain(signal?: string): Promise<void> {
+  async drain(signal?: string, receivedMs?: Millis): Promise<void> {
     const nowMs = this.#clock.nowMs();
     // The process is killed when the grace time since the signal is over.
-    const startedMs = this.#holdUpWatch.earliestMs(nowMs);
+    const startedMs = receivedMs ?? this.#holdUpWatch.earliestMs(nowMs);
     const elapsedMs = () => this.#clock.nowMs() - startedMs;
     this.#logger.log("process_stopping", {
       signal,
